--- a/crates/ebonystand-core/src/catalog.rs
+++ b/crates/ebonystand-core/src/catalog.rs
@@ -56,8 +56,7 @@
     }
 
     fn decide(&mut self, req: &ChangeRequest) -> ChangeOutcome {
-        let commutes = matches!(req.change, Change::WithdrawKey { .. });
-        if !commutes && req.expected_version != Some(self.version()) {
+        if !req.change.commutes() && req.expected_version != Some(self.version()) {
             return ChangeOutcome::Conflict {
                 version: self.version(),
             };
@@ -66,6 +65,11 @@
         if !faults.is_empty() {
             return ChangeOutcome::Refused { faults };
         }
+        if self.document.has_already(&req.change) {
+            return ChangeOutcome::Accepted {
+                version: self.version(),
+            };
+        }
         let version = self.version() + 1;
         self.document.make(&AcceptedChange {
             change: req.change.clone(),
--- a/crates/ebonystand-core/src/change.rs
+++ b/crates/ebonystand-core/src/change.rs
@@ -23,6 +23,14 @@
         /// The region.
         region: Region,
     },
+    /// Replaces all routes, services and workspaces of the gateway, if the number of these is
+    /// higher than that of those in force; otherwise it changes nothing.
+    PutRouting {
+        /// Regions with the holders of allowances.
+        regions: BTreeMap<RegionId, Region>,
+        /// The new ones.
+        routing: Box<Routing>,
+    },
     /// Adds or replaces a service.
     PutService {
         /// Its name.
@@ -54,6 +62,13 @@
         /// Its name.
         id: WorkspaceId,
     },
+    /// Stops or allows the sending of requests to the upstreams of an availability zone.
+    SetEvacuated {
+        /// Whether they get nothing.
+        evacuated: bool,
+        /// The zone.
+        zone: ZoneId,
+    },
     /// Says what a preset means.
     SetPreset {
         /// Which preset.
@@ -79,3 +94,15 @@
         id: KeyId,
     },
 }
+
+impl Change {
+    /// Whether it may come at any version: it gives the same document whatever came before, or has
+    /// a number of its own that orders it.
+    #[must_use]
+    pub fn commutes(&self) -> bool {
+        matches!(
+            self,
+            Self::PutRouting { .. } | Self::SetEvacuated { .. } | Self::WithdrawKey { .. }
+        )
+    }
+}
--- a/crates/ebonystand-core/src/change_log.rs
+++ b/crates/ebonystand-core/src/change_log.rs
@@ -45,7 +45,11 @@
 
     pub(crate) fn push(&mut self, accepted: AcceptedChange) {
         let next = accepted.version == self.version() + 1;
-        if !next || matches!(accepted.change, Change::Apply { .. }) {
+        let is_whole = matches!(
+            accepted.change,
+            Change::Apply { .. } | Change::PutRouting { .. }
+        );
+        if !next || is_whole {
             self.restart(accepted.version);
             return;
         }
--- a/crates/ebonystand-core/src/change_request.rs
+++ b/crates/ebonystand-core/src/change_request.rs
@@ -6,7 +6,7 @@
 pub struct ChangeRequest {
     /// What to change.
     pub change: Change,
-    /// Version that the operator has seen. Only a withdrawal needs none: it commutes with all.
+    /// Version that the operator has seen. Not needed by one that [`Change::commutes`].
     pub expected_version: Option<Version>,
     /// Name of the request, equal in each resend.
     pub request_id: RequestId,
--- a/crates/ebonystand-core/src/document.rs
+++ b/crates/ebonystand-core/src/document.rs
@@ -4,6 +4,8 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Document {
+    /// Availability zones whose upstreams get nothing.
+    pub evacuated: BTreeSet<ZoneId>,
     /// Callers' keys. In a document that an operator applies they are added to those in force.
     pub keys: BTreeMap<KeyId, Key>,
     /// The one preset in force.
@@ -12,6 +14,8 @@
     pub presets: Presets,
     /// Regions.
     pub regions: BTreeMap<RegionId, Region>,
+    /// Routes of plain HTTP requests.
+    pub routing: Routing,
     /// Plain services.
     pub services: BTreeMap<ServiceId, Service>,
     /// Upstreams.
--- a/crates/ebonystand-core/src/document_change.rs
+++ b/crates/ebonystand-core/src/document_change.rs
@@ -16,6 +16,7 @@
             Change::PutRegion { id, region } => {
                 self.regions.insert(id.clone(), region.clone());
             }
+            Change::PutRouting { regions, routing } => self.put_routing(regions, routing),
             Change::PutService { id, service } => {
                 self.services.insert(id.clone(), service.clone());
             }
@@ -30,6 +31,13 @@
                 self.workspaces.remove(id);
                 self.keys.retain(|_, key| key.workspace != *id);
             }
+            Change::SetEvacuated { evacuated, zone } => {
+                if *evacuated {
+                    self.evacuated.insert(zone.clone());
+                } else {
+                    self.evacuated.remove(zone);
+                }
+            }
             Change::SetPreset { name, preset } => *self.presets.get_mut(*name) = preset.clone(),
             Change::SetUpstreamLeaving { id, leaving } => {
                 if let Some(upstream) = self.upstreams.get_mut(id) {
@@ -61,7 +69,13 @@
                 self.key_faults(id, key, &mut faults);
             }
             Change::PutRegion { id, region } => self.region_faults(id, region, &mut faults),
-            Change::PutService { .. } | Change::SwitchPreset { .. } => {}
+            Change::PutRouting { routing, .. } => {
+                let routing = routing.faults().into_iter();
+                faults.extend(routing.map(|fault| DocumentFault::Routing { fault }));
+            }
+            Change::PutService { .. }
+            | Change::SetEvacuated { .. }
+            | Change::SwitchPreset { .. } => {}
             Change::PutUpstream { id, upstream } => self.upstream_faults(id, upstream, &mut faults),
             Change::PutWorkspace { id, workspace } => {
                 self.workspace_faults(id, workspace, &mut faults);
@@ -88,6 +102,41 @@
         }
     }
 
+    /// Whether the change leaves everything as it is, so that it needs no new version.
+    #[must_use]
+    pub fn has_already(&self, change: &Change) -> bool {
+        match change {
+            Change::PutRouting { routing, .. } => routing.revision <= self.routing.revision,
+            Change::SetEvacuated { evacuated, zone } => self.evacuated.contains(zone) == *evacuated,
+            _ => false,
+        }
+    }
+
+    /// Puts a routing in force. Its workspaces replace those in force, so that allowances follow;
+    /// one that is not limited has none.
+    fn put_routing(&mut self, regions: &BTreeMap<RegionId, Region>, routing: &Routing) {
+        if routing.revision <= self.routing.revision {
+            return;
+        }
+        self.regions.clone_from(regions);
+        // A VM of any region may be the one that a caller connects to, and takes from the quota
+        // before it sends the request on to a home.
+        let everywhere: BTreeSet<_> = self.regions.keys().cloned().collect();
+        let limited = routing.workspaces.iter().filter_map(|workspace| {
+            let quota = workspace.quota?;
+            let home = everywhere.first()?.clone();
+            let limited = Workspace {
+                burst: quota.burst,
+                home,
+                rate: quota.rate,
+                residency: everywhere.clone(),
+            };
+            Some((workspace.name.clone(), limited))
+        });
+        self.workspaces = limited.collect();
+        self.routing = routing.clone();
+    }
+
     fn replace(&mut self, document: &Document) {
         let version = self.version;
         *self = self.replaced_by(document);
@@ -98,6 +147,11 @@
     /// and a withdrawn one stays withdrawn: an old file would bring it back otherwise.
     fn replaced_by(&self, document: &Document) -> Self {
         let mut next = document.clone();
+        // Both have orders of their own; a document that names neither must not undo them.
+        if next.routing.revision <= self.routing.revision {
+            next.routing.clone_from(&self.routing);
+        }
+        next.evacuated.extend(self.evacuated.iter().cloned());
         for (id, key) in &self.keys {
             let withdrawn = key.withdrawn || next.keys.get(id).is_some_and(|new| new.withdrawn);
             let key = Key {
--- a/crates/ebonystand-core/src/document_fault.rs
+++ b/crates/ebonystand-core/src/document_fault.rs
@@ -55,6 +55,12 @@
         /// The upstream.
         upstream: UpstreamId,
     },
+    /// A routing that cannot be put in force.
+    #[snafu(display("routing: {fault}"))]
+    Routing {
+        /// What is wrong with it.
+        fault: RoutingFault,
+    },
     /// An upstream in no region.
     #[snafu(display("upstreams.{upstream}.region: no region `{region}`"))]
     UpstreamRegion {
--- a/crates/ebonystand-core/src/document_parts.rs
+++ b/crates/ebonystand-core/src/document_parts.rs
@@ -10,6 +10,7 @@
     #[must_use]
     pub fn part(&self, cursor: DocumentCursor) -> DocumentPart {
         let mut entries = Vec::new();
+        let is_first = cursor == DocumentCursor::default();
         let mut section = Some(cursor.section);
         let mut after = cursor.after.as_deref();
         while let Some(current) = section {
@@ -23,10 +24,12 @@
         }
         DocumentPart {
             cursor,
+            evacuated: self.evacuated.clone(),
             last: entries.len() < Self::PART_ENTRIES,
             entries,
             preset: self.preset,
             presets: self.presets.clone(),
+            routing: is_first.then(|| Box::new(self.routing.clone())),
             version: self.version,
         }
     }
@@ -35,6 +38,10 @@
     pub fn put_part(&mut self, part: DocumentPart) {
         self.preset = part.preset;
         self.presets = part.presets;
+        self.evacuated = part.evacuated;
+        if let Some(routing) = part.routing {
+            self.routing = *routing;
+        }
         for entry in part.entries {
             match entry {
                 DocumentEntry::Key(id, key) => drop(self.keys.insert(id, key)),
--- /dev/null
+++ b/crates/ebonystand-core/src/gateway/choice.rs
@@ -0,0 +1,35 @@
+use super::*;
+
+/// Where a request goes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Choice {
+    /// To a VM of another region, which chooses one of the upstreams there.
+    Away {
+        /// Predicted time to the first byte if it stayed; none if nobody here can serve it.
+        here: Option<Duration>,
+        /// Predicted time to the first byte there.
+        predicted: Duration,
+        /// The region.
+        region: RegionId,
+    },
+    /// To an upstream of the own region.
+    Here {
+        /// Where it listens.
+        address: SocketAddr,
+        /// Upstreams that were weighed.
+        candidates: u32,
+        /// The upstream.
+        instance: UpstreamId,
+        /// Predicted time to the first byte.
+        predicted: Duration,
+        /// Age of the load that the prediction rests on; none if the upstream has told none.
+        report_age: Option<Duration>,
+        /// Prompt tokens that the upstream is expected to read anew.
+        unread: Tokens,
+    },
+    /// Nobody can serve it now.
+    Nowhere {
+        /// When coming back makes sense.
+        retry_after: Duration,
+    },
+}
--- /dev/null
+++ b/crates/ebonystand-core/src/gateway/gateway_service.rs
@@ -0,0 +1,17 @@
+use super::*;
+
+/// A service that routes send requests to.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewayService {
+    /// What its upstreams bear while they are cold.
+    pub cold: ColdTerms,
+    /// Connections that one upstream takes from all VMs together.
+    pub connections: u64,
+    /// Whether its upstreams are model engines.
+    pub engine: bool,
+    /// Path of the health check.
+    pub health_path: Box<str>,
+    /// Name.
+    pub name: ServiceId,
+}
--- /dev/null
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -0,0 +1,55 @@
+//! Routing of plain HTTP requests: which upstream gets a request that a route sends to a service,
+//! who may be told of which VM, and for how long a VM may trust its copy of the configuration.
+
+use super::*;
+
+pub use {
+    attempt_end::AttemptEnd,
+    call_kind::CallKind,
+    choice::Choice,
+    choice_query::ChoiceQuery,
+    cold_terms::ColdTerms,
+    confirmation::Confirmation,
+    entry_choice::EntryChoice,
+    gateway_route::GatewayRoute,
+    gateway_service::GatewayService,
+    gateway_workspace::GatewayWorkspace,
+    holder_plan::HolderPlan,
+    listed_upstream::ListedUpstream,
+    next_step::NextStep,
+    prompt::{Prompt, PromptPart},
+    quota::{Quota, QuotaUnit},
+    reported_slots::ReportedSlots,
+    route_table::RouteTable,
+    routing::Routing,
+    routing_fault::RoutingFault,
+    split_part::SplitPart,
+    upstream_book::UpstreamBook,
+};
+
+use {cold_gate::ColdGate, known_upstream::KnownUpstream, prefix_memory::PrefixMemory};
+
+mod attempt_end;
+mod call_kind;
+mod choice;
+mod choice_query;
+mod cold_gate;
+mod cold_terms;
+mod confirmation;
+mod entry_choice;
+mod gateway_route;
+mod gateway_service;
+mod gateway_workspace;
+mod holder_plan;
+mod known_upstream;
+mod listed_upstream;
+mod next_step;
+mod prefix_memory;
+mod prompt;
+mod quota;
+mod reported_slots;
+mod route_table;
+mod routing;
+mod routing_fault;
+mod split_part;
+mod upstream_book;
--- /dev/null
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -0,0 +1,362 @@
+use super::*;
+
+/// The upstreams that a VM knows of from the list, what it has seen of them, and the choice between
+/// them.
+///
+/// Each VM decides by itself on what it has sent and what it was told with answers. VMs agree
+/// without a message where a prompt's shared parts are kept, by rendezvous hashing.
+#[derive(Clone, Debug)]
+pub struct UpstreamBook {
+    here: RegionId,
+    upstreams: BTreeMap<UpstreamId, KnownUpstream>,
+    /// Predicted time to the first byte in other regions, with when it was told.
+    away: FxHashMap<(RegionId, ServiceId), (Duration, Duration)>,
+    zones: BTreeMap<ZoneId, RegionId>,
+}
+
+impl UpstreamBook {
+    /// Delay to assume of another region that has told nothing.
+    const AWAY_UNKNOWN: Duration = Duration::from_millis(300);
+    /// What another region told counts for so long.
+    const AWAY_LIFE: Duration = Duration::from_secs(2);
+    /// Network time of a request that is sent away and of its first byte, there and back.
+    const AWAY_TRIP: Duration = Duration::from_millis(130);
+    /// Part of its aim, in permille, up to which a request stays in its region. Sending away costs
+    /// bytes between regions, which are scarce, and a cold prefix.
+    const STAYS_PERMILLE: u32 = 700;
+    /// Tokens by which the owner of a prompt's shared parts is ahead of its equals, so that the
+    /// first requests for the parts meet there.
+    const OWNER_AHEAD: Tokens = 600;
+    /// An upstream that appears on the list, or whose zone comes back, counts as cold for so long
+    /// at least: the list lags, and may not say yet that it is.
+    const NEW_IS_COLD: Duration = Duration::from_millis(2_000);
+    /// Shortest time after which a refused caller is asked to come back.
+    const SHORTEST_RETRY: Duration = Duration::from_millis(250);
+    /// Longest such time.
+    const LONGEST_RETRY: Duration = Duration::from_secs(2);
+
+    /// Book of a VM in region `here`.
+    #[must_use]
+    pub fn new(here: RegionId, zones: BTreeMap<ZoneId, RegionId>) -> Self {
+        Self {
+            here,
+            upstreams: BTreeMap::new(),
+            away: FxHashMap::default(),
+            zones,
+        }
+    }
+
+    /// Whether an upstream may be sent to.
+    #[must_use]
+    pub fn admits(&self, now: Duration, query: &ChoiceQuery, instance: &str) -> bool {
+        let known = self.upstreams.get(instance);
+        known.is_some_and(|known| self.is_open(now, query, known))
+    }
+
+    /// Chooses where a request goes.
+    #[must_use]
+    pub fn choose(&self, now: Duration, query: &ChoiceQuery) -> Choice {
+        let here = self.choose_here(now, query);
+        let (predicted, stays) = match &here {
+            Choice::Here { predicted, .. } => {
+                let most = query.aim * Self::STAYS_PERMILLE / 1_000;
+                (Some(*predicted), *predicted <= most)
+            }
+            _ => (None, false),
+        };
+        if stays {
+            return here;
+        }
+        match self.choose_away(now, query) {
+            Some((region, there)) if predicted.is_none_or(|predicted| there < predicted) => {
+                Choice::Away {
+                    here: predicted,
+                    predicted: there,
+                    region,
+                }
+            }
+            _ => here,
+        }
+    }
+
+    /// Notes how an attempt ended, `waited` after it was sent.
+    pub fn ended(&mut self, now: Duration, instance: &str, end: AttemptEnd, waited: Duration) {
+        let Some(known) = self.upstreams.get_mut(instance) else {
+            return;
+        };
+        known.in_flight = known.in_flight.saturating_sub(1);
+        match end {
+            AttemptEnd::Answered => {
+                known.worked();
+                known.observe(false);
+                known.measure_call(waited);
+            }
+            AttemptEnd::Cancelled | AttemptEnd::Shed => {}
+            AttemptEnd::Failed | AttemptEnd::Lost => known.observe(true),
+            AttemptEnd::Stranger | AttemptEnd::TimedOut | AttemptEnd::Unreachable => {
+                known.failed(now)
+            }
+        }
+    }
+
+    /// Notes that the first byte of an answer came, or never will.
+    pub fn first_byte(&mut self, instance: &str, unread: Tokens, waited: Option<Duration>) {
+        let Some(known) = self.upstreams.get_mut(instance) else {
+            return;
+        };
+        if let Some(waited) = waited {
+            known.measure_reading(known.backlog.max(unread), waited);
+        }
+        known.backlog = known.backlog.saturating_sub(unread);
+    }
+
+    /// Takes over the list. An upstream that is not on it any more is forgotten.
+    pub fn list(&mut self, now: Duration, listed: Vec<ListedUpstream>) {
+        let mut next = BTreeMap::new();
+        let is_first = self.upstreams.is_empty();
+        for upstream in listed {
+            let instance = upstream.instance.clone();
+            let known = match self.upstreams.remove(&instance) {
+                Some(known) if known.listed.address == upstream.address => {
+                    Self::relisted(now, known, upstream)
+                }
+                _ => Self::appeared(now, upstream, is_first),
+            };
+            next.insert(instance, known);
+        }
+        self.upstreams = next;
+    }
+
+    /// Upstreams that are known, by name.
+    pub fn listed(&self) -> impl Iterator<Item = &ListedUpstream> {
+        self.upstreams.values().map(|known| &known.listed)
+    }
+
+    /// Predicted time to the first byte of a usual request for each service served in this region,
+    /// for VMs of other regions.
+    #[must_use]
+    pub fn pressures(
+        &self,
+        now: Duration,
+        evacuated: &BTreeSet<ZoneId>,
+        vms: u32,
+    ) -> Vec<(ServiceId, Duration)> {
+        let services: BTreeSet<_> = self.upstreams.values().map(|u| &u.listed.service).collect();
+        let reachable = BTreeSet::new();
+        let predicted = |service: &ServiceId| {
+            let query = ChoiceQuery {
+                aim: Duration::MAX,
+                evacuated,
+                excluded: &[],
+                homes: None,
+                left: Duration::MAX,
+                prompt: None,
+                reachable: &reachable,
+                service,
+                vms,
+            };
+            match self.choose_here(now, &query) {
+                Choice::Here { predicted, .. } => Some((service.clone(), predicted)),
+                Choice::Away { .. } | Choice::Nowhere { .. } => None,
+            }
+        };
+        services.into_iter().filter_map(predicted).collect()
+    }
+
+    /// Notes the load that an upstream told.
+    pub fn report(&mut self, now: Duration, instance: &str, slots: ReportedSlots) {
+        if let Some(known) = self.upstreams.get_mut(instance) {
+            known.report = Some((now, slots));
+            known.sent_since = 0;
+        }
+    }
+
+    /// Notes that a request is sent.
+    pub fn sent(
+        &mut self,
+        now: Duration,
+        query: &ChoiceQuery,
+        cold: ColdTerms,
+        instance: &str,
+        unread: Tokens,
+    ) {
+        let Some(known) = self.upstreams.get_mut(instance) else {
+            return;
+        };
+        known.in_flight += 1;
+        known.sent_since += 1;
+        known.backlog += unread;
+        if now < known.cold_until {
+            known.gate.pass(now, cold.per_s, query.vms);
+        }
+        if let Some(prompt) = query.prompt {
+            known.prefixes.note(prompt);
+        }
+    }
+
+    /// Takes what a VM of another region predicts there.
+    pub fn told(
+        &mut self,
+        now: Duration,
+        region: &RegionId,
+        pressures: Vec<(ServiceId, Duration)>,
+    ) {
+        for (service, predicted) in pressures {
+            self.away
+                .insert((region.clone(), service), (now, predicted));
+        }
+    }
+
+    /// Treats the upstreams of a zone as cold: it has just come back from an evacuation, in which
+    /// they may have become so.
+    pub fn zone_is_back(&mut self, now: Duration, zone: &str) {
+        for known in self.upstreams.values_mut() {
+            if &*known.listed.zone == zone {
+                known.cold_until = known.cold_until.max(now + Self::NEW_IS_COLD);
+            }
+        }
+    }
+
+    fn appeared(now: Duration, upstream: ListedUpstream, is_first: bool) -> KnownUpstream {
+        let lag = match is_first {
+            true => Duration::ZERO,
+            false => Self::NEW_IS_COLD,
+        };
+        let cold_until = now + upstream.cold_for.max(lag);
+        KnownUpstream::new(upstream, cold_until)
+    }
+
+    fn choose_away(&self, now: Duration, query: &ChoiceQuery) -> Option<(RegionId, Duration)> {
+        let regions = query.reachable.iter();
+        let regions = regions.filter(|region| **region != self.here && query.allows(region));
+        regions
+            .filter_map(|region| {
+                let served = self.upstreams.values().any(|known| {
+                    self.region(known) == Some(region) && self.is_usable(query, known)
+                });
+                served.then(|| (region.clone(), self.delay_away(now, region, query)))
+            })
+            .min_by_key(|(_, delay)| *delay)
+    }
+
+    fn choose_here(&self, now: Duration, query: &ChoiceQuery) -> Choice {
+        let mut candidates = self.candidates(query, |known| self.is_candidate(now, query, known));
+        if candidates.is_empty() {
+            // All have failed lately. One of them may be back; to refuse would be worse.
+            candidates = self.candidates(query, |known| self.is_open(now, query, known));
+        }
+        let shared = query.prompt.and_then(Prompt::shared);
+        let owner = shared.and_then(|shared| {
+            let names = candidates.iter().map(|known| &known.listed.instance);
+            Rendezvous::new(shared).owner(names).cloned()
+        });
+        let best = candidates.iter().map(|known| {
+            let is_owner = owner.as_ref() == Some(&known.listed.instance);
+            let unread = Self::unread(known, query.prompt);
+            let ahead = if is_owner { 0 } else { Self::OWNER_AHEAD };
+            let delay = match query.prompt {
+                Some(_) => known.engine_delay(now, unread + ahead, query.vms),
+                None => known.call_delay(now),
+            };
+            (known.weighed(delay), unread, *known)
+        });
+        let best = best.min_by_key(|(delay, _, known)| (*delay, known.in_flight));
+        let Some((predicted, unread, known)) = best else {
+            return Choice::Nowhere {
+                retry_after: self.opens_after(now, query),
+            };
+        };
+        Choice::Here {
+            address: known.listed.address,
+            candidates: u32::try_from(candidates.len()).unwrap_or(u32::MAX),
+            instance: known.listed.instance.clone(),
+            predicted,
+            report_age: known.report(now).map(|(age, _)| age),
+            unread,
+        }
+    }
+
+    fn delay_away(&self, now: Duration, region: &RegionId, query: &ChoiceQuery) -> Duration {
+        let key = (region.clone(), ServiceId::from(query.service));
+        let told = self.away.get(&key);
+        let told = told.filter(|(at, _)| now.saturating_sub(*at) < Self::AWAY_LIFE);
+        let reading = query.prompt.map_or(Duration::ZERO, |prompt| {
+            Duration::from_millis(prompt.input / 50)
+        });
+        Self::AWAY_TRIP + reading + told.map_or(Self::AWAY_UNKNOWN, |(_, delay)| *delay)
+    }
+
+    fn candidates<'a>(
+        &'a self,
+        query: &ChoiceQuery,
+        admits: impl Fn(&KnownUpstream) -> bool,
+    ) -> Vec<&'a KnownUpstream> {
+        let here = self.upstreams.values();
+        here.filter(|known| *known.listed.service == *query.service && admits(known))
+            .collect()
+    }
+
+    fn is_candidate(&self, now: Duration, query: &ChoiceQuery, known: &KnownUpstream) -> bool {
+        now >= known.suspect_until && self.is_open(now, query, known)
+    }
+
+    /// Whether an upstream may be sent to, leaving aside whether it answers.
+    fn is_open(&self, now: Duration, query: &ChoiceQuery, known: &KnownUpstream) -> bool {
+        let is_here = self.region(known) == Some(&self.here);
+        let is_open = now >= known.cold_until || now >= known.gate.opens();
+        is_here
+            && query.allows(&self.here)
+            && self.is_usable(query, known)
+            && is_open
+            && !query.excluded.contains(&known.listed.instance)
+    }
+
+    fn is_usable(&self, query: &ChoiceQuery, known: &KnownUpstream) -> bool {
+        *known.listed.service == *query.service
+            && !known.listed.leaving
+            && !query.evacuated.contains(&known.listed.zone)
+    }
+
+    /// When the first upstream may be sent to again.
+    fn opens_after(&self, now: Duration, query: &ChoiceQuery) -> Duration {
+        let opens = self
+            .upstreams
+            .values()
+            .filter(|known| self.region(known) == Some(&self.here) && self.is_usable(query, known));
+        let opens = opens.map(|known| {
+            let gate = if now < known.cold_until {
+                known.gate.opens().min(known.cold_until)
+            } else {
+                Duration::ZERO
+            };
+            gate.max(known.suspect_until).saturating_sub(now)
+        });
+        let opens = opens.min().unwrap_or(Self::LONGEST_RETRY);
+        opens.clamp(Self::SHORTEST_RETRY, Self::LONGEST_RETRY)
+    }
+
+    fn region(&self, known: &KnownUpstream) -> Option<&RegionId> {
+        self.zones.get(&known.listed.zone)
+    }
+
+    fn relisted(
+        now: Duration,
+        mut known: KnownUpstream,
+        upstream: ListedUpstream,
+    ) -> KnownUpstream {
+        if !upstream.cold_for.is_zero() {
+            if now >= known.cold_until {
+                known.prefixes.clear();
+            }
+            known.cold_until = known.cold_until.max(now + upstream.cold_for);
+        }
+        known.listed = upstream;
+        known
+    }
+
+    fn unread(known: &KnownUpstream, prompt: Option<&Prompt>) -> Tokens {
+        prompt.map_or(0, |prompt| {
+            prompt.input.saturating_sub(known.prefixes.kept(prompt))
+        })
+    }
+}
--- a/crates/ebonystand-core/src/lib.rs
+++ b/crates/ebonystand-core/src/lib.rs
@@ -131,6 +131,7 @@
     fence_outcome::FenceOutcome,
     fence_permit::FencePermit,
     fence_registry::FenceRegistry,
+    gateway::*,
     group_member_status::GroupMemberStatus,
     group_status::GroupStatus,
     hard_state::HardState,
@@ -327,6 +328,7 @@
 mod fence_registry;
 mod fleet;
 mod fleet_share;
+mod gateway;
 mod group_member_status;
 mod group_status;
 mod handover;
--- a/crates/ebonystand-core/src/replica_config.rs
+++ b/crates/ebonystand-core/src/replica_config.rs
@@ -16,11 +16,24 @@
     /// VMs that found the group, and whose new incarnations are taken in without being asked.
     /// Equal on all of them.
     pub members: BTreeSet<VmId>,
+    /// Whether this replica may found a group. A VM that has lost its disk must not: those that
+    /// still hold the log may all be out of its reach.
+    pub may_found: bool,
+    /// Whether any VM of the fleet that asks is taken in, up to [`Self::voters`]. Otherwise only
+    /// [`Self::members`] and new incarnations of members are.
+    pub open: bool,
     /// Committed entries after which a snapshot is asked for.
     pub snapshot_threshold: u64,
+    /// Voters that an open group aims at: twice the VMs that may be lost at once and one. Others
+    /// that ask stay learners until a voter is lost for [`Self::REPLACE_AFTER`].
+    pub voters: usize,
 }
 
 impl ReplicaConfig {
+    /// Silence of a voter after which a learner takes its place. Longer than an election and the
+    /// restart of a process, and shorter than the time in which a second loss is planned for.
+    pub const REPLACE_AFTER: Duration = Duration::from_secs(3);
+
     /// How long a leader may act after it sent a heartbeat that a majority answered.
     #[must_use]
     pub fn lease(&self) -> Duration {
@@ -36,8 +49,11 @@
             election_timeout: Duration::from_secs(1),
             heartbeat: Duration::from_millis(150),
             id: MemberId { incarnation: 0, vm },
+            may_found: true,
             members,
+            open: false,
             snapshot_threshold: 4_096,
+            voters: 5,
         }
     }
 }
--- a/crates/ebonystand-core/src/replica_election.rs
+++ b/crates/ebonystand-core/src/replica_election.rs
@@ -45,7 +45,11 @@
         // While a leader is heard its lease may run: a vote now could make a second leader that
         // acts beside the first. Silence, and not a refusal, keeps the candidate's term out too.
         let bound = self.now < self.heard + self.cfg.election_timeout;
-        if bound || self.role == ReplicaRole::Leader {
+        if self.role == ReplicaRole::Leader {
+            self.readmit(from);
+            return;
+        }
+        if bound {
             return;
         }
         let mut granted = term >= self.hard_state.term && last.covers(self.log.last());
--- a/crates/ebonystand-core/src/replica_members.rs
+++ b/crates/ebonystand-core/src/replica_members.rs
@@ -65,7 +65,8 @@
             return;
         }
         let members = self.log.members();
-        let known = self.cfg.members.contains(&from.vm)
+        let known = self.cfg.open
+            || self.cfg.members.contains(&from.vm)
             || members.iter().any(|member| member.vm == from.vm);
         // Two processes under one VM's name would otherwise replace each other for ever.
         let alive = from.vm == self.cfg.id.vm
@@ -99,9 +100,9 @@
                 .any(|other| other.vm == voter.vm && other != *voter && !self.is_silent(other));
             **voter != self.cfg.id && self.is_silent(voter) && successor
         });
-        let change = match predecessor {
+        let change = match predecessor.or_else(|| self.surplus_voter()) {
             Some(voter) => MemberChange::Remove(voter.clone()),
-            None => match members.learners.iter().find(|id| self.has_caught_up(id)) {
+            None => match members.learners.iter().find(|id| self.may_vote(id)) {
                 Some(learner) => MemberChange::Promote(learner.clone()),
                 None => return,
             },
@@ -109,6 +110,44 @@
         let _ = self.append_change(&change);
     }
 
+    /// Takes a member in again that was taken out while it was cut off. It does not know that it
+    /// was, and asks for votes for ever.
+    pub(crate) fn readmit(&mut self, from: &MemberId) {
+        let members = self.log.members();
+        let is_member = members.iter().any(|member| member.vm == from.vm);
+        if self.cfg.open && self.role == ReplicaRole::Leader && !is_member {
+            let _ = self.append_change(&MemberChange::Admit(from.clone()));
+        }
+    }
+
+    /// Whether a learner is to become a voter: it has caught up and takes the place of a former
+    /// start of its VM, a free place, or that of a voter that is lost.
+    fn may_vote(&self, learner: &MemberId) -> bool {
+        if !self.has_caught_up(learner) {
+            return false;
+        }
+        let voters = &self.log.members().voters;
+        let succeeds = voters.iter().any(|voter| voter.vm == learner.vm);
+        let has_place = !self.cfg.open || voters.len() < self.cfg.voters;
+        succeeds || has_place || voters.iter().any(|voter| self.is_lost(voter))
+    }
+
+    /// A lost voter of a group that has more than it aims at. It is taken out only once its
+    /// successor votes, so that the group never has fewer durable copies than before.
+    fn surplus_voter(&self) -> Option<&MemberId> {
+        let voters = &self.log.members().voters;
+        if !self.cfg.open || voters.len() <= self.cfg.voters {
+            return None;
+        }
+        voters.iter().find(|voter| self.is_lost(voter))
+    }
+
+    fn is_lost(&self, id: &MemberId) -> bool {
+        let contact = self.progress.get(id).and_then(|p| p.contact);
+        let heard = contact.unwrap_or_default().max(self.led_since);
+        *id != self.cfg.id && self.now >= heard + ReplicaConfig::REPLACE_AFTER
+    }
+
     /// Another replica knows who leads.
     pub(crate) fn redirected(&mut self, leader: VmId) {
         if self.log.is_blank() && leader != self.cfg.id.vm {
@@ -139,7 +178,8 @@
     /// group already, then the founder has lost its disk and must join that group. The answers
     /// carry its new incarnation, so that one from its former life does not count.
     fn found(&mut self) -> bool {
-        if self.cfg.members.first() != Some(&self.cfg.id.vm)
+        if !self.cfg.may_found
+            || self.cfg.members.first() != Some(&self.cfg.id.vm)
             || self.founders.len() + 1 < self.cfg.members.len()
         {
             return false;
--- a/crates/ebonystand-core/src/state_machine.rs
+++ b/crates/ebonystand-core/src/state_machine.rs
@@ -11,6 +11,7 @@
     /// Applies the next entry.
     pub fn apply(&mut self, command: &Command) -> CommandOutcome {
         match command {
+            Command::Barrier => CommandOutcome::Barrier(self.catalog.version()),
             Command::Change(req) => self.catalog.apply(req).into(),
             Command::Order(command) => self.orders.apply(command).into(),
         }
--- a/crates/ebonystand-core/src/vm_membership.rs
+++ b/crates/ebonystand-core/src/vm_membership.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Adds addresses of VMs to meet.
+    pub fn add_seeds(&mut self, seeds: &[SocketAddr]) {
+        seeds.iter().for_each(|seed| self.seeds.add(*seed));
+    }
+
     /// When [`VmMembership::tick`] is next due.
     #[must_use]
     pub fn deadline(&self) -> Duration {
@@ -183,6 +188,17 @@
         self.view.table.revision()
     }
 
+    /// Says whether callers may be sent to this VM, and spreads it if it is news.
+    pub fn set_takes_callers(&mut self, now: Duration, takes: bool) -> Vec<MembershipOutput> {
+        if self.view.own.takes_callers == takes {
+            return Vec::new();
+        }
+        self.view.own.takes_callers = takes;
+        self.view.announce(now);
+        self.view
+            .gossip(now, 2 * Self::GOSSIP_FAN_OUT, &mut self.rng)
+    }
+
     /// Sets the version of the configuration that this VM tells others.
     pub fn set_version(&mut self, version: Version) {
         self.view.set_version(version);
--- a/crates/ebonystand-core/src/vm_record.rs
+++ b/crates/ebonystand-core/src/vm_record.rs
@@ -6,8 +6,12 @@
 /// travels through others therefore never replaces a newer one.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct VmRecord {
+    /// Where it takes requests that VMs of other regions forward, if it does.
+    pub forwards: Option<SocketAddr>,
     /// Counts the records of this incarnation.
     pub heartbeat: u64,
+    /// It has a data folder and asks to be a member of the replicated log.
+    pub holds_log: bool,
     /// Where it listens for callers and operators.
     pub http: SocketAddr,
     /// Grows with each start of the VM's process, for example its wall-clock time in milliseconds.
@@ -18,6 +22,8 @@
     pub peer: SocketAddr,
     /// Region it stands in.
     pub region: RegionId,
+    /// Callers may be sent to it now.
+    pub takes_callers: bool,
     /// Version of the configuration in force on it when it last spoke to whoever holds the record.
     pub version: Version,
     /// Its name.
@@ -51,6 +57,7 @@
             + varint_weight(self.version)
             + address_weight(self.http)
             + address_weight(self.peer)
-            + 1
+            + self.forwards.map_or(0, address_weight)
+            + 4
     }
 }
--- a/crates/ebonystand-core/tests/common/vms.rs
+++ b/crates/ebonystand-core/tests/common/vms.rs
@@ -41,12 +41,15 @@
 
 pub fn record(vm: usize, regions: usize) -> VmRecord {
     VmRecord {
+        forwards: None,
         heartbeat: 0,
+        holds_log: false,
         http: address(vm),
         incarnation: 1_790_000_000_000,
         leaving: false,
         peer: address(vm),
         region: format!("r{}", vm % regions).into(),
+        takes_callers: true,
         version: 1,
         vm: name(vm),
         zone: format!("r{}-z{}", vm % regions, vm % 3).into(),
--- a/crates/ebonystand-core/tests/pages.rs
+++ b/crates/ebonystand-core/tests/pages.rs
@@ -114,6 +114,8 @@
 fn the_configuration_page_names_each_setting_of_a_vm() {
     let src = Path::new(env!("CARGO_MANIFEST_DIR")).join("../ebonystand/src");
     for (file, section) in [
+        ("gateway/settings", "gateway."),
+        ("group_settings", "group."),
         ("limits", "limits."),
         ("listen", "listen."),
         ("log_settings", "log."),
--- a/crates/ebonystand-wire/src/lib.rs
+++ b/crates/ebonystand-wire/src/lib.rs
@@ -8,8 +8,8 @@
 use {
     bytes::{Buf, BufMut, BytesMut},
     ebonystand_core::{
-        AllowanceMessage, Command, CommandOutcome, FeedMessage, Incarnation, MemberId,
-        QuarantineMessage, ReplicaMessage, VmId,
+        AllowanceMessage, Command, CommandOutcome, FeedMessage, Incarnation, MemberId, Prompt,
+        QuarantineMessage, RegionId, ReplicaMessage, ServiceId, Version, VmId, WorkspaceId,
     },
     hmac::{Hmac, KeyInit, Mac},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
@@ -19,11 +19,12 @@
 };
 
 pub use {
-    error::Error, frame_reader::FrameReader, frame_writer::FrameWriter, hello::Hello, nonce::Nonce,
-    peer_message::PeerMessage, proposed::Proposed, secret::Secret,
+    error::Error, forwarded::Forwarded, frame_reader::FrameReader, frame_writer::FrameWriter,
+    hello::Hello, nonce::Nonce, peer_message::PeerMessage, proposed::Proposed, secret::Secret,
 };
 
 mod error;
+mod forwarded;
 mod frame_reader;
 mod frame_writer;
 mod hello;
--- a/crates/ebonystand-wire/src/peer_message.rs
+++ b/crates/ebonystand-wire/src/peer_message.rs
@@ -5,12 +5,34 @@
 pub enum PeerMessage {
     /// About allowances.
     Allowance(AllowanceMessage),
+    /// Asks whether the sender has the newest configuration.
+    Confirm {
+        /// When it was asked on the sender's clock, in microseconds; the answer carries it back.
+        asked_us: u64,
+    },
+    /// Answers [`Self::Confirm`].
+    Confirmed {
+        /// Time that the question carried.
+        asked_us: u64,
+        /// The answering VM leads the log and holds a lease, so that no other can have accepted a
+        /// newer version.
+        leading: bool,
+        /// Version in force there.
+        version: Version,
+    },
     /// About the configuration.
     Feed(Box<FeedMessage>),
     /// Opens a connection.
     Hello(Hello),
     /// Shows that the connection is alive in this direction; answered by a byte.
     Ping,
+    /// What requests have to expect in the sender's region.
+    Pressure {
+        /// Time to the first byte of an answer, by service, in milliseconds.
+        first_byte_ms: Vec<(ServiceId, u64)>,
+        /// The region.
+        region: RegionId,
+    },
     /// Asks for a command to be ordered.
     Propose {
         /// The command.
--- a/crates/ebonystand/src/config.rs
+++ b/crates/ebonystand/src/config.rs
@@ -50,11 +50,13 @@
     let Some((name, matches)) = matches.subcommand() else {
         return Err(Error::NoSubcommand);
     };
-    let settings = Settings::read(path(matches, arg::SETTINGS).unwrap_or(Path::new("")))?;
+    let file = path(matches, arg::SETTINGS).unwrap_or(Path::new(""));
+    let settings = Settings::read(file)?;
     match name {
         cmd::CHECK => Ok(Subcommand::Check { settings }),
         _ => Ok(Subcommand::Run {
             addresses: path(matches, arg::ADDRESSES).map(Path::to_path_buf),
+            path: file.to_path_buf(),
             settings,
         }),
     }
--- /dev/null
+++ b/crates/ebonystand/src/gateway/attempt.rs
@@ -0,0 +1,75 @@
+use super::*;
+use ebonystand_core::{AttemptEnd, ChoiceQuery, ColdTerms};
+
+/// One request on its way to one upstream, as the book of upstreams counts it. Dropped before it
+/// ended, it counts as cancelled.
+pub(crate) struct Attempt {
+    ended: bool,
+    first_byte: Option<Duration>,
+    instance: UpstreamId,
+    node: Rc<Node>,
+    started: Duration,
+    unread: Tokens,
+}
+
+impl Attempt {
+    pub(crate) fn begin(
+        node: &Rc<Node>,
+        query: &ChoiceQuery,
+        cold: ColdTerms,
+        instance: &UpstreamId,
+        unread: Tokens,
+    ) -> Self {
+        let started = node.clock.now();
+        let mut book = node.gateway.book.borrow_mut();
+        book.sent(started, query, cold, instance, unread);
+        Self {
+            ended: false,
+            first_byte: None,
+            instance: instance.clone(),
+            node: Rc::clone(node),
+            started,
+            unread,
+        }
+    }
+
+    /// Notes that the first byte of the answer came.
+    pub(crate) fn begun(&mut self) {
+        if self.first_byte.is_none() {
+            let waited = self.node.clock.now().saturating_sub(self.started);
+            self.first_byte = Some(waited);
+            let mut book = self.node.gateway.book.borrow_mut();
+            book.first_byte(&self.instance, self.unread, Some(waited));
+        }
+    }
+
+    pub(crate) fn end(mut self, end: AttemptEnd) {
+        self.close(end);
+    }
+
+    /// Time from its start to the first byte of the answer.
+    pub(crate) fn first_byte(&self) -> Option<Duration> {
+        self.first_byte
+    }
+
+    fn close(&mut self, end: AttemptEnd) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let now = self.node.clock.now();
+        let mut book = self.node.gateway.book.borrow_mut();
+        if self.first_byte.is_none() {
+            book.first_byte(&self.instance, self.unread, None);
+        }
+        let waited = now.saturating_sub(self.started);
+        book.ended(now, &self.instance, end, waited);
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        self.close(AttemptEnd::Cancelled);
+    }
+}
+
+use node::Node;
--- /dev/null
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -0,0 +1,266 @@
+use super::*;
+use {
+    attempt::Attempt,
+    ebonystand_core::{AttemptEnd, Choice, ChoiceQuery, ColdTerms, Prompt},
+    node::Node,
+    relay::Relay,
+    std::collections::BTreeSet,
+};
+
+/// A request that may be sent: to an upstream of the own region, or to a VM of another one.
+pub(crate) struct Call {
+    /// Time to the first byte that is aimed at.
+    pub(crate) aim: Duration,
+    /// When it came.
+    pub(crate) arrived: Duration,
+    pub(crate) body: Bytes,
+    /// When its final answer is due.
+    pub(crate) end: Duration,
+    /// Upstreams that must not get it.
+    pub(crate) excluded: Vec<UpstreamId>,
+    pub(crate) headers: HeaderMap,
+    /// Regions that may serve it; `None` if all may.
+    pub(crate) homes: Option<BTreeSet<RegionId>>,
+    pub(crate) method: Method,
+    /// Path and query, as they came.
+    pub(crate) path: Box<str>,
+    pub(crate) prompt: Option<Prompt>,
+    pub(crate) rank: u8,
+    pub(crate) request: Box<str>,
+    pub(crate) service: Box<str>,
+    pub(crate) workspace: Option<WorkspaceId>,
+}
+
+/// What became of sending a call once.
+pub(crate) enum Outcome {
+    /// An answer for the caller has begun.
+    Answered(Box<Answered>),
+    /// There is none.
+    Ended {
+        /// The upstream's own failure, for the caller if nobody else can serve it.
+        answer: Option<Response<BoxBody>>,
+        end: AttemptEnd,
+        /// When the upstream or the VM says that coming back makes sense.
+        retry_after: Option<Duration>,
+    },
+}
+
+/// An answer whose head and first bytes have come.
+pub(crate) struct Answered {
+    pub(crate) headers: HeaderMap,
+    pub(crate) relay: Relay,
+    pub(crate) status: StatusCode,
+}
+
+impl Outcome {
+    pub(crate) fn ended(end: AttemptEnd) -> Self {
+        Self::Ended {
+            answer: None,
+            end,
+            retry_after: None,
+        }
+    }
+}
+
+impl Call {
+    /// Largest failure of an upstream that is kept for the caller, in bytes.
+    const LARGEST_FAILURE: usize = 64 << 10;
+    /// Longest time for the rest of an answer that is thrown away.
+    const REST: Duration = Duration::from_millis(200);
+
+    pub(crate) fn left(&self, node: &Node) -> Duration {
+        self.end.saturating_sub(node.clock.now())
+    }
+
+    /// Chooses where it goes.
+    pub(crate) fn choose(&self, node: &Node, reachable: &BTreeSet<RegionId>) -> Choice {
+        let now = node.clock.now();
+        let document = node.document();
+        let book = node.gateway.book.borrow();
+        book.choose(now, &self.query(node, &document, reachable))
+    }
+
+    pub(crate) fn query<'a>(
+        &'a self,
+        node: &Node,
+        document: &'a Document,
+        reachable: &'a BTreeSet<RegionId>,
+    ) -> ChoiceQuery<'a> {
+        ChoiceQuery {
+            aim: self.aim,
+            evacuated: &document.evacuated,
+            excluded: &self.excluded,
+            homes: self.homes.as_ref(),
+            left: self.left(node),
+            prompt: self.prompt.as_ref(),
+            reachable,
+            service: &self.service,
+            vms: node.vms_of_region(),
+        }
+    }
+
+    /// Sends it to an upstream of the own region and waits `wait` for the first bytes.
+    pub(crate) async fn send_here(
+        &self,
+        node: &Rc<Node>,
+        address: SocketAddr,
+        instance: &UpstreamId,
+        unread: Tokens,
+        wait: Duration,
+    ) -> Outcome {
+        let mut attempt = {
+            let document = node.document();
+            let none = BTreeSet::new();
+            let query = self.query(node, &document, &none);
+            Attempt::begin(node, &query, self.cold(node), instance, unread)
+        };
+        let mut headers = self.headers.clone();
+        let outgoing = OutgoingCall {
+            has_prompt: self.prompt.is_some(),
+            instance,
+            left: self.left(node),
+            rank: self.rank,
+            request: &self.request,
+            workspace: self.workspace.as_deref(),
+        };
+        node.gateway.dialect.write(&outgoing, &mut headers);
+        let until = node.clock.now() + wait;
+        let sent = self.exchange(node, address, instance, headers, wait).await;
+        let answering = match sent {
+            Ok(answering) => answering,
+            Err(end) => {
+                attempt.end(end);
+                return Outcome::ended(end);
+            }
+        };
+        let head = answering.head();
+        let marks = node.gateway.dialect.answer(head.status, &head.headers);
+        if let Some(slots) = marks.slots {
+            let mut book = node.gateway.book.borrow_mut();
+            book.report(node.clock.now(), instance, slots);
+        }
+        if let Some(end) = self.judge(head, &marks) {
+            attempt.end(end);
+            return self.failed(node, address, instance, answering, end).await;
+        }
+        let wait = until.saturating_sub(node.clock.now());
+        let relay = Relay::start(node, self, answering, address, instance, wait);
+        let relay = match relay.await {
+            Ok(relay) => relay,
+            Err(end) => {
+                attempt.end(end);
+                return Outcome::ended(end);
+            }
+        };
+        attempt.begun();
+        Outcome::Answered(Box::new(relay.answered(Some(attempt))))
+    }
+
+    /// Sends a request over a connection and waits `wait` for the head of its answer.
+    pub(crate) async fn exchange(
+        &self,
+        node: &Rc<Node>,
+        address: SocketAddr,
+        instance: &str,
+        headers: HeaderMap,
+        wait: Duration,
+    ) -> Result<Answering, AttemptEnd> {
+        let pool = &node.gateway.pool;
+        let connection = match pool.take(node.clock.now(), address, instance).await {
+            Ok(connection) => connection,
+            Err(fault) => {
+                log::warn!(request:% = self.request, upstream:% = instance, address:% = address, fault:% = fault; "not connected");
+                return Err(AttemptEnd::Unreachable);
+            }
+        };
+        let head = connection::head(self.method.clone(), &self.path, headers);
+        let answering = connection.request(head, self.body.clone());
+        match actix_rt::time::timeout(wait, answering).await {
+            Ok(Ok(answering)) => Ok(answering),
+            Ok(Err(fault)) => {
+                log::warn!(request:% = self.request, upstream:% = instance, address:% = address, fault:% = fault; "no answer");
+                Err(AttemptEnd::Lost)
+            }
+            Err(_) => {
+                pool.give_up(address);
+                log::warn!(request:% = self.request, upstream:% = instance, address:% = address, waited_ms = wait.as_millis() as u64; "silent");
+                Err(AttemptEnd::TimedOut)
+            }
+        }
+    }
+
+    /// Reads what an upstream says of a failure, so that it can be passed on.
+    async fn failed(
+        &self,
+        node: &Rc<Node>,
+        address: SocketAddr,
+        instance: &str,
+        mut answering: Answering,
+        end: AttemptEnd,
+    ) -> Outcome {
+        let status = answering.head().status;
+        log::warn!(request:% = self.request, upstream:% = instance, status = status.as_u16(), end:? = end; "failed");
+        let headers = answering.head().headers.clone();
+        let retry_after = retry_after(&headers);
+        let body = answering.read_whole(Self::LARGEST_FAILURE);
+        let body = actix_rt::time::timeout(Self::REST, body).await;
+        let Ok(Ok(body)) = body else {
+            return Outcome::Ended {
+                answer: None,
+                end,
+                retry_after,
+            };
+        };
+        node.gateway
+            .pool
+            .put(node.clock.now(), address, instance, answering);
+        let answer = (end == AttemptEnd::Failed).then(|| whole(status, &headers, body));
+        Outcome::Ended {
+            answer,
+            end,
+            retry_after,
+        }
+    }
+
+    /// How the attempt ends by the head of its answer; `None` if this is one for the caller.
+    fn judge(&self, head: &actix_http::ResponseHead, marks: &AnswerMarks) -> Option<AttemptEnd> {
+        let is_other = marks
+            .request
+            .as_ref()
+            .is_some_and(|request| *request != self.request);
+        // A late or second answer to an earlier request, or one that was spoiled on its way.
+        if is_other || head.headers.contains_key("content-encoding") {
+            return Some(AttemptEnd::Lost);
+        }
+        if marks.is_stranger {
+            return Some(AttemptEnd::Stranger);
+        }
+        if marks.not_run {
+            return Some(AttemptEnd::Shed);
+        }
+        if head.status.is_success() && marks.request.is_none() {
+            return Some(AttemptEnd::Lost);
+        }
+        head.status.is_server_error().then_some(AttemptEnd::Failed)
+    }
+
+    fn cold(&self, node: &Node) -> ColdTerms {
+        let table = node.gateway.table();
+        let service = table.service(&self.service);
+        service.map_or_else(ColdTerms::default, |service| service.cold)
+    }
+}
+
+/// An answer whose body is at hand, with the upstream's headers.
+pub(crate) fn whole(status: StatusCode, headers: &HeaderMap, body: Bytes) -> Response<BoxBody> {
+    let mut response = Response::new(status).set_body(body).map_into_boxed_body();
+    *response.headers_mut() = headers::passed_on(headers, &[]);
+    response
+}
+
+/// When an answer says that coming back makes sense.
+pub(crate) fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers::text(headers, "retry-after")?;
+    let seconds = text.parse::<f64>().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
--- /dev/null
+++ b/crates/ebonystand/src/gateway/connection.rs
@@ -0,0 +1,288 @@
+use super::*;
+use {
+    actix_http::{
+        RequestHead, RequestHeadType, ResponseHead, Uri,
+        body::BodySize,
+        h1::{ClientCodec, ClientPayloadCodec, Message, MessageType},
+    },
+    tokio_util::codec::{Decoder, Encoder},
+};
+
+/// Connection to an upstream or another VM that carries one request at a time.
+///
+/// The library's client takes the end of a connection for the end of an answer. Here an answer is
+/// whole only if its framing says so; any other end is a fault, and no connection in doubt is used
+/// again.
+#[derive(Debug)]
+pub struct Connection {
+    buf: BytesMut,
+    io: TcpStream,
+}
+
+/// A connection whose answer has begun.
+pub struct Answering {
+    connection: Connection,
+    framing: Framing,
+    head: ResponseHead,
+    keep_alive: bool,
+    sent_whole: bool,
+}
+
+enum Framing {
+    Coded(ClientPayloadCodec),
+    Ended,
+    UntilClose,
+}
+
+/// Why an answer is not whole.
+#[derive(Debug, Snafu)]
+#[snafu(context(suffix(false)))]
+pub enum ConnectionFault {
+    /// The other end closed or reset the connection.
+    #[snafu(display("the connection broke: {source}"))]
+    Broken {
+        /// What the system says.
+        source: io::Error,
+    },
+    /// No connection could be opened; nothing was sent.
+    #[snafu(display("no connection: {source}"))]
+    Connect {
+        /// What the system says.
+        source: io::Error,
+    },
+    /// The answer is larger than is taken.
+    #[snafu(display("the answer has more than {limit} bytes"))]
+    Large {
+        /// Most bytes that are taken.
+        limit: usize,
+    },
+    /// What came is no answer.
+    #[snafu(display("what came is no answer: {reason}"))]
+    Malformed {
+        /// What the parser says.
+        reason: Box<str>,
+    },
+    /// The connection ended before the answer did.
+    #[snafu(display("the answer is cut off"))]
+    Truncated,
+}
+
+/// Head of a request to send. The path goes out as it came in.
+pub(crate) fn head(method: Method, path: &str, headers: HeaderMap) -> RequestHead {
+    let mut head = RequestHead::default();
+    head.method = method;
+    head.uri = path.parse::<Uri>().unwrap_or_default();
+    head.headers = headers;
+    head
+}
+
+impl Connection {
+    const FIRST_READ: usize = 4 << 10;
+    /// Longest head of an answer in bytes.
+    const LONGEST_HEAD: usize = 64 << 10;
+
+    /// Opens a connection.
+    ///
+    /// # Errors
+    /// [`ConnectionFault::Connect`].
+    pub(crate) async fn open(address: SocketAddr) -> Result<Self, ConnectionFault> {
+        /// Longest wait: a round trip between regions and one lost packet.
+        const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+        let connect = TcpStream::connect(address);
+        let connected = actix_rt::time::timeout(CONNECT_TIMEOUT, connect).await;
+        let connected = connected.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()));
+        let io = connected.map_err(|source| ConnectionFault::Connect { source })?;
+        // A delayed small write would hold a request back for the peer's acknowledgement.
+        io.set_nodelay(true)
+            .map_err(|source| ConnectionFault::Connect { source })?;
+        Ok(Self {
+            buf: BytesMut::new(),
+            io,
+        })
+    }
+
+    /// Whether nothing has come over it since its last answer. What has is a late or second answer,
+    /// or the end: whatever follows could be taken for the answer to the next request.
+    pub(crate) fn is_clean(&self) -> bool {
+        let mut byte = [0];
+        let silent = |error: &io::Error| error.kind() == ErrorKind::WouldBlock;
+        self.buf.is_empty() && self.io.try_read(&mut byte).as_ref().is_err_and(silent)
+    }
+
+    /// Sends a request and waits for the head of its answer. An answer may come before the request
+    /// is sent whole; the connection then ends with it.
+    ///
+    /// # Errors
+    /// Any fault but [`ConnectionFault::Connect`]; the request may have run.
+    pub(crate) async fn request(
+        mut self,
+        head: RequestHead,
+        body: Bytes,
+    ) -> Result<Answering, ConnectionFault> {
+        let is_head = head.method == Method::HEAD;
+        let mut codec = ClientCodec::default();
+        let mut out = BytesMut::with_capacity(1 << 10);
+        let size = match body.is_empty() && matches!(head.method, Method::GET | Method::HEAD) {
+            true => BodySize::None,
+            false => BodySize::Sized(body.len() as u64),
+        };
+        codec
+            .encode(
+                Message::Item((RequestHeadType::Owned(head), size)),
+                &mut out,
+            )
+            .map_err(|source| ConnectionFault::Broken { source })?;
+        let (mut from, mut to) = self.io.split();
+        let send = async {
+            to.write_all(&out).await?;
+            to.write_all(&body).await
+        };
+        tokio::pin!(send);
+        let mut sent_whole = false;
+        let head = loop {
+            if let Some(head) = Self::parse(&mut codec, &mut self.buf)? {
+                break head;
+            }
+            self.buf.reserve(Self::FIRST_READ);
+            tokio::select! {
+                sent = &mut send, if !sent_whole => {
+                    sent.map_err(|source| ConnectionFault::Broken { source })?;
+                    sent_whole = true;
+                }
+                read = from.read_buf(&mut self.buf) => {
+                    let read = read.map_err(|source| ConnectionFault::Broken { source })?;
+                    if read == 0 {
+                        return Err(ConnectionFault::Truncated);
+                    }
+                }
+            }
+        };
+        let keep_alive = codec.keep_alive();
+        let framing = Self::framing(codec, &head, is_head);
+        Ok(Answering {
+            connection: self,
+            framing,
+            head,
+            keep_alive,
+            sent_whole,
+        })
+    }
+
+    fn framing(codec: ClientCodec, head: &ResponseHead, is_head: bool) -> Framing {
+        let status = head.status;
+        let has_body = !is_head
+            && !status.is_informational()
+            && status != StatusCode::NO_CONTENT
+            && status != StatusCode::NOT_MODIFIED;
+        match codec.message_type() {
+            MessageType::Payload => Framing::Coded(codec.into_payload_codec()),
+            _ if !has_body => Framing::Ended,
+            // The parser takes an answer without a length for one without a body.
+            _ if Self::has_length(head) => Framing::Ended,
+            _ => Framing::UntilClose,
+        }
+    }
+
+    fn has_length(head: &ResponseHead) -> bool {
+        let headers = &head.headers;
+        headers.contains_key("content-length") || headers.contains_key("transfer-encoding")
+    }
+
+    fn parse(
+        codec: &mut ClientCodec,
+        buf: &mut BytesMut,
+    ) -> Result<Option<ResponseHead>, ConnectionFault> {
+        let malformed = |error: actix_http::error::ParseError| ConnectionFault::Malformed {
+            reason: error.to_string().into(),
+        };
+        while !buf.is_empty() {
+            match codec.decode(buf).map_err(malformed)? {
+                Some(head) if head.status.is_informational() => {}
+                Some(head) => return Ok(Some(head)),
+                None if buf.len() > Self::LONGEST_HEAD => {
+                    let limit = Self::LONGEST_HEAD;
+                    return Err(ConnectionFault::Large { limit });
+                }
+                None => return Ok(None),
+            }
+        }
+        Ok(None)
+    }
+}
+
+impl Answering {
+    /// Head of the answer.
+    pub(crate) fn head(&self) -> &ResponseHead {
+        &self.head
+    }
+
+    /// The connection, if it may carry another request: the answer is whole, nothing follows it,
+    /// and both ends want to go on.
+    pub(crate) fn into_connection(self) -> Option<Connection> {
+        let is_ended = matches!(self.framing, Framing::Ended);
+        let is_sound = is_ended && self.keep_alive && self.sent_whole;
+        (is_sound && self.connection.buf.is_empty()).then_some(self.connection)
+    }
+
+    /// The next bytes of the body; `None` at its end.
+    ///
+    /// # Errors
+    /// Any fault but [`ConnectionFault::Connect`].
+    pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, ConnectionFault> {
+        loop {
+            if let Some(next) = self.decode()? {
+                return Ok(next);
+            }
+            let buf = &mut self.connection.buf;
+            buf.reserve(Connection::FIRST_READ);
+            let read = self.connection.io.read_buf(buf).await;
+            if read.map_err(|source| ConnectionFault::Broken { source })? > 0 {
+                continue;
+            }
+            return match self.framing {
+                Framing::UntilClose => {
+                    self.framing = Framing::Ended;
+                    self.keep_alive = false;
+                    Ok(None)
+                }
+                Framing::Coded(_) | Framing::Ended => Err(ConnectionFault::Truncated),
+            };
+        }
+    }
+
+    /// The whole body.
+    ///
+    /// # Errors
+    /// Any fault but [`ConnectionFault::Connect`].
+    pub(crate) async fn read_whole(&mut self, limit: usize) -> Result<Bytes, ConnectionFault> {
+        let mut whole = BytesMut::new();
+        while let Some(chunk) = self.next().await? {
+            if whole.len() + chunk.len() > limit {
+                return Err(ConnectionFault::Large { limit });
+            }
+            whole.extend_from_slice(&chunk);
+        }
+        Ok(whole.freeze())
+    }
+
+    /// What can be told without reading; the outer `None` if more bytes are needed.
+    fn decode(&mut self) -> Result<Option<Option<Bytes>>, ConnectionFault> {
+        let buf = &mut self.connection.buf;
+        match &mut self.framing {
+            Framing::Ended => Ok(Some(None)),
+            Framing::UntilClose if buf.is_empty() => Ok(None),
+            Framing::UntilClose => Ok(Some(Some(buf.split().freeze()))),
+            Framing::Coded(codec) => {
+                let decoded = codec
+                    .decode(buf)
+                    .map_err(|error| ConnectionFault::Malformed {
+                        reason: error.to_string().into(),
+                    })?;
+                if let Some(None) = decoded {
+                    self.framing = Framing::Ended;
+                }
+                Ok(decoded)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -0,0 +1,341 @@
+use super::*;
+use {
+    ebonystand_core::{
+        AttemptEnd, Confirmation, ListedUpstream, Preset, RetryBudget, Retryable, RouteTable,
+        UpstreamBook, UpstreamKind, VmEntry,
+    },
+    membership_controller::MembershipController,
+    node::Node,
+    rand::{RngExt as _, SeedableRng as _},
+    rand_pcg::Pcg64Mcg,
+    std::collections::BTreeSet,
+};
+
+/// Holds what serving by routes goes by, and keeps it up to date.
+pub(crate) struct GatewayController {
+    pub(crate) book: RefCell<UpstreamBook>,
+    confirmation: RefCell<Confirmation>,
+    pub(crate) dialect: Rc<dyn Dialect>,
+    /// Whether a program embeds the daemon and has all callers served by routes.
+    pub(crate) embedded: bool,
+    evacuated: RefCell<BTreeSet<ZoneId>>,
+    leader: RefCell<Option<VmId>>,
+    pub(crate) pool: ConnectionPool,
+    retries: RefCell<RetryBudget>,
+    rng: RefCell<Pcg64Mcg>,
+    source: Option<Rc<dyn UpstreamSource>>,
+    suspects: RefCell<FxHashMap<VmId, Duration>>,
+    table: RefCell<Rc<RouteTable>>,
+    /// Whether a list of upstreams has been read.
+    listed: Cell<bool>,
+    /// A preset with the share of retries of the settings.
+    preset: Preset,
+    needs_confirmation: bool,
+}
+
+impl GatewayController {
+    /// Time between two questions whether the configuration is the newest. After two without an
+    /// answer all VMs with a log are asked, so that a new leader is found within a second of its
+    /// election.
+    const CONFIRM_EVERY: Duration = Duration::from_millis(500);
+    /// Time between two tellings of this region's load to VMs of other regions.
+    const PRESSURE_EVERY: Duration = Duration::from_millis(250);
+    /// VMs of other regions that are told each time.
+    const PRESSURE_FAN_OUT: usize = 6;
+    /// A VM that did not answer a forwarded request gets no other one for so long.
+    const SUSPECT_FOR: Duration = Duration::from_secs(2);
+
+    pub(crate) fn new(
+        settings: &Settings,
+        dialect: Option<Rc<dyn Dialect>>,
+        source: Option<Rc<dyn UpstreamSource>>,
+        seed: u64,
+    ) -> Self {
+        let gateway = &settings.gateway;
+        let mut zones = gateway.zones.clone();
+        zones.insert(settings.zone.clone(), settings.region.clone());
+        Self {
+            book: RefCell::new(UpstreamBook::new(settings.region.clone(), zones)),
+            confirmation: RefCell::new(Confirmation::new(gateway.confirmed_for)),
+            embedded: dialect.is_some(),
+            dialect: dialect.unwrap_or_else(|| Rc::new(native_dialect::NativeDialect)),
+            evacuated: RefCell::default(),
+            leader: RefCell::default(),
+            pool: ConnectionPool::default(),
+            retries: RefCell::default(),
+            rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
+            source,
+            suspects: RefCell::default(),
+            table: RefCell::default(),
+            listed: Cell::new(false),
+            preset: Preset {
+                retry_budget_permille: gateway.retry_permille,
+                ..Preset::default()
+            },
+            needs_confirmation: !gateway.confirmed_for.is_zero(),
+        }
+    }
+
+    /// Takes over a configuration.
+    pub(crate) fn configure(&self, now: Duration, document: &Document) {
+        let evacuated = std::mem::replace(
+            &mut *self.evacuated.borrow_mut(),
+            document.evacuated.clone(),
+        );
+        for zone in evacuated.difference(&document.evacuated) {
+            self.book.borrow_mut().zone_is_back(now, zone);
+        }
+        if self.table.borrow().routing().revision == document.routing.revision {
+            return;
+        }
+        let table = RouteTable::from(document.routing.clone());
+        self.table.replace(Rc::new(table));
+        log::info!(
+            revision = document.routing.revision, routes = document.routing.routes.len();
+            "routes in force"
+        );
+    }
+
+    /// Whether the copy of the configuration is confirmed to be the newest.
+    pub(crate) fn confirmed(&self, now: Duration) -> bool {
+        !self.needs_confirmation || self.confirmation.borrow().is_valid(now)
+    }
+
+    /// Takes an answer to a question whether the configuration is the newest.
+    pub(crate) fn confirm(
+        &self,
+        node: &Node,
+        from: &VmId,
+        asked: Duration,
+        leading: bool,
+        version: Version,
+    ) {
+        if !leading {
+            return;
+        }
+        let known = self.leader.replace(Some(from.clone()));
+        if known.as_ref() != Some(from) {
+            log::info!(leader:% = from; "leader of the log found");
+        }
+        let own = node.document().version;
+        self.confirmation.borrow_mut().answered(asked, version, own);
+    }
+
+    /// A random number.
+    pub(crate) fn draw(&self) -> u64 {
+        self.rng.borrow_mut().random()
+    }
+
+    /// A VM of a region that takes forwarded requests.
+    pub(crate) fn forwarder(&self, node: &Node, region: &str) -> Option<(VmId, SocketAddr)> {
+        let live = self.forwarders(node);
+        let live = live.into_iter().filter(|(_, of, _)| **of == *region);
+        let live = live.collect::<Vec<_>>();
+        if live.is_empty() {
+            return None;
+        }
+        let index = self.rng.borrow_mut().random_range(0..live.len());
+        let (vm, _, address) = live.into_iter().nth(index)?;
+        Some((vm, address))
+    }
+
+    /// Whether there are routes to serve by.
+    pub(crate) fn has_routes(&self, node: &Node) -> bool {
+        node.state.ready() && self.table.borrow().routing().revision > 0
+    }
+
+    /// Whether another try may be made after an attempt that ended so.
+    pub(crate) fn may_retry(&self, now: Duration, end: AttemptEnd) -> bool {
+        let retryable = match end.was_sent() {
+            true => Retryable::Idempotent,
+            false => Retryable::NotStarted,
+        };
+        let mut retries = self.retries.borrow_mut();
+        retries.try_retry(now, retryable, &self.preset)
+    }
+
+    pub(crate) fn on_request(&self, now: Duration) {
+        self.retries.borrow_mut().on_request(now);
+    }
+
+    /// Whether callers may be sent here.
+    pub(crate) fn ready(&self, node: &Node) -> bool {
+        node.settings.gateway.serves_callers
+            && self.has_routes(node)
+            && self.confirmed(node.clock.now())
+            && self.listed.get()
+            && node.ready()
+            && !node.leaving()
+    }
+
+    /// Other regions with a VM that takes forwarded requests.
+    pub(crate) fn reachable(&self, node: &Node) -> BTreeSet<RegionId> {
+        let forwarders = self.forwarders(node).into_iter();
+        forwarders.map(|(_, region, _)| region).collect()
+    }
+
+    /// Asks the leader again and again whether the configuration is the newest, until the task is
+    /// dropped. While no leader is known, all VMs with a log are asked.
+    pub(crate) async fn run_confirm(node: Rc<Node>) {
+        let this = &node.gateway;
+        loop {
+            let now = node.clock.now();
+            let valid = this.confirmed(now);
+            let age = this.confirmation.borrow().age(now);
+            let is_late = age.is_none_or(|age| age > 2 * Self::CONFIRM_EVERY);
+            if is_late {
+                this.leader.replace(None);
+            }
+            let leader = this.leader.borrow().clone();
+            match leader {
+                Some(leader) => Self::ask(&node, now, &leader),
+                None => {
+                    for entry in node.membership.live(now) {
+                        if entry.record.holds_log {
+                            Self::ask(&node, now, &entry.record.vm);
+                        }
+                    }
+                }
+            }
+            actix_rt::time::sleep(Self::CONFIRM_EVERY).await;
+            if valid != this.confirmed(node.clock.now()) {
+                log::info!(confirmed = !valid, version = node.document().version; "confirmation changed");
+            }
+        }
+    }
+
+    /// Reads the list of upstreams again and again until the task is dropped.
+    pub(crate) async fn run_list(node: Rc<Node>) {
+        let this = &node.gateway;
+        let every = node.settings.gateway.list_every;
+        let mut failing = false;
+        loop {
+            match this.read_list(&node).await {
+                Ok(listed) => {
+                    if failing || !this.listed.get() {
+                        log::info!(upstreams = listed.len(); "list of upstreams read");
+                    }
+                    failing = false;
+                    this.listed.set(true);
+                    this.book.borrow_mut().list(node.clock.now(), listed);
+                }
+                Err(error) => {
+                    if !failing {
+                        log::warn!(error:% = error; "list of upstreams out of reach");
+                    }
+                    failing = true;
+                }
+            }
+            this.pool.prune(node.clock.now());
+            // Spread, so that the VMs that started together do not ask together for ever.
+            let part = this.rng.borrow_mut().random_range(0.8..1.2);
+            actix_rt::time::sleep(every.mul_f64(part)).await;
+        }
+    }
+
+    /// Tells other regions what requests have to expect here, and all VMs whether callers may be
+    /// sent here, until the task is dropped.
+    pub(crate) async fn run_pressure(node: Rc<Node>) {
+        let this = &node.gateway;
+        loop {
+            actix_rt::time::sleep(Self::PRESSURE_EVERY).await;
+            let takes_callers = this.ready(&node);
+            MembershipController::set_takes_callers(&node, takes_callers);
+            if node.settings.gateway.forwards.is_some() {
+                Self::tell_pressure(&node);
+            }
+        }
+    }
+
+    /// Notes that a VM does not answer.
+    pub(crate) fn suspect(&self, now: Duration, vm: &VmId) {
+        let until = now + Self::SUSPECT_FOR;
+        self.suspects.borrow_mut().insert(vm.clone(), until);
+    }
+
+    /// Routes, services and workspaces in force.
+    pub(crate) fn table(&self) -> Rc<RouteTable> {
+        Rc::clone(&self.table.borrow())
+    }
+
+    fn ask(node: &Rc<Node>, now: Duration, vm: &VmId) {
+        let asked_us = now.as_micros() as u64;
+        if *vm == node.settings.vm {
+            let (leading, version) = node.state.leads_at(node);
+            node.gateway.confirm(node, vm, now, leading, version);
+            return;
+        }
+        node.send(vm, PeerMessage::Confirm { asked_us });
+    }
+
+    /// VMs of other regions that take forwarded requests, with their regions.
+    fn forwarders(&self, node: &Node) -> Vec<(VmId, RegionId, SocketAddr)> {
+        let now = node.clock.now();
+        let suspects = self.suspects.borrow();
+        let is_sound = |vm: &VmId| suspects.get(vm).is_none_or(|until| now >= *until);
+        let live = node.membership.live(now).into_iter();
+        live.filter_map(|VmEntry { record, .. }| {
+            let address = record.forwards?;
+            let usable = record.takes_callers && !record.leaving && is_sound(&record.vm);
+            let is_away = record.region != node.settings.region;
+            (usable && is_away).then_some((record.vm, record.region, address))
+        })
+        .collect()
+    }
+
+    async fn read_list(&self, node: &Rc<Node>) -> Result<Vec<ListedUpstream>, FetchError> {
+        let Some(source) = &self.source else {
+            return Ok(Self::configured(&node.document()));
+        };
+        let fetch = Fetch {
+            node: Rc::clone(node),
+        };
+        source.list(&fetch).await
+    }
+
+    /// The upstreams that the configuration itself names.
+    fn configured(document: &Document) -> Vec<ListedUpstream> {
+        let upstreams = document.upstreams.iter();
+        let listed = upstreams.filter_map(|(id, upstream)| {
+            let UpstreamKind::Service { service } = &upstream.kind else {
+                return None;
+            };
+            Some(ListedUpstream {
+                address: upstream.address,
+                cold_for: Duration::ZERO,
+                instance: id.clone(),
+                leaving: upstream.leaving,
+                service: service.clone(),
+                slots: u32::try_from(upstream.speed).unwrap_or(u32::MAX),
+                zone: upstream.zone.clone(),
+            })
+        });
+        listed.collect()
+    }
+
+    fn tell_pressure(node: &Rc<Node>) {
+        let this = &node.gateway;
+        let now = node.clock.now();
+        let vms = node.vms_of_region();
+        let pressures = {
+            let evacuated = this.evacuated.borrow();
+            this.book.borrow().pressures(now, &evacuated, vms)
+        };
+        let first_byte_ms = pressures.into_iter();
+        let first_byte_ms = first_byte_ms
+            .map(|(service, delay)| (service, delay.as_millis() as u64))
+            .collect::<Vec<_>>();
+        let mut others = this.forwarders(node);
+        while others.len() > Self::PRESSURE_FAN_OUT {
+            let index = this.rng.borrow_mut().random_range(0..others.len());
+            others.swap_remove(index);
+        }
+        for (vm, ..) in others {
+            let message = PeerMessage::Pressure {
+                first_byte_ms: first_byte_ms.clone(),
+                region: node.settings.region.clone(),
+            };
+            node.send(&vm, message);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ebonystand/src/gateway/forward.rs
@@ -0,0 +1,121 @@
+//! Sends a request to a VM of another region, which sends it to an upstream there. Upstreams take
+//! connections of their own region only.
+
+use super::*;
+use {
+    call::{Call, Outcome},
+    ebonystand_core::AttemptEnd,
+    ebonystand_wire::Forwarded,
+    node::Node,
+    relay::Relay,
+};
+
+/// Header with the [`Forwarded`] of a request that a VM forwards.
+pub(crate) const FORWARDED: &str = "x-ebonystand-forwarded";
+/// Header of the answer: how the attempt ended in the other region.
+pub(crate) const ENDED: &str = "x-ebonystand-ended";
+/// The answer is the upstream's.
+pub(crate) const BY_UPSTREAM: &str = "upstream";
+const SHED: &str = "shed";
+const LOST: &str = "lost";
+const TIMED_OUT: &str = "timed_out";
+const FAILED: &str = "failed";
+
+pub(crate) fn ended_name(end: AttemptEnd) -> &'static str {
+    match end {
+        AttemptEnd::Shed | AttemptEnd::Stranger | AttemptEnd::Unreachable => SHED,
+        AttemptEnd::TimedOut => TIMED_OUT,
+        AttemptEnd::Failed => FAILED,
+        AttemptEnd::Answered | AttemptEnd::Cancelled | AttemptEnd::Lost => LOST,
+    }
+}
+
+fn ended_of(name: &str) -> Option<AttemptEnd> {
+    match name {
+        BY_UPSTREAM => None,
+        SHED => Some(AttemptEnd::Shed),
+        TIMED_OUT => Some(AttemptEnd::TimedOut),
+        FAILED => Some(AttemptEnd::Failed),
+        _ => Some(AttemptEnd::Lost),
+    }
+}
+
+/// Forwards a call to a VM of `region` and waits `wait` for the first bytes of the answer.
+pub(crate) async fn send(node: &Rc<Node>, call: &Call, region: &str, wait: Duration) -> Outcome {
+    let Some((vm, address)) = node.gateway.forwarder(node, region) else {
+        return Outcome::ended(AttemptEnd::Unreachable);
+    };
+    let left = call.left(node);
+    let forwarded = Forwarded {
+        aim_ms: call.aim.as_millis() as u64,
+        left_ms: left.as_millis() as u64,
+        prompt: call.prompt.clone(),
+        rank: call.rank,
+        request: call.request.clone(),
+        service: call.service.clone(),
+        workspace: call.workspace.clone(),
+    };
+    let mut headers = call.headers.clone();
+    match forwarded.to_header(&node.peers.secret) {
+        Ok(text) => headers::set(&mut headers, FORWARDED, &text),
+        Err(error) => {
+            log::error!(request:% = call.request, error:% = error; "not forwarded");
+            return Outcome::ended(AttemptEnd::Unreachable);
+        }
+    }
+    let until = node.clock.now() + wait;
+    let sent = call.exchange(node, address, &vm, headers, wait).await;
+    let answering = match sent {
+        Ok(answering) => answering,
+        Err(end) => {
+            if matches!(end, AttemptEnd::Unreachable | AttemptEnd::TimedOut) {
+                node.gateway.suspect(node.clock.now(), &vm);
+            }
+            return Outcome::ended(end);
+        }
+    };
+    let headers = &answering.head().headers;
+    let ended = headers::text(headers, ENDED).unwrap_or_default();
+    if let Some(end) = ended_of(ended) {
+        return refused(node, call, answering, address, &vm, end).await;
+    }
+    let wait = until.saturating_sub(node.clock.now());
+    match Relay::start(node, call, answering, address, &vm, wait).await {
+        Ok(relay) => {
+            let mut answered = relay.answered(None);
+            answered.headers.remove(ENDED);
+            Outcome::Answered(Box::new(answered))
+        }
+        Err(end) => Outcome::ended(end),
+    }
+}
+
+/// Takes the other VM's account of why there is no answer.
+async fn refused(
+    node: &Rc<Node>,
+    call: &Call,
+    mut answering: Answering,
+    address: SocketAddr,
+    vm: &VmId,
+    end: AttemptEnd,
+) -> Outcome {
+    const LARGEST: usize = 64 << 10;
+    const REST: Duration = Duration::from_millis(200);
+    let status = answering.head().status;
+    let mut headers = answering.head().headers.clone();
+    headers.remove(ENDED);
+    log::warn!(request:% = call.request, vm:% = vm, end:? = end, status = status.as_u16(); "refused by the other region");
+    let retry_after = call::retry_after(&headers);
+    let body = actix_rt::time::timeout(REST, answering.read_whole(LARGEST)).await;
+    let answer = match (body, end) {
+        (Ok(Ok(body)), AttemptEnd::Failed) => Some(call::whole(status, &headers, body)),
+        _ => None,
+    };
+    let now = node.clock.now();
+    node.gateway.pool.put(now, address, vm, answering);
+    Outcome::Ended {
+        answer,
+        end,
+        retry_after,
+    }
+}
--- /dev/null
+++ b/crates/ebonystand/src/gateway/gateway_handle.rs
@@ -0,0 +1,162 @@
+use super::*;
+use {
+    ebonystand_core::{Change, Command, CommandOutcome, EntryChoice, HolderPlan, Place, Routing},
+    group_controller::GroupController,
+    node::Node,
+    std::collections::BTreeSet,
+};
+
+/// The running daemon, for a program that embeds it.
+#[derive(Clone)]
+pub struct Gateway {
+    pub(crate) node: Rc<Node>,
+}
+
+impl Gateway {
+    /// Time after the start of a process before it proposes the first configuration: by then it
+    /// has met the other VMs with a log, which are to hold parts of the allowances.
+    const SETTLE: Duration = Duration::from_secs(2);
+
+    /// Addresses of VMs that a caller at `caller` may connect to for a host.
+    #[must_use]
+    pub fn entries(&self, host: &str, caller: &Place) -> Vec<SocketAddr> {
+        let now = self.node.clock.now();
+        let table = self.node.gateway.table();
+        let mut routes = table.of_host(host);
+        let first = routes.next().map(|route| route.homes.clone());
+        let homes = routes.fold(first.unwrap_or_default(), |homes, route| {
+            homes.intersection(&route.homes).cloned().collect()
+        });
+        let live = self.node.membership.live(now).into_iter();
+        let vms = live.map(|entry| entry.record).collect::<Vec<_>>();
+        let choice = EntryChoice {
+            caller,
+            homes: &homes,
+        };
+        choice.pick(&vms)
+    }
+
+    /// Stops or allows the sending of requests to the upstreams of a zone; returns once that is
+    /// durable.
+    ///
+    /// # Errors
+    /// [`ReplaceError::NoLeader`].
+    pub async fn evacuate(&self, zone: &str, evacuated: bool) -> Result<(), ReplaceError> {
+        let change = Change::SetEvacuated {
+            evacuated,
+            zone: zone.into(),
+        };
+        self.change(change).await
+    }
+
+    /// Whether callers may be sent to this VM.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        self.node.gateway.ready(&self.node)
+    }
+
+    /// Puts a routing in force unless one with the same or a higher number is; returns once that
+    /// is durable.
+    ///
+    /// # Errors
+    /// [`ReplaceError`].
+    pub async fn replace(&self, mut routing: Routing) -> Result<(), ReplaceError> {
+        let faults = routing.faults();
+        if !faults.is_empty() {
+            return Err(ReplaceError::Faulty { faults });
+        }
+        let is_first = self.node.document().routing.revision == 0;
+        if is_first && self.node.clock.now() < Self::SETTLE {
+            return Err(ReplaceError::TooEarly);
+        }
+        let settings = &self.node.settings.gateway;
+        for quota in routing
+            .workspaces
+            .iter_mut()
+            .filter_map(|w| w.quota.as_mut())
+        {
+            *quota = quota.with_overage(
+                settings.quota_window,
+                settings.quota_overage_permille,
+                settings.quota_slack,
+            );
+        }
+        let change = Change::PutRouting {
+            regions: self.regions(&routing),
+            routing: Box::new(routing),
+        };
+        self.change(change).await
+    }
+
+    /// The routing in force, as new as anything that was acknowledged before the call.
+    ///
+    /// # Errors
+    /// [`ReplaceError::NoLeader`] if it is not known which is the newest.
+    pub async fn routing(&self) -> Result<Routing, ReplaceError> {
+        let outcome = GroupController::propose(&self.node, Command::Barrier).await;
+        let Ok(CommandOutcome::Barrier(version)) = outcome else {
+            return Err(ReplaceError::NoLeader);
+        };
+        if !self.catch_up(version).await {
+            return Err(ReplaceError::NoLeader);
+        }
+        Ok(self.node.document().routing.clone())
+    }
+
+    async fn change(&self, change: Change) -> Result<(), ReplaceError> {
+        let req = ChangeRequest {
+            change,
+            expected_version: None,
+            request_id: self.node.request_id(),
+        };
+        let outcome = GroupController::propose(&self.node, Command::Change(req)).await;
+        match outcome {
+            Ok(CommandOutcome::Change(ChangeOutcome::Accepted { .. })) => Ok(()),
+            Ok(outcome) => {
+                log::error!(outcome:? = outcome; "change not accepted");
+                Err(ReplaceError::NoLeader)
+            }
+            Err(refusal) => {
+                log::warn!(refusal:% = refusal; "change without a leader");
+                Err(ReplaceError::NoLeader)
+            }
+        }
+    }
+
+    /// Waits until this VM has a version, which a follower has some time after the leader.
+    async fn catch_up(&self, version: Version) -> bool {
+        const LOOK: Duration = Duration::from_millis(5);
+        const LONGEST: Duration = Duration::from_millis(800);
+        let end = self.node.clock.now() + LONGEST;
+        while self.node.document().version < version {
+            if self.node.clock.now() >= end {
+                return false;
+            }
+            actix_rt::time::sleep(LOOK).await;
+        }
+        true
+    }
+
+    fn regions(
+        &self,
+        routing: &Routing,
+    ) -> std::collections::BTreeMap<RegionId, ebonystand_core::Region> {
+        let now = self.node.clock.now();
+        let live = self.node.membership.live(now);
+        let mut regions = BTreeSet::from([self.node.settings.region.clone()]);
+        regions.extend(self.node.settings.gateway.zones.values().cloned());
+        regions.extend(routing.regions().cloned());
+        regions.extend(live.iter().map(|entry| entry.record.region.clone()));
+        let with_log = live.iter().filter(|entry| entry.record.holds_log);
+        let with_log = with_log.map(|e| (e.record.vm.clone(), e.record.region.clone()));
+        let with_log = with_log.collect::<Vec<_>>();
+        let document = self.node.document();
+        let plan = HolderPlan {
+            delay: self.node.settings.gateway.region_delay,
+            live: &with_log,
+            present: &document.regions,
+            regions: &regions,
+        };
+        plan.regions()
+    }
+}
--- /dev/null
+++ b/crates/ebonystand/src/gateway/mod.rs
@@ -0,0 +1,48 @@
+//! Serving of plain HTTP requests by routes: names on the wire are a [`Dialect`]'s, decisions the
+//! core's; this part carries requests to upstreams and answers back.
+
+use super::*;
+
+pub use {
+    answer_marks::AnswerMarks,
+    call_head::CallHead,
+    connection::ConnectionFault,
+    dialect::Dialect,
+    extension::{Extension, Handler, Surface},
+    fetch::{Fetch, FetchError},
+    gateway_handle::Gateway,
+    headers::{passed_on, set as set_header, text as header_text},
+    outgoing_call::OutgoingCall,
+    replace_error::ReplaceError,
+    settings::GatewaySettings,
+    upstream_source::UpstreamSource,
+};
+
+pub(crate) use controller::GatewayController;
+
+use {
+    connection::{Answering, Connection},
+    connection_pool::ConnectionPool,
+};
+
+mod answer_marks;
+mod attempt;
+mod call;
+mod call_head;
+mod connection;
+mod connection_pool;
+mod controller;
+mod dialect;
+mod extension;
+mod fetch;
+mod forward;
+mod gateway_handle;
+mod headers;
+mod native_dialect;
+mod outgoing_call;
+pub(crate) mod receive_forward;
+mod relay;
+mod replace_error;
+pub(crate) mod serve_call;
+mod settings;
+mod upstream_source;
--- /dev/null
+++ b/crates/ebonystand/src/gateway/native_dialect.rs
@@ -0,0 +1,72 @@
+use super::*;
+use ebonystand_core::Prompt;
+
+/// The gateway's own names, for callers and upstreams that speak no other dialect.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct NativeDialect;
+
+const INSTANCE: &str = "x-ebonystand-instance";
+const DEADLINE: &str = "x-ebonystand-deadline-ms";
+const NOT_RUN: &str = "x-ebonystand-run";
+const PROMPT: &str = "x-ebonystand-prompt";
+const RANK: &str = "x-ebonystand-rank";
+const REQUEST: &str = "x-ebonystand-request";
+const WORKSPACE: &str = "x-ebonystand-workspace";
+const DROPPED: [&str; 6] = [
+    "authorization",
+    INSTANCE,
+    DEADLINE,
+    RANK,
+    REQUEST,
+    WORKSPACE,
+];
+
+impl Dialect for NativeDialect {
+    fn answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerMarks {
+        AnswerMarks {
+            is_stranger: status == StatusCode::MISDIRECTED_REQUEST,
+            not_run: headers::text(headers, NOT_RUN) == Some("not_run"),
+            request: headers::text(headers, REQUEST).map(Into::into),
+            slots: None,
+        }
+    }
+
+    fn read(&self, req: &Request) -> Result<CallHead, Refusal> {
+        let incoming = req.headers();
+        let deadline = match headers::text(incoming, DEADLINE) {
+            Some(text) => Some(
+                text.parse()
+                    .map(Duration::from_millis)
+                    .map_err(|_| bad(DEADLINE))?,
+            ),
+            None => None,
+        };
+        let prompt = match headers::text(incoming, PROMPT) {
+            Some(text) => Some(serde_json::from_str::<Prompt>(text).map_err(|_| bad(PROMPT))?),
+            None => None,
+        };
+        Ok(CallHead {
+            deadline,
+            headers: headers::passed_on(incoming, &DROPPED),
+            host: headers::text(incoming, "host").unwrap_or_default().into(),
+            key: authenticate::bearer(incoming).map(KeyHash::of),
+            prompt,
+            request: headers::text(incoming, REQUEST).unwrap_or_default().into(),
+        })
+    }
+
+    fn write(&self, call: &OutgoingCall, headers: &mut HeaderMap) {
+        headers::set(headers, INSTANCE, call.instance);
+        headers::set(headers, DEADLINE, &call.left.as_millis().to_string());
+        headers::set(headers, RANK, &call.rank.to_string());
+        headers::set(headers, REQUEST, call.request);
+        if let Some(workspace) = call.workspace {
+            headers::set(headers, WORKSPACE, workspace);
+        }
+    }
+}
+
+fn bad(name: &str) -> Refusal {
+    let message = format!("the header {name} cannot be read");
+    Refusal::not_run(RefusalCode::BadHeader, message)
+}
--- /dev/null
+++ b/crates/ebonystand/src/gateway/receive_forward.rs
@@ -0,0 +1,115 @@
+//! Takes requests that VMs of other regions forward, and sends them to upstreams of the own region.
+
+use super::*;
+use {
+    call::{Call, Outcome},
+    ebonystand_core::{AttemptEnd, Choice},
+    ebonystand_wire::Forwarded,
+    in_flight::InFlight,
+    node::Node,
+    relay::Held,
+    std::collections::BTreeSet,
+};
+
+pub(crate) async fn handle(node: Rc<Node>, mut req: Request) -> Response<BoxBody> {
+    let mut payload = req.take_payload();
+    let outcome = serve(&node, &req, &mut payload).await;
+    match outcome {
+        Outcome::Answered(answered) => {
+            let body = BodyStream::new(Box::pin(answered.relay.into_stream()));
+            let mut response = Response::new(answered.status).set_body(body);
+            *response.headers_mut() = answered.headers;
+            headers::set(response.headers_mut(), forward::ENDED, forward::BY_UPSTREAM);
+            response.map_into_boxed_body()
+        }
+        Outcome::Ended {
+            answer,
+            end,
+            retry_after,
+        } => {
+            body::discard(&node, &mut payload).await;
+            let mut response = answer.unwrap_or_else(|| {
+                Response::new(StatusCode::SERVICE_UNAVAILABLE).map_into_boxed_body()
+            });
+            headers::set(
+                response.headers_mut(),
+                forward::ENDED,
+                forward::ended_name(end),
+            );
+            if let Some(delay) = retry_after {
+                let seconds = format!("{:.3}", delay.as_secs_f64());
+                headers::set(response.headers_mut(), "retry-after", &seconds);
+            }
+            response
+        }
+    }
+}
+
+async fn serve(node: &Rc<Node>, req: &Request, payload: &mut Payload) -> Outcome {
+    let now = node.clock.now();
+    let text = headers::text(req.headers(), forward::FORWARDED).unwrap_or_default();
+    let forwarded = match Forwarded::from_header(&node.peers.secret, text) {
+        Ok(forwarded) => forwarded,
+        Err(error) => {
+            node.metrics.peer_refused.inc();
+            log::warn!(error:% = error; "forwarded request refused");
+            return Outcome::ended(AttemptEnd::Shed);
+        }
+    };
+    let limit = node.settings.limits.requests;
+    let Some(in_flight) = InFlight::enter(&node.in_flight, limit) else {
+        return Outcome::ended(AttemptEnd::Shed);
+    };
+    if node.draining() || !node.gateway.ready(node) {
+        return Outcome::ended(AttemptEnd::Shed);
+    }
+    let body = match body::read(node, req.headers(), payload).await {
+        Ok(body) => body,
+        Err(refusal) => {
+            log::warn!(request:% = forwarded.request, refusal:% = refusal; "forwarded request not read");
+            return Outcome::ended(AttemptEnd::Shed);
+        }
+    };
+    let call = Call {
+        aim: Duration::from_millis(forwarded.aim_ms),
+        arrived: now,
+        body,
+        end: now + Duration::from_millis(forwarded.left_ms),
+        excluded: Vec::new(),
+        headers: headers::passed_on(req.headers(), &[forward::FORWARDED]),
+        homes: None,
+        method: req.method().clone(),
+        path: serve_call::path_and_query(req),
+        prompt: forwarded.prompt,
+        rank: forwarded.rank,
+        request: forwarded.request,
+        service: forwarded.service,
+        workspace: forwarded.workspace,
+    };
+    let none = BTreeSet::new();
+    match call.choose(node, &none) {
+        Choice::Here {
+            address,
+            instance,
+            predicted,
+            unread,
+            ..
+        } => {
+            log::info!(
+                request:% = call.request, upstream:% = instance, unread = unread,
+                predicted_ms = predicted.as_millis() as u64; "forwarded request sent"
+            );
+            let wait = call.left(node);
+            let outcome = call.send_here(node, address, &instance, unread, wait).await;
+            held(outcome, in_flight)
+        }
+        Choice::Away { .. } | Choice::Nowhere { .. } => Outcome::ended(AttemptEnd::Shed),
+    }
+}
+
+fn held(mut outcome: Outcome, in_flight: InFlight) -> Outcome {
+    if let Outcome::Answered(answered) = &mut outcome {
+        answered.relay.hold(Held::new(in_flight, None));
+    }
+    outcome
+}
--- /dev/null
+++ b/crates/ebonystand/src/gateway/relay.rs
@@ -0,0 +1,188 @@
+use super::*;
+use {
+    allowance_controller::Reserved,
+    attempt::Attempt,
+    call::{Answered, Call},
+    ebonystand_core::AttemptEnd,
+    in_flight::InFlight,
+    node::Node,
+};
+
+/// An answer on its way from an upstream to a caller, with all that it holds until it ends or its
+/// caller leaves.
+pub(crate) struct Relay {
+    address: SocketAddr,
+    answering: Option<Answering>,
+    attempt: Option<Attempt>,
+    /// When the caller stops waiting.
+    end: Duration,
+    first: Option<Bytes>,
+    /// What the request holds until its end.
+    _held: Held,
+    instance: UpstreamId,
+    node: Rc<Node>,
+    request: Box<str>,
+    started: Duration,
+    bytes: u64,
+}
+
+/// What a request holds until its answer has ended; only dropped.
+#[derive(Default)]
+pub(crate) struct Held {
+    _in_flight: Option<InFlight>,
+    _reserved: Option<Reserved>,
+}
+
+impl Held {
+    pub(crate) fn new(in_flight: InFlight, reserved: Option<Reserved>) -> Self {
+        Self {
+            _in_flight: Some(in_flight),
+            _reserved: reserved,
+        }
+    }
+}
+
+/// Why an answer to a caller breaks off.
+#[derive(Debug, Snafu)]
+pub(crate) enum RelayFault {
+    #[snafu(display("the time for the request is over"))]
+    Deadline,
+    #[snafu(display("the upstream broke off"))]
+    Upstream,
+}
+
+impl Relay {
+    /// Waits for the first bytes of the body; from then on the answer cannot be taken back.
+    pub(crate) async fn start(
+        node: &Rc<Node>,
+        call: &Call,
+        mut answering: Answering,
+        address: SocketAddr,
+        instance: &UpstreamId,
+        wait: Duration,
+    ) -> Result<Self, AttemptEnd> {
+        let first = match actix_rt::time::timeout(wait, answering.next()).await {
+            Ok(Ok(first)) => first,
+            Ok(Err(fault)) => {
+                log::warn!(request:% = call.request, upstream:% = instance, fault:% = fault; "broke off before its first byte");
+                return Err(AttemptEnd::Lost);
+            }
+            Err(_) => {
+                node.gateway.pool.give_up(address);
+                log::warn!(request:% = call.request, upstream:% = instance; "silent before its first byte");
+                return Err(AttemptEnd::TimedOut);
+            }
+        };
+        Ok(Self {
+            address,
+            answering: Some(answering),
+            attempt: None,
+            bytes: 0,
+            end: call.end,
+            first,
+            _held: Held::default(),
+            instance: instance.clone(),
+            node: Rc::clone(node),
+            request: call.request.clone(),
+            started: call.arrived,
+        })
+    }
+
+    pub(crate) fn answered(mut self, attempt: Option<Attempt>) -> Answered {
+        self.attempt = attempt;
+        let head = self.answering.as_ref().map(Answering::head);
+        let (status, headers) = match head {
+            Some(head) => (head.status, headers::passed_on(&head.headers, &[])),
+            None => (StatusCode::BAD_GATEWAY, HeaderMap::new()),
+        };
+        Answered {
+            headers,
+            relay: self,
+            status,
+        }
+    }
+
+    pub(crate) fn hold(&mut self, held: Held) {
+        self._held = held;
+    }
+
+    /// The answer as it comes. One that breaks off ends the caller's connection, or half an answer
+    /// would look whole.
+    pub(crate) fn into_stream(self) -> impl Stream<Item = Result<Bytes, RelayFault>> {
+        stream::unfold(self, |mut relay| async move {
+            let item = relay.next().await.transpose()?;
+            Some((item, relay))
+        })
+    }
+
+    /// The whole answer.
+    pub(crate) async fn read_whole(mut self, limit: usize) -> Result<Bytes, AttemptEnd> {
+        let mut whole = BytesMut::new();
+        loop {
+            match self.next().await {
+                Ok(Some(bytes)) if whole.len() + bytes.len() <= limit => {
+                    whole.extend_from_slice(&bytes);
+                }
+                Ok(Some(_)) | Err(RelayFault::Upstream) => return Err(AttemptEnd::Lost),
+                Ok(None) => return Ok(whole.freeze()),
+                Err(RelayFault::Deadline) => return Err(AttemptEnd::TimedOut),
+            }
+        }
+    }
+
+    async fn next(&mut self) -> Result<Option<Bytes>, RelayFault> {
+        if let Some(first) = self.first.take() {
+            self.bytes += first.len() as u64;
+            return Ok(Some(first));
+        }
+        let Some(answering) = &mut self.answering else {
+            return Ok(None);
+        };
+        let left = self.end.saturating_sub(self.node.clock.now());
+        match actix_rt::time::timeout(left, answering.next()).await {
+            Ok(Ok(Some(bytes))) => {
+                self.bytes += bytes.len() as u64;
+                Ok(Some(bytes))
+            }
+            Ok(Ok(None)) => {
+                self.finish();
+                Ok(None)
+            }
+            Ok(Err(fault)) => {
+                log::warn!(request:% = self.request, upstream:% = self.instance, fault:% = fault, bytes = self.bytes; "broke off midway");
+                self.abandon(AttemptEnd::Lost);
+                Err(RelayFault::Upstream)
+            }
+            Err(_) => {
+                log::warn!(request:% = self.request, upstream:% = self.instance, bytes = self.bytes; "cut off: its time is over");
+                self.abandon(AttemptEnd::TimedOut);
+                Err(RelayFault::Deadline)
+            }
+        }
+    }
+
+    fn abandon(&mut self, end: AttemptEnd) {
+        self.answering = None;
+        if let Some(attempt) = self.attempt.take() {
+            attempt.end(end);
+        }
+    }
+
+    fn finish(&mut self) {
+        let now = self.node.clock.now();
+        let first_byte = self.attempt.as_ref().and_then(Attempt::first_byte);
+        log::info!(
+            request:% = self.request, upstream:% = self.instance, bytes = self.bytes,
+            first_byte_ms = first_byte.unwrap_or_default().as_millis() as u64,
+            whole_ms = now.saturating_sub(self.started).as_millis() as u64;
+            "answered"
+        );
+        if let Some(attempt) = self.attempt.take() {
+            attempt.end(AttemptEnd::Answered);
+        }
+        if let Some(answering) = self.answering.take() {
+            let pool = &self.node.gateway.pool;
+            pool.put(now, self.address, &self.instance, answering);
+        }
+    }
+}
--- a/crates/ebonystand/src/group_thread.rs
+++ b/crates/ebonystand/src/group_thread.rs
@@ -3,11 +3,13 @@
 
 use super::*;
 use {
+    clock::Clock as _,
     ebonystand_core::{MemberId, ReplicaInput, ReplicaStatus},
     std::{
         sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel},
         thread,
     },
+    system_clock::SystemClock,
 };
 
 /// What the thread reports.
@@ -52,7 +54,7 @@
 
     pub(crate) fn start(
         group: Group,
-        started: Instant,
+        started: SystemClock,
     ) -> Result<(Self, mpsc::UnboundedReceiver<GroupEvent>)> {
         let id = group.replica().status().id;
         let (inputs, inbox) = channel();
@@ -67,13 +69,13 @@
 
 fn run(
     mut group: Group,
-    started: Instant,
+    started: SystemClock,
     inbox: &Receiver<ReplicaInput>,
     events: &mpsc::UnboundedSender<GroupEvent>,
 ) {
     loop {
         let deadline = group.replica().deadline();
-        let wait = deadline.saturating_sub(started.elapsed());
+        let wait = deadline.saturating_sub(started.now());
         let mut inputs = match inbox.recv_timeout(wait.min(GroupThread::LONGEST_SLEEP)) {
             Ok(input) => vec![input],
             Err(RecvTimeoutError::Timeout) => Vec::new(),
@@ -81,14 +83,14 @@
         };
         inputs.extend(inbox.try_iter().take(GroupThread::BATCH));
         inputs.push(ReplicaInput::Tick);
-        let now = started.elapsed();
+        let now = started.now();
         let accepted = group.accept(now, inputs);
         let accepted = report(&group, accepted);
         if !tell(events, accepted) {
             return;
         }
         if group.needs_sync() {
-            let synced = group.sync(started.elapsed());
+            let synced = group.sync(started.now());
             if !tell(events, report(&group, synced)) {
                 return;
             }
--- a/crates/ebonystand/src/http_server.rs
+++ b/crates/ebonystand/src/http_server.rs
@@ -3,6 +3,9 @@
 use super::*;
 use in_flight::InFlight;
 
+/// Idle time after which a caller's connection is closed; longer than callers keep theirs.
+const KEEP_ALIVE: Duration = Duration::from_secs(75);
+
 /// Bounds of one listener.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct HttpBounds {
@@ -18,6 +21,9 @@
 {
     let factory = HttpService::build()
         .client_request_timeout(bounds.head_timeout)
+        .keep_alive(KEEP_ALIVE)
+        // A caller that closes its end has left: what runs for it is ended, upstream too.
+        .h1_allow_half_closed(false)
         .h1(move |req: Request| {
             let answer = handler(req);
             async move { Ok::<_, Infallible>(answer.await) }
--- a/crates/ebonystand/src/lib.rs
+++ b/crates/ebonystand/src/lib.rs
@@ -48,9 +48,23 @@
 };
 
 pub use {
-    error::Error, group::Group, group_effect::GroupEffect, limits::Limits, listen::Listen,
-    log_settings::LogSettings, run::run, settings::Settings, settings_fault::SettingsFault,
-    storage::Storage, storage_error::StorageError,
+    error::Error,
+    gateway::{
+        AnswerMarks, CallHead, ConnectionFault, Dialect, Extension, Fetch, FetchError, Gateway,
+        GatewaySettings, Handler, OutgoingCall, ReplaceError, Surface, UpstreamSource, header_text,
+        passed_on, set_header,
+    },
+    group::Group,
+    group_effect::GroupEffect,
+    group_settings::GroupSettings,
+    limits::Limits,
+    listen::Listen,
+    log_settings::LogSettings,
+    run::{run, run_with},
+    settings::Settings,
+    settings_fault::SettingsFault,
+    storage::Storage,
+    storage_error::StorageError,
 };
 
 mod admitted_request;
@@ -71,9 +85,11 @@
 mod dispatch;
 mod error;
 mod files;
+mod gateway;
 mod group;
 mod group_controller;
 mod group_effect;
+mod group_settings;
 mod group_thread;
 mod http_server;
 mod in_flight;
@@ -96,6 +112,7 @@
 mod queue_controller;
 mod record_log;
 mod relay;
+mod reload;
 mod respond;
 mod route_controller;
 mod run;
--- a/crates/ebonystand/src/limits.rs
+++ b/crates/ebonystand/src/limits.rs
@@ -21,15 +21,27 @@
 }
 
 impl Limits {
+    /// Part of `grace_ms`, the time between the order to stop and the kill, for which a leaving VM
+    /// serves on.
+    const LINGER_PERMILLE: u32 = 450;
+    /// Part of it in which what runs may then end.
+    const DRAIN_PERMILLE: u32 = 450;
+
     pub(crate) fn read(reader: &mut SettingsReader) -> Self {
         let millis = Duration::from_millis;
+        let drain_ms = reader.ranged("drain_ms", 120_000, 0, 3_600_000);
+        let linger_ms = reader.ranged("linger_ms", 12_000, 0, 600_000);
+        let grace = millis(reader.ranged("grace_ms", 0, 0, 3_600_000));
+        let parts = (!grace.is_zero()).then_some(grace);
+        let linger = parts.map(|grace| grace * Self::LINGER_PERMILLE / 1_000);
+        let drain = parts.map(|grace| grace * Self::DRAIN_PERMILLE / 1_000);
         Self {
             body_bytes: reader.ranged("body_bytes", 4 << 20, 1 << 10, 64 << 20) as usize,
             body_timeout: millis(reader.ranged("body_timeout_ms", 30_000, 100, 600_000)),
             connections: reader.ranged("connections", 16_384, 16, 1 << 20) as usize,
-            drain: millis(reader.ranged("drain_ms", 120_000, 0, 3_600_000)),
+            drain: drain.unwrap_or(millis(drain_ms)),
             head_timeout: millis(reader.ranged("head_timeout_ms", 5_000, 100, 60_000)),
-            linger: millis(reader.ranged("linger_ms", 12_000, 0, 600_000)),
+            linger: linger.unwrap_or(millis(linger_ms)),
             requests: reader.ranged("requests", 8_192, 1, 1 << 20) as usize,
         }
     }
--- a/crates/ebonystand/src/membership_controller.rs
+++ b/crates/ebonystand/src/membership_controller.rs
@@ -25,6 +25,11 @@
         self.membership.borrow().entries().cloned().collect()
     }
 
+    /// Adds addresses of VMs to meet.
+    pub(crate) fn add_seeds(node: &Node, seeds: &[SocketAddr]) {
+        node.membership.membership.borrow_mut().add_seeds(seeds);
+    }
+
     /// Says that this VM takes no new work.
     pub(crate) fn leave(node: &Rc<Node>) {
         let now = node.clock.now();
@@ -98,6 +103,18 @@
         }
     }
 
+    /// Says whether callers may be sent to this VM.
+    pub(crate) fn set_takes_callers(node: &Rc<Node>, takes: bool) {
+        let now = node.clock.now();
+        let mut membership = node.membership.membership.borrow_mut();
+        let outputs = membership.set_takes_callers(now, takes);
+        drop(membership);
+        if !outputs.is_empty() {
+            log::info!(takes_callers = takes; "readiness told");
+        }
+        Self::take(node, outputs);
+    }
+
     pub(crate) fn set_version(&self, version: Version, withdrawals: u64) {
         let mut membership = self.membership.borrow_mut();
         membership.set_version(version);
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -5,6 +5,7 @@
     client_pool::ClientPool,
     clock::Clock,
     ebonystand_core::{EntryList, EntryVm, Place, VmRecord},
+    gateway::GatewayController,
     group_controller::GroupController,
     group_thread::GroupThread,
     membership_controller::MembershipController,
@@ -28,6 +29,7 @@
     pub(crate) clients: ClientPool,
     pub(crate) clock: Rc<dyn Clock>,
     draining: Cell<bool>,
+    pub(crate) gateway: GatewayController,
     pub(crate) group: GroupController,
     pub(crate) in_flight: Rc<Cell<usize>>,
     pub(crate) incarnation: Incarnation,
@@ -137,6 +139,7 @@
         socket: UdpSocket,
         thread: Option<GroupThread>,
         clock: Rc<dyn Clock>,
+        gateway: GatewayController,
     ) -> Result<Self> {
         let path = &settings.operator_credential_file;
         let credential = std::fs::read_to_string(path).context(error::File { path })?;
@@ -159,6 +162,7 @@
             clients: ClientPool::new(),
             clock,
             draining: Cell::new(false),
+            gateway,
             group: GroupController::new(thread),
             in_flight: Rc::default(),
             incarnation,
@@ -175,7 +179,7 @@
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
             routes: RouteController::new(place.clone(), seed),
             place,
-            state: StateController::new(vm, settings.members.clone(), now, seed),
+            state: StateController::new(vm, log_members(&settings), now, seed),
             settings,
             stop: Notify::new(),
         })
@@ -194,6 +198,33 @@
 
     pub(crate) fn receive(self: &Rc<Self>, from: &VmId, message: PeerMessage) {
         match message {
+            PeerMessage::Confirm { asked_us } => {
+                let (leading, version) = self.state.leads_at(self);
+                let answer = PeerMessage::Confirmed {
+                    asked_us,
+                    leading,
+                    version,
+                };
+                self.send(from, answer);
+            }
+            PeerMessage::Confirmed {
+                asked_us,
+                leading,
+                version,
+            } => {
+                let asked = Duration::from_micros(asked_us);
+                self.gateway.confirm(self, from, asked, leading, version);
+            }
+            PeerMessage::Pressure {
+                first_byte_ms,
+                region,
+            } => {
+                let pressures = first_byte_ms.into_iter();
+                let pressures = pressures.map(|(service, ms)| (service, Duration::from_millis(ms)));
+                let now = self.clock.now();
+                let mut book = self.gateway.book.borrow_mut();
+                book.told(now, &region, pressures.collect());
+            }
             PeerMessage::Allowance(message) => AllowanceController::receive(self, from, message),
             PeerMessage::Feed(message) => {
                 let input = ebonystand_core::FeedInput::Message {
@@ -229,18 +260,29 @@
     }
 }
 
+/// VMs that take the configuration from the log: those named as members, and this one if it has a
+/// log of its own.
+fn log_members(settings: &Settings) -> Vec<VmId> {
+    let own = settings.data_folder.as_ref().map(|_| settings.vm.clone());
+    let others = settings.members.iter().filter(|vm| **vm != settings.vm);
+    own.into_iter().chain(others.cloned()).collect()
+}
+
 fn random_u64() -> Result<u64> {
     getrandom::u64().context(error::Random)
 }
 
 fn record(settings: &Settings, addresses: &Listen, incarnation: Incarnation) -> VmRecord {
     VmRecord {
+        forwards: settings.gateway.forwards,
         heartbeat: 0,
+        holds_log: settings.data_folder.is_some(),
         http: addresses.callers,
         incarnation,
         leaving: false,
         peer: addresses.peers,
         region: settings.region.clone(),
+        takes_callers: false,
         version: 0,
         vm: settings.vm.clone(),
         zone: settings.zone.clone(),
--- a/crates/ebonystand/src/serve.rs
+++ b/crates/ebonystand/src/serve.rs
@@ -5,6 +5,7 @@
     allowance_controller::AllowanceController,
     clock::Clock,
     ebonystand_core::ReplicaConfig,
+    gateway::{GatewayController, receive_forward, serve_call},
     group_controller::GroupController,
     group_thread::{GroupEvent, GroupThread},
     http_server::HttpBounds,
@@ -28,15 +29,46 @@
     peers: TcpListener,
 }
 
+/// Sets up the log and serves until the process is told to stop.
+pub(crate) fn run(
+    settings: Settings,
+    addresses_file: Option<PathBuf>,
+    extension: Extension,
+) -> Result {
+    logger::install(&settings.log)?;
+    actix_rt::System::new().block_on(serve(settings, addresses_file, extension))
+}
+
 /// Serves until SIGTERM, SIGINT or an operator's order to leave, then drains.
-pub(crate) async fn serve(settings: Settings, addresses_file: Option<PathBuf>) -> Result {
-    let started = Instant::now();
-    let clock: Rc<dyn Clock> = Rc::new(SystemClock::new(started));
+async fn serve(
+    settings: Settings,
+    addresses_file: Option<PathBuf>,
+    extension: Extension,
+) -> Result {
+    let started = SystemClock::start();
+    let clock: Rc<dyn Clock> = Rc::new(started);
     let (sockets, addresses) = Sockets::bind(&settings.listen).await?;
+    let forwards = bind_optional(settings.gateway.forwards).await?;
+    let surfaces = bind_surfaces(extension.surfaces).await?;
     let (thread, events) = start_group(&settings, started)?.unzip();
-    let node = Node::new(settings, addresses, sockets.datagrams, thread, clock)?;
+    let gateway = GatewayController::new(
+        &settings,
+        extension.dialect,
+        extension.source,
+        getrandom::u64().context(error::Random)?,
+    );
+    let node = Node::new(
+        settings,
+        addresses,
+        sockets.datagrams,
+        thread,
+        clock,
+        gateway,
+    )?;
     let node = Rc::new(node);
     serve_http(&node, sockets.callers, sockets.operators);
+    serve_gateway(&node, forwards, surfaces);
+    actix_rt::spawn(reload::run(Rc::clone(&node), extension.reload));
     actix_rt::spawn(peer_server::serve(sockets.peers, Rc::clone(&node)));
     start_controllers(&node);
     if let Some(path) = addresses_file {
@@ -103,17 +135,69 @@
         head_timeout: node.settings.limits.head_timeout,
     };
     let for_callers = Rc::clone(node);
-    actix_rt::spawn(http_server::serve(callers, bounds, move |req| {
-        caller_api::handle(Rc::clone(&for_callers), req)
-    }));
+    if node.gateway.embedded {
+        actix_rt::spawn(http_server::serve(callers, bounds, move |req| {
+            serve_call::handle(Rc::clone(&for_callers), req)
+        }));
+    } else {
+        actix_rt::spawn(http_server::serve(callers, bounds, move |req| {
+            caller_api::handle(Rc::clone(&for_callers), req)
+        }));
+    }
     let for_operators = Rc::clone(node);
     actix_rt::spawn(http_server::serve(operators, bounds, move |req| {
         operator_api::handle(Rc::clone(&for_operators), req)
     }));
 }
 
+/// Serves what VMs of other regions forward, and what the embedding program listens for.
+fn serve_gateway(
+    node: &Rc<Node>,
+    forwards: Option<TcpListener>,
+    surfaces: Vec<(TcpListener, Handler)>,
+) {
+    let bounds = HttpBounds {
+        connections: node.settings.limits.connections,
+        head_timeout: node.settings.limits.head_timeout,
+    };
+    if let Some(listener) = forwards {
+        let node = Rc::clone(node);
+        actix_rt::spawn(http_server::serve(listener, bounds, move |req| {
+            receive_forward::handle(Rc::clone(&node), req)
+        }));
+    }
+    for (listener, handler) in surfaces {
+        let gateway = Gateway {
+            node: Rc::clone(node),
+        };
+        actix_rt::spawn(http_server::serve(listener, bounds, move |req| {
+            handler(gateway.clone(), req)
+        }));
+    }
+}
+
+async fn bind_optional(address: Option<SocketAddr>) -> Result<Option<TcpListener>> {
+    match address {
+        Some(address) => bind(address).await.map(Some),
+        None => Ok(None),
+    }
+}
+
+async fn bind_surfaces(surfaces: Vec<Surface>) -> Result<Vec<(TcpListener, Handler)>> {
+    let mut bound = Vec::new();
+    for surface in surfaces {
+        bound.push((bind(surface.address).await?, surface.handler));
+    }
+    Ok(bound)
+}
+
 fn start_controllers(node: &Rc<Node>) {
     actix_rt::spawn(AllowanceController::run(Rc::clone(node)));
+    if node.settings.gateway.serves_callers {
+        actix_rt::spawn(GatewayController::run_confirm(Rc::clone(node)));
+        actix_rt::spawn(GatewayController::run_list(Rc::clone(node)));
+        actix_rt::spawn(GatewayController::run_pressure(Rc::clone(node)));
+    }
     actix_rt::spawn(MembershipController::run(Rc::clone(node)));
     actix_rt::spawn(MembershipController::run_refresh(Rc::clone(node)));
     actix_rt::spawn(QuarantineController::run(Rc::clone(node)));
@@ -127,15 +211,21 @@
 /// Starts the replica of a VM that has a data folder and is a member.
 fn start_group(
     settings: &Settings,
-    started: Instant,
+    started: SystemClock,
 ) -> Result<Option<(GroupThread, GroupEvents)>> {
     let Some(folder) = &settings.data_folder else {
         return Ok(None);
     };
     let members = settings.members.iter().cloned().collect();
-    let cfg = ReplicaConfig::new(settings.vm.clone(), members);
+    let cfg = ReplicaConfig {
+        may_found: settings.founding,
+        open: settings.group.open,
+        snapshot_threshold: settings.group.snapshot_entries,
+        voters: settings.group.voters,
+        ..ReplicaConfig::new(settings.vm.clone(), members)
+    };
     let seed = getrandom::u64().context(error::Random)?;
-    let group = Group::open(folder, cfg, started.elapsed(), seed).context(error::Storage)?;
+    let group = Group::open(folder, cfg, started.now(), seed).context(error::Storage)?;
     GroupThread::start(group, started).map(Some)
 }
 
--- a/crates/ebonystand/src/settings.rs
+++ b/crates/ebonystand/src/settings.rs
@@ -6,6 +6,12 @@
 pub struct Settings {
     /// Folder for durable state. A VM that has one may be a member of the replicated group.
     pub data_folder: Option<PathBuf>,
+    /// Whether this VM may found the replicated group. Not after it has lost its disk.
+    pub founding: bool,
+    /// Serving by routes.
+    pub gateway: GatewaySettings,
+    /// Members of the replicated group.
+    pub group: GroupSettings,
     /// Bounds.
     pub limits: Limits,
     /// Addresses.
@@ -54,6 +60,9 @@
 
     fn fields(reader: &mut SettingsReader) -> Option<Self> {
         let data_folder = reader.optional("data_folder", None);
+        let founding = reader.optional("founding", true);
+        let gateway = reader.section("gateway", GatewaySettings::read);
+        let group = reader.section("group", GroupSettings::read);
         let limits = reader.section("limits", Limits::read);
         let listen = reader.section("listen", Listen::read);
         let log = reader.section("log", LogSettings::read);
@@ -66,6 +75,9 @@
         let zone = reader.required("zone");
         Some(Self {
             data_folder,
+            founding,
+            gateway,
+            group,
             limits,
             listen: listen?,
             log,
--- a/crates/ebonystand/src/state_controller.rs
+++ b/crates/ebonystand/src/state_controller.rs
@@ -143,6 +143,11 @@
         }
     }
 
+    /// Whether this VM leads the log now, and the version in force on it.
+    pub(crate) fn leads_at(&self, node: &Node) -> (bool, Version) {
+        (self.leads(node.clock.now()), self.document().version)
+    }
+
     fn leads(&self, now: Duration) -> bool {
         self.lease_until.get().is_some_and(|until| now < until)
     }
@@ -173,12 +178,13 @@
         let now = node.clock.now();
         log::info!(version = document.version, preset:% = document.preset; "configuration in force");
         node.metrics.config_version.set(document.version as i64);
+        node.gateway.configure(now, &document);
         let mut keys = node.state.keys.borrow_mut();
         match change {
             Some(Change::GiveKey { id, key }) => {
                 keys.insert(key.hash, id.clone());
             }
-            Some(Change::WithdrawKey { .. }) => {}
+            Some(Change::SetEvacuated { .. } | Change::WithdrawKey { .. }) => {}
             _ => {
                 *keys = document
                     .keys
--- a/crates/ebonystand/src/subcommand.rs
+++ b/crates/ebonystand/src/subcommand.rs
@@ -8,6 +8,7 @@
     },
     Run {
         addresses: Option<PathBuf>,
+        path: PathBuf,
         settings: Settings,
     },
 }
@@ -21,10 +22,14 @@
             }
             Self::Run {
                 addresses,
+                path,
                 settings,
             } => {
-                logger::install(&settings.log)?;
-                actix_rt::System::new().block_on(serve::serve(settings, addresses))
+                let extension = Extension {
+                    reload: Some(Rc::new(move || Settings::read(&path).ok())),
+                    ..Extension::default()
+                };
+                serve::run(settings, addresses, extension)
             }
         }
     }
