Let requests wait where they can still be given up: windows by aim, turns by rank; a sliding retry budget

Ruled out: servers' queues as the place to wait; one VM deciding for an engine, which strands its queue. Change: each VM keeps a window of unread prompt tokens an upstream (additive increase, multiplicative decrease on the time to the first byte), a queue by weighted rank with a patience of a quarter of the aim, regions without room say so as not sent; the retry budget slides and is kept by service.

--- a/crates/ebonystand-core/src/gateway/choice.rs
+++ b/crates/ebonystand-core/src/gateway/choice.rs
@@ -12,6 +12,11 @@
         /// The region.
         region: RegionId,
     },
+    /// Upstreams of the own region can serve it, but none has room now.
+    Full {
+        /// Predicted time to the first byte if it were sent all the same.
+        predicted: Duration,
+    },
     /// To an upstream of the own region.
     Here {
         /// Where it listens.
--- a/crates/ebonystand-core/src/gateway/gateway_workspace.rs
+++ b/crates/ebonystand-core/src/gateway/gateway_workspace.rs
@@ -11,7 +11,7 @@
     /// Name.
     pub name: WorkspaceId,
     /// Tokens that a request without a prompt counts as.
-    pub plain_tokens: Tokens,
+    pub call_tokens: Tokens,
     /// What it may use; none if it is not limited.
     pub quota: Option<Quota>,
     /// Rank, which goes before that of a route; 0 is the first.
@@ -24,7 +24,7 @@
     pub fn cost(&self, prompt: Option<&Prompt>) -> Tokens {
         match self.quota.map(|quota| quota.unit) {
             Some(QuotaUnit::Requests) => 1,
-            Some(QuotaUnit::Tokens) | None => prompt.map_or(self.plain_tokens, Prompt::tokens),
+            Some(QuotaUnit::Tokens) | None => prompt.map_or(self.call_tokens, Prompt::tokens),
         }
     }
 }
--- a/crates/ebonystand-core/src/gateway/known_upstream.rs
+++ b/crates/ebonystand-core/src/gateway/known_upstream.rs
@@ -3,8 +3,6 @@
 /// An upstream as one VM knows it.
 #[derive(Clone, Debug)]
 pub(crate) struct KnownUpstream {
-    /// Prompt tokens of this VM's requests that have not got their first byte.
-    pub(crate) backlog: Tokens,
     /// Until when it counts as cold.
     pub(crate) cold_until: Duration,
     pub(crate) gate: ColdGate,
@@ -23,6 +21,9 @@
     pub(crate) strikes: u32,
     /// Until when it gets nothing, having failed.
     pub(crate) suspect_until: Duration,
+    /// Work of this VM's requests that have not begun: prompt tokens that an engine has to read, or
+    /// calls.
+    pub(crate) window: Window,
 }
 
 impl KnownUpstream {
@@ -31,6 +32,8 @@
     const FIRST_SPEED: f64 = 50.0;
     /// Time assumed of a call that has not been measured.
     const FIRST_PACE: Duration = Duration::from_millis(40);
+    /// Calls of a plain service under way for each slot: one that runs and one that follows.
+    const CALLS_A_SLOT: u32 = 2;
     /// A report that is older tells nothing.
     const REPORT_LIFE: Duration = Duration::from_millis(1_500);
     /// Weight of a new measurement.
@@ -41,9 +44,11 @@
     const STRIKE: Duration = Duration::from_millis(500);
     const LONGEST_STRIKE: Duration = Duration::from_secs(4);
 
+    /// Window of a VM that has sent an engine nothing yet, in prompt tokens: some usual prompts.
+    const FIRST_TOKENS: u64 = 12_000;
+
     pub(crate) fn new(listed: ListedUpstream, cold_until: Duration) -> Self {
         Self {
-            backlog: 0,
             cold_until,
             gate: ColdGate::default(),
             in_flight: 0,
@@ -56,6 +61,7 @@
             failing: 0.0,
             strikes: 0,
             suspect_until: Duration::ZERO,
+            window: Window::new(Self::FIRST_TOKENS),
         }
     }
 
@@ -71,12 +77,21 @@
     pub(crate) fn engine_delay(&self, now: Duration, unread: Tokens, vms: u32) -> Duration {
         /// Time that each request beyond the slots waits for one to become free.
         const PER_WAITING: Duration = Duration::from_millis(60);
-        let work = self.backlog * u64::from(vms.clamp(1, 4)) + unread;
+        let work = self.window.used() * u64::from(vms.clamp(1, 4)) + unread;
         let reading = Duration::from_secs_f64(work as f64 / self.speed / 1_000.0);
         let waiting = (self.occupied(now) + 1).saturating_sub(self.listed.slots.max(1));
         reading + PER_WAITING * waiting
     }
 
+    /// Whether a request fits that has `work` to be read, or is a call.
+    pub(crate) fn has_room(&self, now: Duration, is_engine: bool, work: u64) -> bool {
+        if is_engine {
+            self.occupied(now) < self.listed.slots && self.window.fits(work)
+        } else {
+            self.occupied(now) < self.listed.slots * Self::CALLS_A_SLOT
+        }
+    }
+
     /// Time that a call takes here.
     pub(crate) fn call_delay(&self, now: Duration) -> Duration {
         let slots = self.listed.slots.max(1);
--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -24,10 +24,13 @@
     routing::Routing,
     routing_fault::RoutingFault,
     split_part::SplitPart,
+    turn_queue::TurnQueue,
     upstream_book::UpstreamBook,
 };
 
-use {cold_gate::ColdGate, known_upstream::KnownUpstream, prefix_memory::PrefixMemory};
+use {
+    cold_gate::ColdGate, known_upstream::KnownUpstream, prefix_memory::PrefixMemory, window::Window,
+};
 
 mod attempt_end;
 mod call_kind;
@@ -52,4 +55,6 @@
 mod routing;
 mod routing_fault;
 mod split_part;
+mod turn_queue;
 mod upstream_book;
+mod window;
--- a/crates/ebonystand-core/src/gateway/prompt.rs
+++ b/crates/ebonystand-core/src/gateway/prompt.rs
@@ -32,6 +32,17 @@
         Some(xxh3_64(&first.id.to_le_bytes()))
     }
 
+    /// Tokens of the parts that other requests share.
+    #[must_use]
+    pub fn shared_tokens(&self) -> Tokens {
+        let shared = self
+            .parts
+            .split_last()
+            .map_or(&[][..], |(_, shared)| shared);
+        let tokens: Tokens = shared.iter().map(|part| part.tokens).sum();
+        tokens.min(self.input)
+    }
+
     /// Prompt and most output together.
     #[must_use]
     pub fn tokens(&self) -> Tokens {
--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -17,6 +17,8 @@
 impl UpstreamBook {
     /// Delay to assume of another region that has told nothing.
     const AWAY_UNKNOWN: Duration = Duration::from_millis(300);
+    /// Delay told to other regions beyond the predicted one while no upstream has room.
+    const FULL: Duration = Duration::from_millis(1_000);
     /// What another region told counts for so long.
     const AWAY_LIFE: Duration = Duration::from_secs(2);
     /// Network time of a request that is sent away and of its first byte, there and back.
@@ -24,9 +26,10 @@
     /// Part of its aim, in permille, up to which a request stays in its region. Sending away costs
     /// bytes between regions, which are scarce, and a cold prefix.
     const STAYS_PERMILLE: u32 = 700;
-    /// Tokens by which the owner of a prompt's shared parts is ahead of its equals, so that the
-    /// first requests for the parts meet there.
-    const OWNER_AHEAD: Tokens = 600;
+    /// Part of its aim, in permille, within which an answer is to begin at its upstream. The rest is
+    /// for the way there and back and for waiting before; and what is read without a pause keeps the
+    /// streams that run from ending in time.
+    const BEGINS_PERMILLE: u32 = 400;
     /// An upstream that appears on the list, or whose zone comes back, counts as cold for so long
     /// at least: the list lags, and may not say yet that it is.
     const NEW_IS_COLD: Duration = Duration::from_millis(2_000);
@@ -62,6 +65,7 @@
                 let most = query.aim * Self::STAYS_PERMILLE / 1_000;
                 (Some(*predicted), *predicted <= most)
             }
+            Choice::Full { predicted } => (Some(*predicted), false),
             _ => (None, false),
         };
         if stays {
@@ -99,15 +103,35 @@
         }
     }
 
-    /// Notes that the first byte of an answer came, or never will.
-    pub fn first_byte(&mut self, instance: &str, unread: Tokens, waited: Option<Duration>) {
+    /// Notes that the first byte of an answer came `waited` after it was sent, or never will.
+    pub fn first_byte(
+        &mut self,
+        now: Duration,
+        instance: &str,
+        unread: Tokens,
+        aim: Duration,
+        waited: Option<Duration>,
+    ) {
         let Some(known) = self.upstreams.get_mut(instance) else {
             return;
         };
         if let Some(waited) = waited {
-            known.measure_reading(known.backlog.max(unread), waited);
+            known.measure_reading(known.window.used().max(unread), waited);
+            let target = aim * Self::BEGINS_PERMILLE / 1_000;
+            known.window.observe(now, waited, target, unread);
         }
-        known.backlog = known.backlog.saturating_sub(unread);
+        known.window.give(unread);
+    }
+
+    /// Whether an upstream of the own region has room for a request.
+    #[must_use]
+    pub fn has_room(&self, now: Duration, service: &str, is_engine: bool, work: u64) -> bool {
+        self.upstreams.values().any(|known| {
+            *known.listed.service == *service
+                && self.region(known) == Some(&self.here)
+                && !known.listed.leaving
+                && known.has_room(now, is_engine, work)
+        })
     }
 
     /// Takes over the list. An upstream that is not on it any more is forgotten.
@@ -157,6 +181,8 @@
             };
             match self.choose_here(now, &query) {
                 Choice::Here { predicted, .. } => Some((service.clone(), predicted)),
+                // Whoever would send more here is told to wait as long as a request here does.
+                Choice::Full { predicted } => Some((service.clone(), predicted + Self::FULL)),
                 Choice::Away { .. } | Choice::Nowhere { .. } => None,
             }
         };
@@ -185,7 +211,7 @@
         };
         known.in_flight += 1;
         known.sent_since += 1;
-        known.backlog += unread;
+        known.window.take(unread);
         if now < known.cold_until {
             known.gate.pass(now, cold.per_s, query.vms);
         }
@@ -252,20 +278,23 @@
         });
         let best = candidates.iter().map(|known| {
             let is_owner = owner.as_ref() == Some(&known.listed.instance);
-            let unread = Self::unread(known, query.prompt);
-            let ahead = if is_owner { 0 } else { Self::OWNER_AHEAD };
+            let unread = Self::unread(known, query.prompt, is_owner);
             let delay = match query.prompt {
-                Some(_) => known.engine_delay(now, unread + ahead, query.vms),
+                Some(_) => known.engine_delay(now, unread, query.vms),
                 None => known.call_delay(now),
             };
-            (known.weighed(delay), unread, *known)
+            let has_room = known.has_room(now, query.prompt.is_some(), unread);
+            (!has_room, known.weighed(delay), unread, *known)
         });
-        let best = best.min_by_key(|(delay, _, known)| (*delay, known.in_flight));
-        let Some((predicted, unread, known)) = best else {
+        let best = best.min_by_key(|(full, delay, _, known)| (*full, *delay, known.in_flight));
+        let Some((full, predicted, unread, known)) = best else {
             return Choice::Nowhere {
                 retry_after: self.opens_after(now, query),
             };
         };
+        if full {
+            return Choice::Full { predicted };
+        }
         Choice::Here {
             address: known.listed.address,
             candidates: u32::try_from(candidates.len()).unwrap_or(u32::MAX),
@@ -354,9 +383,13 @@
         known
     }
 
-    fn unread(known: &KnownUpstream, prompt: Option<&Prompt>) -> Tokens {
+    /// Tokens that an upstream would have to read. The owner of the shared parts is taken to keep
+    /// them: whichever VM sent them first, it sent them there.
+    fn unread(known: &KnownUpstream, prompt: Option<&Prompt>, is_owner: bool) -> Tokens {
         prompt.map_or(0, |prompt| {
-            prompt.input.saturating_sub(known.prefixes.kept(prompt))
+            let shared = if is_owner { prompt.shared_tokens() } else { 0 };
+            let kept = known.prefixes.kept(prompt).max(shared);
+            prompt.input.saturating_sub(kept)
         })
     }
 }
--- a/crates/ebonystand-core/src/workspace.rs
+++ b/crates/ebonystand-core/src/workspace.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-/// A tenant's workspace.
+/// What a customer's callers run for: an allowance, keys and a residency.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Workspace {
--- a/crates/ebonystand-core/tests/fair_queue.rs
+++ b/crates/ebonystand-core/tests/fair_queue.rs
@@ -94,7 +94,7 @@
     (waits, shed)
 }
 
-/// A tenant sends ten times its rate. In a plain queue the others' requests stand behind its
+/// A workspace sends ten times its rate. In a plain queue the others' requests stand behind its
 /// burst; here theirs must wait at most a tenth longer, and none of theirs may be shed.
 #[rstest]
 fn a_burst_moves_the_others_waits_by_no_more_than_a_tenth(#[values(600, 800, 900)] load: u64) {
--- a/crates/ebonystand-core/tests/request_policy.rs
+++ b/crates/ebonystand-core/tests/request_policy.rs
@@ -25,6 +25,36 @@
     assert!((1_000..=2_100).contains(&retries), "{retries}");
 }
 
+/// Upstreams fail all requests of some seconds, stop and begin again. Wherever a span of ten seconds
+/// begins, the retries in it are a tenth of the requests at most: counted in windows that turn, those
+/// at the end of one and at the start of the next but one came to twice that.
+#[rstest]
+#[case(4_000, 9_000)]
+#[case(4_900, 10_100)]
+#[case(9_900, 10_100)]
+#[case(0, 5_000)]
+fn no_span_has_more_retries_than_its_share(#[case] first_end: u64, #[case] second_start: u64) {
+    let preset = Preset::default();
+    let mut budget = RetryBudget::default();
+    let mut retried = Vec::new();
+    for n in 0..25_000 {
+        budget.on_request(ms(n));
+        let fails = n < first_end || n >= second_start;
+        if fails && budget.try_retry(ms(n), Retryable::Idempotent, &preset) {
+            retried.push(n);
+        }
+    }
+    let window = RetryBudget::WINDOW.as_millis() as u64;
+    let share = window * preset.retry_budget_permille / 1_000;
+    let most = (0..15_000_u64).step_by(100).map(|start| {
+        let within = |at: &&u64| (start..start + window).contains(*at);
+        retried.iter().filter(within).count() as u64
+    });
+    let most = most.max().unwrap_or_default();
+    assert!(most <= share, "{most} of {share}");
+    assert!(most > share / 2, "{most} of {share}");
+}
+
 /// A VM that has had few requests may still retry one that met a broken connection.
 #[test]
 fn a_quiet_vm_may_retry_a_few_times() {
--- a/crates/ebonystand/src/gateway/attempt.rs
+++ b/crates/ebonystand/src/gateway/attempt.rs
@@ -4,6 +4,7 @@
 /// One request on its way to one upstream, as the book of upstreams counts it. Dropped before it
 /// ended, it counts as cancelled.
 pub(crate) struct Attempt {
+    aim: Duration,
     ended: bool,
     first_byte: Option<Duration>,
     instance: UpstreamId,
@@ -24,6 +25,7 @@
         let mut book = node.gateway.book.borrow_mut();
         book.sent(started, query, cold, instance, unread);
         Self {
+            aim: query.aim,
             ended: false,
             first_byte: None,
             instance: instance.clone(),
@@ -38,8 +40,11 @@
         if self.first_byte.is_none() {
             let waited = self.node.clock.now().saturating_sub(self.started);
             self.first_byte = Some(waited);
+            let now = self.node.clock.now();
             let mut book = self.node.gateway.book.borrow_mut();
-            book.first_byte(&self.instance, self.unread, Some(waited));
+            book.first_byte(now, &self.instance, self.unread, self.aim, Some(waited));
+            drop(book);
+            Turns::advance(&self.node);
         }
     }
 
@@ -59,10 +64,12 @@
         let now = self.node.clock.now();
         let mut book = self.node.gateway.book.borrow_mut();
         if self.first_byte.is_none() {
-            book.first_byte(&self.instance, self.unread, None);
+            book.first_byte(now, &self.instance, self.unread, self.aim, None);
         }
         let waited = now.saturating_sub(self.started);
         book.ended(now, &self.instance, end, waited);
+        drop(book);
+        Turns::advance(&self.node);
     }
 }
 
@@ -72,4 +79,4 @@
     }
 }
 
-use node::Node;
+use {node::Node, turns::Turns};
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -18,6 +18,8 @@
     pub(crate) end: Duration,
     /// Upstreams that must not get it.
     pub(crate) excluded: Vec<UpstreamId>,
+    /// Regions that had no room for it.
+    pub(crate) full_regions: BTreeSet<RegionId>,
     pub(crate) headers: HeaderMap,
     /// Regions that may serve it; `None` if all may.
     pub(crate) homes: Option<BTreeSet<RegionId>>,
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -9,6 +9,7 @@
     rand::{RngExt as _, SeedableRng as _},
     rand_pcg::Pcg64Mcg,
     std::collections::BTreeSet,
+    turns::Turns,
 };
 
 /// Holds what serving by routes goes by, and keeps it up to date.
@@ -21,11 +22,13 @@
     evacuated: RefCell<BTreeSet<ZoneId>>,
     leader: RefCell<Option<VmId>>,
     pub(crate) pool: ConnectionPool,
-    retries: RefCell<RetryBudget>,
+    /// By service: those of one must not be paid by the requests of another.
+    retries: RefCell<FxHashMap<Box<str>, RetryBudget>>,
     rng: RefCell<Pcg64Mcg>,
     source: Option<Rc<dyn UpstreamSource>>,
     suspects: RefCell<FxHashMap<VmId, Duration>>,
     table: RefCell<Rc<RouteTable>>,
+    pub(crate) turns: Turns,
     /// Whether a list of upstreams has been read.
     listed: Cell<bool>,
     /// A preset with the share of retries of the settings.
@@ -42,6 +45,9 @@
     const PRESSURE_EVERY: Duration = Duration::from_millis(250);
     /// VMs of other regions that are told each time.
     const PRESSURE_FAN_OUT: usize = 6;
+    /// Part of the share of retries that VMs take. The rest is for the retries that each VM may make
+    /// however few requests it has.
+    const RETRIES_PERMILLE: u64 = 850;
     /// A VM that did not answer a forwarded request gets no other one for so long.
     const SUSPECT_FOR: Duration = Duration::from_secs(2);
 
@@ -67,9 +73,10 @@
             source,
             suspects: RefCell::default(),
             table: RefCell::default(),
+            turns: Turns::default(),
             listed: Cell::new(false),
             preset: Preset {
-                retry_budget_permille: gateway.retry_permille,
+                retry_budget_permille: gateway.retry_permille * Self::RETRIES_PERMILLE / 1_000,
                 ..Preset::default()
             },
             needs_confirmation: !gateway.confirmed_for.is_zero(),
@@ -145,17 +152,19 @@
     }
 
     /// Whether another try may be made after an attempt that ended so.
-    pub(crate) fn may_retry(&self, now: Duration, end: AttemptEnd) -> bool {
+    pub(crate) fn may_retry(&self, now: Duration, service: &str, end: AttemptEnd) -> bool {
         let retryable = match end.was_sent() {
             true => Retryable::Idempotent,
             false => Retryable::NotStarted,
         };
         let mut retries = self.retries.borrow_mut();
-        retries.try_retry(now, retryable, &self.preset)
+        let budget = retries.entry(service.into()).or_default();
+        budget.try_retry(now, retryable, &self.preset)
     }
 
-    pub(crate) fn on_request(&self, now: Duration) {
-        self.retries.borrow_mut().on_request(now);
+    pub(crate) fn on_request(&self, now: Duration, service: &str) {
+        let mut retries = self.retries.borrow_mut();
+        retries.entry(service.into()).or_default().on_request(now);
     }
 
     /// Whether callers may be sent here.
@@ -237,6 +246,7 @@
     /// sent here, until the task is dropped.
     pub(crate) async fn run_pressure(node: Rc<Node>) {
         let this = &node.gateway;
+        actix_rt::spawn(Turns::run(Rc::clone(&node)));
         loop {
             actix_rt::time::sleep(Self::PRESSURE_EVERY).await;
             let takes_callers = this.ready(&node);
--- a/crates/ebonystand/src/gateway/forward.rs
+++ b/crates/ebonystand/src/gateway/forward.rs
@@ -16,6 +16,7 @@
 pub(crate) const ENDED: &str = "x-ebonystand-ended";
 /// The answer is the upstream's.
 pub(crate) const BY_UPSTREAM: &str = "upstream";
+const NOT_SENT: &str = "not_sent";
 const SHED: &str = "shed";
 const LOST: &str = "lost";
 const TIMED_OUT: &str = "timed_out";
@@ -23,7 +24,8 @@
 
 pub(crate) fn ended_name(end: AttemptEnd) -> &'static str {
     match end {
-        AttemptEnd::Shed | AttemptEnd::Stranger | AttemptEnd::Unreachable => SHED,
+        AttemptEnd::Shed | AttemptEnd::Stranger => SHED,
+        AttemptEnd::Unreachable => NOT_SENT,
         AttemptEnd::TimedOut => TIMED_OUT,
         AttemptEnd::Failed => FAILED,
         AttemptEnd::Answered | AttemptEnd::Cancelled | AttemptEnd::Lost => LOST,
@@ -33,6 +35,7 @@
 fn ended_of(name: &str) -> Option<AttemptEnd> {
     match name {
         BY_UPSTREAM => None,
+        NOT_SENT => Some(AttemptEnd::Unreachable),
         SHED => Some(AttemptEnd::Shed),
         TIMED_OUT => Some(AttemptEnd::TimedOut),
         FAILED => Some(AttemptEnd::Failed),
--- a/crates/ebonystand/src/gateway/mod.rs
+++ b/crates/ebonystand/src/gateway/mod.rs
@@ -45,4 +45,5 @@
 mod replace_error;
 pub(crate) mod serve_call;
 mod settings;
+mod turns;
 mod upstream_source;
--- a/crates/ebonystand/src/gateway/receive_forward.rs
+++ b/crates/ebonystand/src/gateway/receive_forward.rs
@@ -53,21 +53,21 @@
         Err(error) => {
             node.metrics.peer_refused.inc();
             log::warn!(error:% = error; "forwarded request refused");
-            return Outcome::ended(AttemptEnd::Shed);
+            return Outcome::ended(AttemptEnd::Unreachable);
         }
     };
     let limit = node.settings.limits.requests;
     let Some(in_flight) = InFlight::enter(&node.in_flight, limit) else {
-        return Outcome::ended(AttemptEnd::Shed);
+        return Outcome::ended(AttemptEnd::Unreachable);
     };
     if node.draining() || !node.gateway.ready(node) {
-        return Outcome::ended(AttemptEnd::Shed);
+        return Outcome::ended(AttemptEnd::Unreachable);
     }
     let body = match body::read(node, req.headers(), payload).await {
         Ok(body) => body,
         Err(refusal) => {
             log::warn!(request:% = forwarded.request, refusal:% = refusal; "forwarded request not read");
-            return Outcome::ended(AttemptEnd::Shed);
+            return Outcome::ended(AttemptEnd::Unreachable);
         }
     };
     let call = Call {
@@ -76,6 +76,7 @@
         body,
         end: now + Duration::from_millis(forwarded.left_ms),
         excluded: Vec::new(),
+        full_regions: BTreeSet::new(),
         headers: headers::passed_on(req.headers(), &[forward::FORWARDED]),
         homes: None,
         method: req.method().clone(),
@@ -103,7 +104,10 @@
             let outcome = call.send_here(node, address, &instance, unread, wait).await;
             held(outcome, in_flight)
         }
-        Choice::Away { .. } | Choice::Nowhere { .. } => Outcome::ended(AttemptEnd::Shed),
+        // Nothing was sent: the other VM may turn elsewhere.
+        Choice::Away { .. } | Choice::Full { .. } | Choice::Nowhere { .. } => {
+            Outcome::ended(AttemptEnd::Unreachable)
+        }
     }
 }
 
--- a/crates/ebonystand/src/gateway/serve_call.rs
+++ b/crates/ebonystand/src/gateway/serve_call.rs
@@ -103,13 +103,13 @@
         .as_ref()
         .map_or(0, |w| w.cost(head.prompt.as_ref()));
     let reserved = reserve(node, workspace.as_ref(), tokens).await?;
-    node.gateway.on_request(arrived);
     let shared = head
         .prompt
         .as_ref()
         .and_then(ebonystand_core::Prompt::shared);
     let hash = shared.unwrap_or_else(|| node.gateway.draw());
     let service = route.service(hash).cloned().unwrap_or_default();
+    node.gateway.on_request(arrived, &service);
     let rank = workspace
         .as_ref()
         .and_then(|w| w.rank)
@@ -120,6 +120,7 @@
         body,
         end: arrived + head.deadline.unwrap_or(longest).min(longest),
         excluded: Vec::new(),
+        full_regions: BTreeSet::new(),
         headers: head.headers,
         homes: homes(&route, workspace.as_ref()),
         method: req.method().clone(),
@@ -207,6 +208,9 @@
 }
 
 impl Admitted {
+    /// Part of its aim, in permille, for which a request waits for room.
+    const PATIENCE_PERMILLE: u32 = 250;
+
     async fn run(mut self, node: &Rc<Node>) -> Result<Response<BoxBody>, Refusal> {
         loop {
             let left = self.call.left(node);
@@ -214,7 +218,8 @@
                 return Err(self.refusal(RefusalCode::Deadline, "its time is over"));
             }
             self.check_key(node)?;
-            let reachable = node.gateway.reachable(node);
+            let mut reachable = node.gateway.reachable(node);
+            reachable.retain(|region| !self.call.full_regions.contains(region));
             let choice = self.call.choose(node, &reachable);
             let wait = self.wait(left);
             let (outcome, instance) = match choice {
@@ -223,6 +228,16 @@
                         self.refusal(RefusalCode::NoUpstream, "no upstream can serve it now");
                     return Err(refusal.with_retry_after(retry_after));
                 }
+                Choice::Full { predicted } => {
+                    if self.wait_for_room(node).await {
+                        continue;
+                    }
+                    let refusal = self.refusal(
+                        RefusalCode::Overloaded,
+                        "all upstreams have as much as they can begin in time",
+                    );
+                    return Err(refusal.with_retry_after(self.come_back_after(node, predicted)));
+                }
                 Choice::Here {
                     address,
                     candidates,
@@ -259,8 +274,17 @@
                     );
                     node.metrics.sent_away.inc();
                     self.count_use();
-                    let outcome = forward::send(node, &self.call, &region, wait);
-                    (outcome.await, None)
+                    let outcome = forward::send(node, &self.call, &region, wait).await;
+                    if matches!(
+                        &outcome,
+                        Outcome::Ended {
+                            end: AttemptEnd::Unreachable,
+                            ..
+                        }
+                    ) {
+                        self.call.full_regions.insert(region);
+                    }
+                    (outcome, None)
                 }
             };
             match outcome {
@@ -328,6 +352,28 @@
         ))
     }
 
+    /// Waits until an upstream has room; whether one may have. A request that would begin too late
+    /// for its aim is given up early, while its caller has time to come back.
+    async fn wait_for_room(&self, node: &Rc<Node>) -> bool {
+        let since = node.clock.now().saturating_sub(self.call.arrived);
+        let patience = (self.call.aim * Self::PATIENCE_PERMILLE / 1_000).saturating_sub(since);
+        if patience.is_zero() {
+            return false;
+        }
+        let prompt = self.call.prompt.as_ref();
+        let work = prompt.map_or(1, |prompt| prompt.input - prompt.shared_tokens());
+        let (rank, service) = (self.call.rank, &self.call.service);
+        turns::Turns::wait(node, service, rank, prompt.is_some(), work, patience).await
+    }
+
+    /// When a caller for whom there is no room is asked to come back: once what is ahead of it is
+    /// done, and not all at once.
+    fn come_back_after(&self, node: &Node, predicted: Duration) -> Duration {
+        let spread = node.gateway.draw() % 1_000;
+        let spread = self.call.aim * u32::try_from(spread).unwrap_or_default() / 1_000;
+        predicted.min(self.call.aim) + spread
+    }
+
     fn count_use(&mut self) {
         if let Some(reserved) = &mut self.reserved {
             reserved.use_up(self.tokens);
@@ -352,7 +398,7 @@
             reserved.use_up(0);
         }
         self.call.excluded.extend(instance);
-        let budget = || node.gateway.may_retry(now, end);
+        let budget = || node.gateway.may_retry(now, &self.call.service, end);
         let step = NextStep::after(&self.route, end, self.tried, self.not_run, budget);
         log::info!(
             request:% = self.call.request, end:? = end, tried = self.tried,
--- /dev/null
+++ b/crates/ebonystand/src/gateway/turns.rs
@@ -0,0 +1,121 @@
+use super::*;
+use {
+    ebonystand_core::TurnQueue,
+    node::Node,
+    tokio::sync::oneshot::{Receiver, Sender, channel},
+};
+
+/// Requests that wait until an upstream has room, by service.
+#[derive(Default)]
+pub(crate) struct Turns {
+    next: Cell<u64>,
+    queues: RefCell<FxHashMap<Box<str>, TurnQueue>>,
+    waiting: RefCell<FxHashMap<u64, Waiting>>,
+}
+
+struct Waiting {
+    is_engine: bool,
+    tx: Sender<()>,
+}
+
+/// A place in a queue; dropped, it is given up.
+struct Place<'a> {
+    node: &'a Node,
+    number: u64,
+    service: &'a str,
+}
+
+impl Turns {
+    /// Time between two looks at who may go. Answers that begin or end let one go at once; this is
+    /// for room that comes by time alone.
+    const TICK: Duration = Duration::from_millis(20);
+
+    /// Waits for the request's turn for `patience` at most; whether it came.
+    pub(crate) async fn wait(
+        node: &Rc<Node>,
+        service: &str,
+        rank: u8,
+        is_engine: bool,
+        work: u64,
+        patience: Duration,
+    ) -> bool {
+        let Some((number, rx)) = node.gateway.turns.enter(service, rank, is_engine, work) else {
+            return false;
+        };
+        let _place = Place {
+            node,
+            number,
+            service,
+        };
+        matches!(actix_rt::time::timeout(patience, rx).await, Ok(Ok(())))
+    }
+
+    /// Lets the first request of each service go whose turn has come.
+    pub(crate) fn advance(node: &Node) {
+        let this = &node.gateway.turns;
+        if this.waiting.borrow().is_empty() {
+            return;
+        }
+        let now = node.clock.now();
+        let mut queues = this.queues.borrow_mut();
+        for (service, queue) in queues.iter_mut() {
+            let Some((number, work)) = queue.first() else {
+                continue;
+            };
+            let mut waiting = this.waiting.borrow_mut();
+            let is_engine = waiting
+                .get(&number)
+                .is_some_and(|waiting| waiting.is_engine);
+            let book = node.gateway.book.borrow();
+            if !book.has_room(now, service, is_engine, work) {
+                continue;
+            }
+            queue.pop();
+            if let Some(waiting) = waiting.remove(&number) {
+                // One that was given up meanwhile needs no turn; the next look lets another go.
+                let _ = waiting.tx.send(());
+            }
+        }
+    }
+
+    /// Looks again and again until the task is dropped.
+    pub(crate) async fn run(node: Rc<Node>) {
+        loop {
+            actix_rt::time::sleep(Self::TICK).await;
+            Self::advance(&node);
+        }
+    }
+
+    fn enter(
+        &self,
+        service: &str,
+        rank: u8,
+        is_engine: bool,
+        work: u64,
+    ) -> Option<(u64, Receiver<()>)> {
+        let number = self.next.get();
+        self.next.set(number + 1);
+        let mut queues = self.queues.borrow_mut();
+        let queue = queues.entry(service.into()).or_default();
+        if !queue.push(number, rank, work) {
+            return None;
+        }
+        let (tx, rx) = channel();
+        self.waiting
+            .borrow_mut()
+            .insert(number, Waiting { is_engine, tx });
+        Some((number, rx))
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        let turns = &self.node.gateway.turns;
+        if turns.waiting.borrow_mut().remove(&self.number).is_none() {
+            return;
+        }
+        if let Some(queue) = turns.queues.borrow_mut().get_mut(self.service) {
+            queue.remove(self.number);
+        }
+    }
+}
--- a/crates/ebonystandctl/src/workspace.rs
+++ b/crates/ebonystandctl/src/workspace.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-/// Tenants' workspaces.
+/// Workspaces.
 #[derive(Clone, Debug)]
 pub(crate) enum WorkspaceCommand {
     List,
