--- a/crates/ebonystand-core/src/gateway/prompt.rs
+++ b/crates/ebonystand-core/src/gateway/prompt.rs
@@ -23,13 +23,15 @@
 }
 
 impl Prompt {
-    /// Hash of the parts that other requests share, on which all VMs place the prompt; none if it
-    /// shares nothing.
+    /// Hash of the last part that other requests share, on which all VMs place the prompt; none if
+    /// it shares nothing. Parts before it are shared by more requests, often by all of a kind: placed
+    /// by the first one, they would all meet at one engine. Those parts are short and soon kept
+    /// everywhere.
     #[must_use]
     pub fn shared(&self) -> Option<u64> {
         let shared = self.parts.split_last()?.1;
-        let first = shared.first()?;
-        Some(xxh3_64(&first.id.to_le_bytes()))
+        let last = shared.last()?;
+        Some(xxh3_64(&last.id.to_le_bytes()))
     }
 
     /// Tokens of the parts that other requests share.
