Test routes over real processes, the open group, and the adapter's decoding

They showed one fault: a connection whose second answer had just arrived counted as clean, as the runtime answers from what it was told last. Change: the kernel is asked before a connection is used again; routes are served by the product itself under its own names; upstream stand-ins that answer byte by byte.

--- /dev/null
+++ b/crates/ebonystand-core/tests/open_group.rs
@@ -0,0 +1,229 @@
+//! A group that takes in any VM of the fleet: joining, taking the place of a lost voter, coming back.
+
+use {
+    bytes::Bytes,
+    ebonystand_core::*,
+    std::{
+        collections::{BTreeMap, BTreeSet, VecDeque},
+        time::Duration,
+    },
+};
+
+/// VMs with their disks and messages that arrive after a step of time.
+struct Net {
+    disks: BTreeMap<VmId, DurableState>,
+    /// VMs that are stopped or cut off.
+    down: BTreeSet<VmId>,
+    flying: VecDeque<(VmId, MemberId, ReplicaMessage)>,
+    next_incarnation: u64,
+    now: Duration,
+    replicas: BTreeMap<VmId, Replica>,
+}
+
+const STEP: Duration = Duration::from_millis(10);
+
+impl Net {
+    fn new() -> Self {
+        Self {
+            disks: BTreeMap::new(),
+            down: BTreeSet::new(),
+            flying: VecDeque::new(),
+            next_incarnation: 1,
+            now: Duration::from_secs(100),
+            replicas: BTreeMap::new(),
+        }
+    }
+
+    /// Starts a VM with its disk, or with an empty one.
+    fn start(&mut self, vm: &str, seeds: &[&str], may_found: bool) {
+        let incarnation = self.next_incarnation;
+        let disk = self.disks.entry(vm.into()).or_insert_with(|| {
+            self.next_incarnation += 1;
+            DurableState::blank(incarnation)
+        });
+        let members = seeds.iter().map(|seed| Box::from(*seed)).collect();
+        let cfg = ReplicaConfig {
+            id: MemberId {
+                incarnation: disk.incarnation,
+                vm: vm.into(),
+            },
+            may_found,
+            open: true,
+            ..ReplicaConfig::new(vm.into(), members)
+        };
+        let seed = vm.bytes().map(u64::from).sum();
+        let replica = Replica::new(cfg, disk.clone(), self.now, seed);
+        self.replicas.insert(vm.into(), replica);
+        self.down.remove(vm);
+    }
+
+    fn wipe(&mut self, vm: &str) {
+        self.disks.remove(vm);
+        self.replicas.remove(vm);
+        self.down.insert(vm.into());
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            for (to, from, message) in std::mem::take(&mut self.flying) {
+                if !self.down.contains(&to) && !self.down.contains(&from.vm) {
+                    self.step(&to, ReplicaInput::Message { from, message });
+                }
+            }
+            for vm in self.replicas.keys().cloned().collect::<Vec<_>>() {
+                if !self.down.contains(&vm) {
+                    self.step(&vm, ReplicaInput::Tick);
+                }
+            }
+        }
+    }
+
+    fn step(&mut self, vm: &VmId, input: ReplicaInput) {
+        let mut inputs = VecDeque::from([input]);
+        while let Some(input) = inputs.pop_front() {
+            let Some(replica) = self.replicas.get_mut(vm) else {
+                return;
+            };
+            let id = replica.id().clone();
+            for output in replica.step(self.now, input) {
+                match output {
+                    ReplicaOutput::Persist { records, token } => {
+                        if let Some(disk) = self.disks.get_mut(vm) {
+                            records.into_iter().for_each(|record| disk.apply(record));
+                        }
+                        inputs.push_back(ReplicaInput::Persisted { token });
+                    }
+                    ReplicaOutput::Send { message, to } => {
+                        self.flying.push_back((to, id.clone(), message));
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn leader(&self) -> Option<&Replica> {
+        let up = self.replicas.iter();
+        let mut up = up.filter(|(vm, _)| !self.down.contains(*vm));
+        up.find_map(|(_, replica)| replica.holds_lease(self.now).then_some(replica))
+    }
+
+    /// Voters as the leader has them.
+    fn voters(&self) -> BTreeSet<VmId> {
+        let members = self.leader().map(|leader| leader.status().members);
+        let voters = members.into_iter().flat_map(|members| members.voters);
+        voters.map(|id| id.vm).collect()
+    }
+
+    /// Has a command committed; its index.
+    fn commit(&mut self) -> LogIndex {
+        let leader = self.leader().expect("a leader").id().vm.clone();
+        let command = Bytes::from_static(b"x");
+        self.step(&leader, ReplicaInput::Propose { command, id: 1 });
+        let index = self.replicas[&leader].status().last.index;
+        self.run(Duration::from_secs(1));
+        assert!(self.leader().expect("a leader").status().commit >= index);
+        index
+    }
+
+    fn founded() -> Self {
+        let mut net = Self::new();
+        for vm in ["e", "c", "a", "d", "b"] {
+            net.start(vm, &["a", "b", "c"], true);
+        }
+        net.run(Duration::from_secs(8));
+        assert_eq!(net.voters(), set(&["a", "b", "c", "d", "e"]));
+        net
+    }
+}
+
+fn set(vms: &[&str]) -> BTreeSet<VmId> {
+    vms.iter().map(|vm| Box::from(*vm)).collect()
+}
+
+/// Five VMs start together and are told the addresses of three. These found one group, and the other
+/// two are taken in without being named.
+#[test]
+fn vms_that_no_settings_name_are_taken_in() {
+    let mut net = Net::founded();
+    net.commit();
+}
+
+/// All VMs that could found a group have lost their disks, and others hold the log out of reach. A
+/// second group would forget what was accepted, so nobody founds one.
+#[test]
+fn vms_that_lost_their_disks_found_no_second_group() {
+    let mut net = Net::new();
+    for vm in ["a", "b", "c"] {
+        net.start(vm, &["a", "b", "c"], false);
+    }
+    net.run(Duration::from_secs(20));
+    assert!(net.leader().is_none());
+    assert!(
+        net.replicas
+            .values()
+            .all(|replica| replica.status().commit == 0)
+    );
+}
+
+/// Two of five lose their disks right after a change was accepted, and come back empty. The other
+/// three hold it; the group is whole again and bears the loss of two others.
+#[test]
+fn two_lost_disks_at_once_lose_nothing() {
+    let mut net = Net::founded();
+    let index = net.commit();
+    for vm in ["a", "b"] {
+        net.wipe(vm);
+        net.start(vm, &["a", "b", "c"], false);
+    }
+    net.run(Duration::from_secs(12));
+    assert_eq!(net.voters(), set(&["a", "b", "c", "d", "e"]));
+    for vm in ["c", "d"] {
+        net.wipe(vm);
+    }
+    net.run(Duration::from_secs(8));
+    let leader = net.leader().expect("a leader");
+    assert!(leader.status().commit >= index);
+}
+
+/// A VM is gone for good and a new one comes at another address. It takes the lost voter's place, so
+/// that the group again bears the loss of two.
+#[test]
+fn a_new_vm_takes_the_place_of_a_lost_one() {
+    let mut net = Net::founded();
+    net.wipe("e");
+    net.start("f", &["a", "b", "c"], false);
+    net.run(Duration::from_secs(15));
+    assert_eq!(net.voters(), set(&["a", "b", "c", "d", "f"]));
+    net.commit();
+}
+
+/// While no voter is lost, a sixth VM stays a learner: one voter more bears no loss more.
+#[test]
+fn a_vm_beyond_the_aim_stays_a_learner() {
+    let mut net = Net::founded();
+    net.start("f", &["a", "b", "c"], false);
+    net.run(Duration::from_secs(10));
+    assert_eq!(net.voters(), set(&["a", "b", "c", "d", "e"]));
+    let members = net.leader().expect("a leader").status().members;
+    assert!(members.learners.iter().any(|id| &*id.vm == "f"));
+}
+
+/// A voter is cut off for long, and its place is taken. When the cut heals it does not know that it
+/// was taken out. It is taken in again and follows, instead of asking for votes for ever.
+#[test]
+fn a_voter_that_was_taken_out_behind_a_cut_comes_back() {
+    let mut net = Net::founded();
+    net.down.insert("d".into());
+    net.start("f", &["a", "b", "c"], false);
+    net.run(Duration::from_secs(15));
+    assert!(!net.voters().contains("d"));
+    net.down.remove("d");
+    let index = net.commit();
+    net.run(Duration::from_secs(10));
+    assert!(net.replicas["d"].status().commit >= index);
+    let members = net.leader().expect("a leader").status().members;
+    assert!(members.iter().any(|id| &*id.vm == "d"));
+}
--- a/crates/ebonystand/src/caller_api.rs
+++ b/crates/ebonystand/src/caller_api.rs
@@ -1,11 +1,16 @@
 //! What callers ask for.
 
 use super::*;
-use {ebonystand_core::EntryList, in_flight::InFlight, node::Node};
+use {ebonystand_core::EntryList, gateway::serve_call, in_flight::InFlight, node::Node};
 
+/// What paths of the gateway's own interface begin with; all others are for routes.
+const OWN: &str = "/v1/";
 const SERVICES: &str = "/v1/services/";
 
 pub(crate) async fn handle(node: Rc<Node>, mut req: Request) -> Response<BoxBody> {
+    if !req.path().starts_with(OWN) && node.gateway.has_routes(&node) {
+        return serve_call::handle(node, req).await;
+    }
     let id = node.request_id();
     let mut payload = req.take_payload();
     let mut response = match route(&node, &req, &mut payload, &id).await {
--- a/crates/ebonystand/src/gateway/connection.rs
+++ b/crates/ebonystand/src/gateway/connection.rs
@@ -5,6 +5,10 @@
         body::BodySize,
         h1::{ClientCodec, ClientPayloadCodec, Message, MessageType},
     },
+    rustix::{
+        io::Errno,
+        net::{RecvFlags, recv},
+    },
     tokio_util::codec::{Decoder, Encoder},
 };
 
@@ -104,9 +108,9 @@
     /// Whether nothing has come over it since its last answer. What has is a late or second answer,
     /// or the end: whatever follows could be taken for the answer to the next request.
     pub(crate) fn is_clean(&self) -> bool {
-        let mut byte = [0];
-        let silent = |error: &io::Error| error.kind() == ErrorKind::WouldBlock;
-        self.buf.is_empty() && self.io.try_read(&mut byte).as_ref().is_err_and(silent)
+        // The runtime's own reading would go by what it was told last, and miss what has just come.
+        let peeked = recv(&self.io, &mut [0; 1], RecvFlags::PEEK | RecvFlags::DONTWAIT);
+        self.buf.is_empty() && peeked.is_err_and(|error| error == Errno::WOULDBLOCK)
     }
 
     /// Sends a request and waits for the head of its answer. An answer may come before the request
--- a/crates/ebonystand/src/serve.rs
+++ b/crates/ebonystand/src/serve.rs
@@ -41,7 +41,7 @@
 
 /// Serves until SIGTERM, SIGINT or an operator's order to leave, then drains.
 async fn serve(
-    settings: Settings,
+    mut settings: Settings,
     addresses_file: Option<PathBuf>,
     extension: Extension,
 ) -> Result {
@@ -49,6 +49,9 @@
     let clock: Rc<dyn Clock> = Rc::new(started);
     let (sockets, addresses) = Sockets::bind(&settings.listen).await?;
     let forwards = bind_optional(settings.gateway.forwards).await?;
+    settings.gateway.forwards = forwards
+        .as_ref()
+        .and_then(|listener| listener.local_addr().ok());
     let surfaces = bind_surfaces(extension.surfaces).await?;
     let (thread, events) = start_group(&settings, started)?.unzip();
     let gateway = GatewayController::new(
@@ -77,6 +80,7 @@
     }
     log::info!(
         vm:% = node.settings.vm, callers:% = addresses.callers,
+        forwards:% = node.settings.gateway.forwards.map_or(String::new(), |at| at.to_string()),
         operators:% = addresses.operators, peers:% = addresses.peers;
         "listening"
     );
--- a/crates/ebonystand/tests/integration/fleet.rs
+++ b/crates/ebonystand/tests/integration/fleet.rs
@@ -26,6 +26,7 @@
 pub(crate) struct FleetBuilder {
     document: Document,
     engines: Vec<StandIn>,
+    gateway: serde_json::Value,
     members: usize,
     registries: Vec<StandIn>,
     regions: Vec<Box<str>>,
@@ -45,6 +46,7 @@
         Self {
             document: Document::default(),
             engines: Vec::new(),
+            gateway: json!({}),
             members: 1,
             registries: Vec::new(),
             regions: Vec::new(),
@@ -95,6 +97,12 @@
         self
     }
 
+    /// Settings of serving by routes, equal on all VMs.
+    pub(crate) fn settings(mut self, gateway: serde_json::Value) -> Self {
+        self.gateway = gateway;
+        self
+    }
+
     /// Gives the first VMs a data folder and makes them members of the replicated group.
     pub(crate) fn members(mut self, members: usize) -> Self {
         self.members = members;
@@ -115,6 +123,7 @@
             if n < self.members {
                 settings["data_folder"] = json!(dir.path().join(format!("{name}.data")));
             }
+            settings["gateway"] = self.gateway.clone();
             settings["members"] = (0..self.members).map(|n| format!("vm{n}")).collect();
             vms.push(Vm::start(dir.path(), &settings));
             all_settings.push(settings);
--- a/crates/ebonystand/tests/integration/main.rs
+++ b/crates/ebonystand/tests/integration/main.rs
@@ -10,5 +10,7 @@
 mod faults;
 mod fleet;
 mod orders;
+mod routes;
+mod scripted;
 mod stand_in;
 mod vm;
--- /dev/null
+++ b/crates/ebonystand/tests/integration/routes.rs
@@ -0,0 +1,562 @@
+//! Requests that routes serve, through real processes.
+
+use {
+    crate::{
+        answer::Answer,
+        fleet::{Fleet, FleetBuilder, KEY},
+        scripted::{Received, Reply, Scripted, Then},
+        vm::Vm,
+    },
+    ebonystand_core::{
+        CallKind, Change, ColdTerms, GatewayRoute, GatewayService, GatewayWorkspace, KeyHash,
+        Quota, QuotaUnit, Region, Routing, Service, SplitPart, Upstream, UpstreamKind,
+    },
+    rstest::rstest,
+    serde_json::json,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+};
+
+const HOST: &str = "shop.example";
+
+/// Regions with their upstreams; one VM in each.
+struct Setting {
+    regions: Vec<(&'static str, Vec<Scripted>)>,
+    withdrawn_within_ms: u64,
+}
+
+fn upstream(region: &str, scripted: &Scripted) -> Upstream {
+    Upstream {
+        address: scripted.address,
+        cost: 1,
+        enforces_fencing: false,
+        kind: UpstreamKind::Service {
+            service: "orders".into(),
+        },
+        leaving: false,
+        region: region.into(),
+        speed: 10,
+        zone: format!("{region}-a").into(),
+    }
+}
+
+impl Setting {
+    fn new(regions: Vec<(&'static str, Vec<Scripted>)>) -> Self {
+        Self {
+            regions,
+            withdrawn_within_ms: 0,
+        }
+    }
+
+    async fn start(self) -> Fleet {
+        let zones = self.regions.iter();
+        let zones = zones.map(|(region, _)| (format!("{region}-a"), *region));
+        let zones = zones.collect::<BTreeMap<_, _>>();
+        let mut builder = FleetBuilder::new().settings(json!({
+            "forwards": "127.0.0.1:0",
+            "list_every_ms": 50,
+            "withdrawn_within_ms": self.withdrawn_within_ms,
+            "zones": zones,
+        }));
+        for (region, _) in &self.regions {
+            builder = builder.region(region, 1);
+        }
+        let regions = self.regions;
+        let builder = builder.document(|document| {
+            document
+                .services
+                .insert("orders".into(), Service::default());
+            for (region, upstreams) in &regions {
+                for (n, scripted) in upstreams.iter().enumerate() {
+                    let id = format!("{region}-{n}").into();
+                    document.upstreams.insert(id, upstream(region, scripted));
+                }
+            }
+        });
+        builder.start().await
+    }
+}
+
+fn route(prefix: &str, kind: CallKind) -> GatewayRoute {
+    GatewayRoute {
+        aim_ms: 5_000,
+        attempts: 2,
+        has_prompts: false,
+        homes: BTreeSet::new(),
+        host: HOST.into(),
+        kind,
+        name: prefix.into(),
+        pause_ms: 5_000,
+        prefix: prefix.into(),
+        public: false,
+        rank: 0,
+        resumable: false,
+        split: vec![SplitPart {
+            service: "orders".into(),
+            weight: 1,
+        }],
+        timeout_ms: 30_000,
+    }
+}
+
+fn routing(revision: u64) -> Routing {
+    let workspace = GatewayWorkspace {
+        call_tokens: 1,
+        homes: BTreeSet::new(),
+        keys: vec![KeyHash::of(KEY)],
+        name: "akademi".into(),
+        quota: Some(Quota {
+            burst: 1_000_000,
+            rate: 1_000_000,
+            unit: QuotaUnit::Requests,
+        }),
+        rank: None,
+    };
+    let service = GatewayService {
+        cold: ColdTerms::default(),
+        connections: 100,
+        engine: false,
+        health_path: "/health".into(),
+        name: "orders".into(),
+    };
+    Routing {
+        revision,
+        routes: vec![
+            route("/once/", CallKind::Once),
+            route("/look/", CallKind::Idempotent),
+            route("/stream/", CallKind::Stream),
+        ],
+        services: vec![service],
+        source: "{}".into(),
+        workspaces: vec![workspace],
+    }
+}
+
+async fn put(fleet: &Fleet, routing: Routing) {
+    let regions = ["a", "b"].map(|region| {
+        let holders = vec!["vm0".into()];
+        let links = BTreeMap::new();
+        (Box::from(region), Region { holders, links })
+    });
+    let change = Change::PutRouting {
+        regions: regions.into(),
+        routing: Box::new(routing),
+    };
+    let number = fleet.vms[0]
+        .operate("GET", "/v1/operator/document", "")
+        .await;
+    let document = number.json::<ebonystand_core::Document>();
+    fleet.change(document.version, change).await;
+}
+
+async fn call(vm: &Vm, method: &str, path: &str, request: &str, body: &str) -> Answer {
+    let headers = [("host", HOST), ("x-ebonystand-request", request)];
+    vm.call_with(KEY, method, path, body, &headers).await
+}
+
+/// Calls until the routes are served: the list of upstreams and the parts of the allowance take a
+/// moment after a start.
+async fn served(vm: &Vm, path: &str) -> Answer {
+    for n in 0..2_000 {
+        let answer = call(vm, "GET", path, &format!("first-{n}"), "").await;
+        if answer.status < 500 && answer.status != 429 && answer.status != 404 {
+            return answer;
+        }
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("routes are not served: {}", vm.log());
+}
+
+fn echo(received: &Received) -> Reply {
+    received.answer("200 OK", "served")
+}
+
+/// A caller's order reaches its upstream as it was sent, with the workspace's name and without the
+/// key; the upstream's answer comes back as it was given.
+#[actix_rt::test]
+async fn a_request_and_its_answer_pass_unchanged() {
+    let scripted = Scripted::start(echo);
+    let fleet = Setting::new(vec![("a", vec![scripted.clone()])])
+        .start()
+        .await;
+    put(&fleet, routing(1)).await;
+    served(&fleet.vms[0], "/look/first").await;
+    let path = "/once/certificates%2F7?x=1&y=%20";
+    let answer = call(&fleet.vms[0], "POST", path, "r-1", "the body").await;
+    assert_eq!((answer.status, &*answer.body), (200, "served"));
+    let seen = scripted.seen();
+    let seen = seen.iter().find(|seen| seen.request() == "r-1").unwrap();
+    assert!(
+        seen.head.starts_with(&format!("POST {path} HTTP/1.1")),
+        "{}",
+        seen.head
+    );
+    assert_eq!(seen.body, "the body");
+    assert_eq!(seen.header("x-ebonystand-workspace"), Some("akademi"));
+    assert_eq!(seen.header("host"), Some(HOST));
+    assert!(!seen.head.contains(KEY), "{}", seen.head);
+    let other = call(&fleet.vms[0], "GET", "/other/", "r-2", "").await;
+    assert_eq!(other.status, 404);
+}
+
+/// Each upstream spoils its first answer to `/look/` and `/once/`. A look-up is tried at the other
+/// one and served; an order may have run and is never sent again, and its caller hears neither a
+/// success nor that it has not run.
+#[rstest]
+#[case::truncated(
+    "HTTP/1.1 200 OK\r\nx-ebonystand-request: ID\r\ncontent-length: 50\r\n\r\nhalf",
+    Then::Close
+)]
+#[case::cut_chunks(
+    "HTTP/1.1 200 OK\r\nx-ebonystand-request: ID\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+    Then::Close
+)]
+#[case::no_answer("", Then::Close)]
+#[case::no_http("what is this\r\n\r\n", Then::Close)]
+#[case::of_another(
+    "HTTP/1.1 200 OK\r\nx-ebonystand-request: other\r\ncontent-length: 2\r\n\r\nno",
+    Then::Keep
+)]
+#[case::unnamed("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nno", Then::Keep)]
+#[case::encoded(
+    "HTTP/1.1 200 OK\r\nx-ebonystand-request: ID\r\ncontent-encoding: gzip\r\ncontent-length: 2\r\n\r\nno",
+    Then::Keep
+)]
+#[actix_rt::test]
+async fn a_spoiled_answer_is_never_given_to_a_caller(
+    #[case] bytes: &'static str,
+    #[case] then: Then,
+) {
+    let spoiling = move |received: &Received| {
+        if !received.request().starts_with("spoil") {
+            return echo(received);
+        }
+        Reply {
+            bytes: bytes.replace("ID", received.request()),
+            then,
+        }
+    };
+    let upstreams = vec![Scripted::start(spoiling), Scripted::start(spoiling)];
+    let fleet = Setting::new(vec![("a", upstreams.clone())]).start().await;
+    put(&fleet, routing(1)).await;
+    served(&fleet.vms[0], "/look/first").await;
+    let runs = |request: &str| {
+        let seen = upstreams.iter().flat_map(Scripted::seen);
+        seen.filter(|seen| seen.request() == request).count()
+    };
+    let order = call(&fleet.vms[0], "POST", "/once/x", "spoil-1", "order").await;
+    assert_eq!(order.status, 502, "{}", order.body);
+    assert_eq!(order.run(), "unknown");
+    assert_eq!(runs("spoil-1"), 1);
+    let look = call(&fleet.vms[0], "GET", "/look/x", "spoil-2", "").await;
+    assert_eq!(look.status, 502, "{}", look.body);
+    assert_eq!(runs("spoil-2"), 2);
+}
+
+/// An upstream sends an answer whose length nothing tells and closes the connection: that is its end.
+#[actix_rt::test]
+async fn an_answer_without_a_length_ends_with_its_connection() {
+    let scripted = Scripted::start(|received| Reply {
+        bytes: format!(
+            "HTTP/1.1 200 OK\r\nx-ebonystand-request: {}\r\n\r\nall of it",
+            received.request()
+        ),
+        then: Then::Close,
+    });
+    let fleet = Setting::new(vec![("a", vec![scripted])]).start().await;
+    put(&fleet, routing(1)).await;
+    assert_eq!(served(&fleet.vms[0], "/look/first").await.body, "all of it");
+}
+
+/// An upstream sends a second answer behind the first one. It belongs to nobody: the next request
+/// must not get it, so the connection is not used again.
+#[actix_rt::test]
+async fn bytes_behind_an_answer_reach_nobody() {
+    let scripted = Scripted::start(|received| {
+        let mut reply = echo(received);
+        let extra = received.answer("200 OK", "extra");
+        reply.bytes.push_str(&extra.bytes);
+        reply
+    });
+    let fleet = Setting::new(vec![("a", vec![scripted.clone()])])
+        .start()
+        .await;
+    put(&fleet, routing(1)).await;
+    served(&fleet.vms[0], "/look/first").await;
+    for n in 0..10 {
+        let answer = call(&fleet.vms[0], "GET", "/look/x", &format!("r-{n}"), "").await;
+        assert_eq!((answer.status, &*answer.body), (200, "served"));
+    }
+    let seen = scripted.seen();
+    let connections = seen
+        .iter()
+        .map(|seen| seen.connection)
+        .collect::<BTreeSet<_>>();
+    assert_eq!(connections.len(), seen.len());
+}
+
+/// One upstream is full and says that it did not run the order. The other one runs it, once. When
+/// both are full the caller is told that the order has not run, and when to come back.
+#[actix_rt::test]
+async fn an_order_that_was_shed_runs_elsewhere_or_is_told_not_run() {
+    let full = |received: &Received| {
+        let mut reply = received.answer("503 Service Unavailable", "");
+        reply.bytes = reply.bytes.replace("stamp: s", "x-ebonystand-run: not_run");
+        reply
+    };
+    let serves = move |received: &Received| match received.request().starts_with("both") {
+        true => full(received),
+        false => echo(received),
+    };
+    let (first, second) = (Scripted::start(full), Scripted::start(serves));
+    let fleet = Setting::new(vec![("a", vec![first, second.clone()])])
+        .start()
+        .await;
+    put(&fleet, routing(1)).await;
+    served(&fleet.vms[0], "/look/first").await;
+    for n in 0..5 {
+        let answer = call(&fleet.vms[0], "POST", "/once/x", &format!("one-{n}"), "o").await;
+        assert_eq!(answer.status, 200, "{}", answer.body);
+    }
+    let runs = second
+        .seen()
+        .into_iter()
+        .filter(|seen| seen.request() == "one-0");
+    assert_eq!(runs.count(), 1);
+    let refused = call(&fleet.vms[0], "POST", "/once/x", "both-0", "o").await;
+    assert_eq!((refused.status, &*refused.run()), (503, "not_run"));
+}
+
+/// The only upstream stands in another region and takes connections of its own region's VM only. The
+/// caller's VM forwards the request there, once, and the answer comes back unchanged.
+#[actix_rt::test]
+async fn a_request_is_forwarded_to_a_vm_of_its_upstreams_region() {
+    let scripted = Scripted::start(echo);
+    let regions = vec![("a", Vec::new()), ("b", vec![scripted.clone()])];
+    let fleet = Setting::new(regions).start().await;
+    put(&fleet, routing(1)).await;
+    served(&fleet.vms[0], "/look/first").await;
+    let answer = call(&fleet.vms[0], "POST", "/once/x?q=1", "r-1", "the body").await;
+    assert_eq!((answer.status, &*answer.body), (200, "served"));
+    let seen = scripted.seen();
+    let seen = seen.iter().find(|seen| seen.request() == "r-1").unwrap();
+    assert!(seen.head.starts_with("POST /once/x?q=1 HTTP/1.1"));
+    assert_eq!(seen.body, "the body");
+    assert_eq!(seen.header("x-ebonystand-workspace"), Some("akademi"));
+    assert!(
+        !seen.head.contains("x-ebonystand-forwarded"),
+        "{}",
+        seen.head
+    );
+    assert!(fleet.vms[1].log().contains("forwarded request sent"));
+}
+
+/// A route has homes that do not include the region of the only upstreams. Nothing of the request
+/// gets there, also not its body to a VM.
+#[actix_rt::test]
+async fn a_request_does_not_leave_its_homes() {
+    let scripted = Scripted::start(echo);
+    let regions = vec![("a", Vec::new()), ("b", vec![scripted.clone()])];
+    let fleet = Setting::new(regions).start().await;
+    let mut routing = routing(1);
+    routing.routes[0].homes = ["a".into()].into();
+    put(&fleet, routing).await;
+    served(&fleet.vms[0], "/look/first").await;
+    let answer = call(&fleet.vms[0], "POST", "/once/x", "r-1", "o").await;
+    assert_eq!((answer.status, &*answer.run()), (503, "not_run"));
+    assert!(scripted.seen().iter().all(|seen| seen.request() != "r-1"));
+    assert!(!fleet.vms[1].log().contains("r-1"));
+}
+
+/// A stranger that reaches the address for forwarded requests cannot have one sent.
+#[actix_rt::test]
+async fn a_forwarded_request_of_a_stranger_is_refused() {
+    let scripted = Scripted::start(echo);
+    let fleet = Setting::new(vec![("a", vec![scripted.clone()])])
+        .start()
+        .await;
+    put(&fleet, routing(1)).await;
+    served(&fleet.vms[0], "/look/first").await;
+    let address = fleet.vms[0].log();
+    let address = address.split("\"forwards\":\"").nth(1).unwrap();
+    let address = address.split('"').next().unwrap();
+    let before = scripted.seen().len();
+    for header in [
+        "",
+        "00",
+        "ab12ab12ab12ab12ab12ab12ab12ab12ab12ab12ab12ab12ab12ab12ab12ab12ab12",
+    ] {
+        let client = awc::Client::default().post(format!("http://{address}/once/x"));
+        let sent = client
+            .insert_header(("x-ebonystand-forwarded", header))
+            .send_body("o");
+        assert_eq!(sent.await.unwrap().status().as_u16(), 503);
+    }
+    assert_eq!(scripted.seen().len(), before);
+}
+
+/// A caller leaves while its stream runs in another region. Each VM on the way closes its end, and
+/// the upstream is freed.
+#[rstest]
+#[case::here(vec!["a"])]
+#[case::over_the_hop(vec!["a", "b"])]
+#[actix_rt::test]
+async fn a_caller_that_leaves_frees_its_upstream(#[case] regions: Vec<&'static str>) {
+    let scripted = Scripted::start(|received| {
+        if !received.head.contains("/stream/") {
+            return echo(received);
+        }
+        let request = received.request();
+        Reply {
+            bytes: format!(
+                "HTTP/1.1 200 OK\r\nx-ebonystand-request: {request}\r\ntransfer-encoding: chunked\r\n\r\n5\r\nfirst\r\n"
+            ),
+            then: Then::Wait,
+        }
+    });
+    let last = regions.len() - 1;
+    let regions = regions.into_iter().enumerate();
+    let regions = regions.map(|(n, region)| match n == last {
+        true => (region, vec![scripted.clone()]),
+        false => (region, Vec::new()),
+    });
+    let fleet = Setting::new(regions.collect()).start().await;
+    put(&fleet, routing(1)).await;
+    served(&fleet.vms[0], "/look/first").await;
+    let url = format!("http://{}/stream/x", fleet.vms[0].addresses.callers);
+    let stream = awc::Client::default()
+        .get(url)
+        .insert_header(("host", HOST))
+        .insert_header(("authorization", format!("Bearer {KEY}")))
+        .insert_header(("x-ebonystand-request", "r-1"))
+        .send()
+        .await
+        .unwrap();
+    assert_eq!(stream.status().as_u16(), 200);
+    assert!(!scripted.ended("r-1"));
+    drop(stream);
+    for _ in 0..2_000 {
+        if scripted.ended("r-1") {
+            return;
+        }
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("the upstream is still held");
+}
+
+/// A stream breaks off in the middle. What the caller gets must not look whole.
+#[actix_rt::test]
+async fn a_stream_that_breaks_off_does_not_look_whole() {
+    let scripted = Scripted::start(|received| {
+        if !received.head.contains("/stream/") {
+            return echo(received);
+        }
+        let request = received.request();
+        Reply {
+            bytes: format!(
+                "HTTP/1.1 200 OK\r\nx-ebonystand-request: {request}\r\ntransfer-encoding: chunked\r\n\r\n5\r\nfirst\r\n"
+            ),
+            then: Then::Close,
+        }
+    });
+    let fleet = Setting::new(vec![("a", vec![scripted])]).start().await;
+    put(&fleet, routing(1)).await;
+    served(&fleet.vms[0], "/look/first").await;
+    let bytes = raw(&fleet.vms[0], "/stream/x").await;
+    assert!(bytes.contains("first"), "{bytes}");
+    assert!(!bytes.ends_with("0\r\n\r\n"), "{bytes}");
+}
+
+/// All bytes that come back on a connection of its own.
+async fn raw(vm: &Vm, path: &str) -> String {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let mut io = tokio::net::TcpStream::connect(vm.addresses.callers)
+        .await
+        .unwrap();
+    let request = format!(
+        "GET {path} HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer {KEY}\r\nx-ebonystand-request: raw\r\n\r\n"
+    );
+    io.write_all(request.as_bytes()).await.unwrap();
+    let mut bytes = Vec::new();
+    io.read_to_end(&mut bytes).await.unwrap();
+    String::from_utf8(bytes).unwrap()
+}
+
+/// A key is taken away while the leader of the log stands still, so that the VM cannot hear of it.
+/// Within the bound the VM stops serving keys, and says that it is not ready instead of calling a
+/// good key invalid. Once the leader goes on, it serves again.
+#[actix_rt::test]
+async fn a_vm_that_cannot_know_whether_a_key_was_taken_away_refuses_it() {
+    let scripted = Scripted::start(echo);
+    let regions = vec![("a", Vec::new()), ("b", vec![scripted])];
+    let mut setting = Setting::new(regions);
+    setting.withdrawn_within_ms = 1_500;
+    let fleet = setting.start().await;
+    put(&fleet, routing(1)).await;
+    served(&fleet.vms[1], "/look/first").await;
+    fleet.vms[0].signal("STOP");
+    let mut refused = None;
+    for n in 0..2_000 {
+        let answer = call(&fleet.vms[1], "GET", "/look/x", &format!("r-{n}"), "").await;
+        if answer.status != 200 && answer.status != 429 {
+            refused = Some(answer);
+            break;
+        }
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+    fleet.vms[0].signal("CONT");
+    let refused = refused.expect("the key goes on being served");
+    assert_eq!((refused.status, &*refused.code()), (503, "not_ready"));
+    served(&fleet.vms[1], "/look/again").await;
+}
+
+/// An operator evacuates a zone. The next requests get to no upstream of it, and it comes back when
+/// the order is taken back.
+#[actix_rt::test]
+async fn an_evacuated_zone_gets_nothing() {
+    let scripted = Scripted::start(echo);
+    let fleet = Setting::new(vec![("a", vec![scripted.clone()])])
+        .start()
+        .await;
+    put(&fleet, routing(1)).await;
+    served(&fleet.vms[0], "/look/first").await;
+    for evacuated in [true, false] {
+        let zone = "a-a".into();
+        let change = Change::SetEvacuated { evacuated, zone };
+        let answer = fleet.vms[0]
+            .operate("GET", "/v1/operator/document", "")
+            .await;
+        let version = answer.json::<ebonystand_core::Document>().version;
+        fleet.change(version, change).await;
+        let before = scripted.seen().len();
+        if evacuated {
+            let answer = call(&fleet.vms[0], "POST", "/once/x", "r-1", "o").await;
+            assert_eq!((answer.status, &*answer.run()), (503, "not_run"));
+            assert_eq!(scripted.seen().len(), before);
+        } else {
+            served(&fleet.vms[0], "/look/back").await;
+        }
+    }
+}
+
+/// An operator's tool sends SIGHUP after it changed the settings. The process goes on, with a request
+/// under way.
+#[actix_rt::test]
+async fn a_hangup_ends_nothing() {
+    let scripted = Scripted::start(echo);
+    let mut fleet = Setting::new(vec![("a", vec![scripted])]).start().await;
+    put(&fleet, routing(1)).await;
+    served(&fleet.vms[0], "/look/first").await;
+    fleet.vms[0].signal("HUP");
+    for _ in 0..2_000 {
+        if fleet.vms[0].log().contains("settings read again") {
+            break;
+        }
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert!(fleet.vms[0].log().contains("settings read again"));
+    assert!(fleet.vms[0].running());
+    served(&fleet.vms[0], "/look/after").await;
+}
--- /dev/null
+++ b/crates/ebonystand/tests/integration/scripted.rs
@@ -0,0 +1,160 @@
+use {
+    std::{
+        collections::BTreeSet,
+        net::SocketAddr,
+        sync::{Arc, Mutex, mpsc},
+        thread,
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+    },
+};
+
+/// An upstream that answers as a script says, byte by byte, on a thread of its own.
+#[derive(Clone)]
+pub(crate) struct Scripted {
+    pub(crate) address: SocketAddr,
+    /// Numbers of the connections that have ended.
+    closed: Arc<Mutex<BTreeSet<usize>>>,
+    seen: Arc<Mutex<Vec<Received>>>,
+}
+
+/// A request as it came.
+#[derive(Clone, Debug)]
+pub(crate) struct Received {
+    pub(crate) body: String,
+    /// Number of its connection.
+    pub(crate) connection: usize,
+    pub(crate) head: String,
+}
+
+/// What is sent back, and what becomes of the connection.
+pub(crate) struct Reply {
+    pub(crate) bytes: String,
+    pub(crate) then: Then,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Then {
+    Close,
+    Keep,
+    /// Says nothing more until the other end closes.
+    Wait,
+}
+
+impl Received {
+    /// Value of a header.
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        let mut lines = self.head.lines().skip(1);
+        lines.find_map(|line| {
+            let (found, value) = line.split_once(':')?;
+            found.eq_ignore_ascii_case(name).then(|| value.trim())
+        })
+    }
+
+    /// Name of the request.
+    pub(crate) fn request(&self) -> &str {
+        self.header("x-ebonystand-request").unwrap_or_default()
+    }
+
+    /// A whole answer with this status and body.
+    pub(crate) fn answer(&self, status: &str, body: &str) -> Reply {
+        let (request, len) = (self.request(), body.len());
+        let bytes = format!(
+            "HTTP/1.1 {status}\r\nx-ebonystand-request: {request}\r\nstamp: s\r\ncontent-length: {len}\r\n\r\n{body}"
+        );
+        let then = Then::Keep;
+        Reply { bytes, then }
+    }
+}
+
+impl Scripted {
+    pub(crate) fn start(script: impl Fn(&Received) -> Reply + Send + Sync + 'static) -> Self {
+        let (tx, rx) = mpsc::channel();
+        let closed = Arc::new(Mutex::new(BTreeSet::new()));
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let (counted, recorded) = (Arc::clone(&closed), Arc::clone(&seen));
+        let script = Arc::new(script);
+        thread::spawn(move || {
+            actix_rt::System::new().block_on(async move {
+                let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+                tx.send(listener.local_addr().unwrap()).unwrap();
+                let mut number = 0;
+                while let Ok((io, _)) = listener.accept().await {
+                    number += 1;
+                    let (closed, seen) = (Arc::clone(&counted), Arc::clone(&recorded));
+                    let script = Arc::clone(&script);
+                    actix_rt::spawn(async move {
+                        converse(io, number, &*script, &seen).await;
+                        closed.lock().unwrap().insert(number);
+                    });
+                }
+            });
+        });
+        Self {
+            address: rx.recv().unwrap(),
+            closed,
+            seen,
+        }
+    }
+
+    /// Whether the connection that carried a request has ended.
+    pub(crate) fn ended(&self, request: &str) -> bool {
+        let seen = self.seen();
+        let carried = seen.iter().find(|seen| seen.request() == request);
+        let closed = self.closed.lock().unwrap();
+        carried.is_some_and(|seen| closed.contains(&seen.connection))
+    }
+
+    pub(crate) fn seen(&self) -> Vec<Received> {
+        self.seen.lock().unwrap().clone()
+    }
+}
+
+async fn converse(
+    mut io: TcpStream,
+    connection: usize,
+    script: &(dyn Fn(&Received) -> Reply + Send + Sync),
+    seen: &Mutex<Vec<Received>>,
+) {
+    let mut buf = Vec::new();
+    while let Some(received) = receive(&mut io, &mut buf, connection).await {
+        seen.lock().unwrap().push(received.clone());
+        let Reply { bytes, then } = script(&received);
+        if io.write_all(bytes.as_bytes()).await.is_err() {
+            return;
+        }
+        match then {
+            Then::Close => return,
+            Then::Keep => {}
+            Then::Wait => {
+                let mut rest = [0; 64];
+                while io.read(&mut rest).await.is_ok_and(|len| len > 0) {}
+                return;
+            }
+        }
+    }
+}
+
+async fn receive(io: &mut TcpStream, buf: &mut Vec<u8>, connection: usize) -> Option<Received> {
+    loop {
+        let text = String::from_utf8_lossy(buf).into_owned();
+        if let Some((head, rest)) = text.split_once("\r\n\r\n") {
+            let received = Received {
+                body: rest.to_owned(),
+                connection,
+                head: head.to_owned(),
+            };
+            let len = received.header("content-length").unwrap_or("0");
+            let len = len.parse::<usize>().unwrap();
+            if rest.len() >= len {
+                buf.drain(..head.len() + 4 + len);
+                return Some(received);
+            }
+        }
+        if io.read_buf(buf).await.ok()? == 0 {
+            return None;
+        }
+    }
+}
