Write logs to standard output without waiting, explain a request from them, bound the wait for an allowance

Cause: lines went to standard error one write each and blocked; 'no upstream' told nothing; requests of a workspace beyond its quota waited 0.56 s for other regions' parts, those within it behind them too. Change: a bounded queue and a writing thread, a budget of lines by request; ebonystandctl explain; counts of why no upstream serves; a wait for an allowance of a quarter of the aim.

--- a/crates/ebonystand-core/src/gateway/choice.rs
+++ b/crates/ebonystand-core/src/gateway/choice.rs
@@ -34,6 +34,8 @@
     },
     /// Nobody can serve it now.
     Nowhere {
+        /// Why not.
+        because: Unfit,
         /// When coming back makes sense.
         retry_after: Duration,
     },
--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -25,6 +25,7 @@
     routing_fault::RoutingFault,
     split_part::SplitPart,
     turn_queue::TurnQueue,
+    unfit::Unfit,
     upstream_book::UpstreamBook,
 };
 
@@ -56,5 +57,6 @@
 mod routing_fault;
 mod split_part;
 mod turn_queue;
+mod unfit;
 mod upstream_book;
 mod window;
--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -29,7 +29,7 @@
     /// Part of its aim, in permille, within which an answer is to begin at its upstream. The rest is
     /// for the way there and back and for waiting before; and what is read without a pause keeps the
     /// streams that run from ending in time.
-    const BEGINS_PERMILLE: u32 = 400;
+    const BEGINS_PERMILLE: u32 = 350;
     /// An upstream that appears on the list, or whose zone comes back, counts as cold for so long
     /// at least: the list lags, and may not say yet that it is.
     const NEW_IS_COLD: Duration = Duration::from_millis(2_000);
@@ -289,6 +289,7 @@
         let best = best.min_by_key(|(full, delay, _, known)| (*full, *delay, known.in_flight));
         let Some((full, predicted, unread, known)) = best else {
             return Choice::Nowhere {
+                because: self.unfit(now, query),
                 retry_after: self.opens_after(now, query),
             };
         };
@@ -385,6 +386,29 @@
 
     /// Tokens that an upstream would have to read. The owner of the shared parts is taken to keep
     /// them: whichever VM sent them first, it sent them there.
+    fn unfit(&self, now: Duration, query: &ChoiceQuery) -> Unfit {
+        let mut unfit = Unfit {
+            is_home: query.allows(&self.here),
+            ..Unfit::default()
+        };
+        let of_service = self.upstreams.values();
+        let of_service = of_service.filter(|known| *known.listed.service == *query.service);
+        for known in of_service {
+            unfit.listed += 1;
+            let is_cold = now < known.cold_until && now < known.gate.opens();
+            let count = match () {
+                () if self.region(known) != Some(&self.here) => &mut unfit.elsewhere,
+                () if known.listed.leaving => &mut unfit.leaving,
+                () if query.evacuated.contains(&known.listed.zone) => &mut unfit.evacuated,
+                () if query.excluded.contains(&known.listed.instance) => &mut unfit.excluded,
+                () if is_cold => &mut unfit.cold,
+                () => continue,
+            };
+            *count += 1;
+        }
+        unfit
+    }
+
     fn unread(known: &KnownUpstream, prompt: Option<&Prompt>, is_owner: bool) -> Tokens {
         prompt.map_or(0, |prompt| {
             let shared = if is_owner { prompt.shared_tokens() } else { 0 };
--- a/crates/ebonystand-core/src/lib.rs
+++ b/crates/ebonystand-core/src/lib.rs
@@ -146,6 +146,7 @@
     link::Link,
     link_budget::LinkBudget,
     load_report::LoadReport,
+    log_budget::{LogBudget, LogKind},
     log_entry::LogEntry,
     log_payload::LogPayload,
     log_position::LogPosition,
@@ -347,6 +348,7 @@
 mod link_budget;
 mod link_budgets;
 mod load_report;
+mod log_budget;
 mod log_entry;
 mod log_payload;
 mod log_position;
--- a/crates/ebonystand/src/caller_api.rs
+++ b/crates/ebonystand/src/caller_api.rs
@@ -16,7 +16,7 @@
     let mut response = match route(&node, &req, &mut payload, &id).await {
         Ok(response) => response,
         Err(refusal) => {
-            log::info!(request = &*id, code:% = refusal.code, run:% = refusal.run, message:% = refusal.message; "refused");
+            log::info!(request = &*id, code:% = refusal.code, run:% = refusal.run, reason:% = refusal.message; "refused");
             node.count_refusal(&refusal);
             body::discard(&node, &mut payload).await;
             let entry = elsewhere(&node, &req, &refusal);
--- a/crates/ebonystand/src/gateway/relay.rs
+++ b/crates/ebonystand/src/gateway/relay.rs
@@ -186,3 +186,11 @@
         }
     }
 }
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if self.answering.is_some() {
+            log::info!(request:% = self.request, upstream:% = self.instance, bytes = self.bytes; "caller left");
+        }
+    }
+}
--- a/crates/ebonystand/src/gateway/serve_call.rs
+++ b/crates/ebonystand/src/gateway/serve_call.rs
@@ -13,6 +13,9 @@
     std::collections::BTreeSet,
 };
 
+/// Time in which a part of an allowance comes from another region: two round trips and some work. A
+/// request waits no longer for it than a quarter of its aim, but for this.
+const BORROWED_WITHIN: Duration = Duration::from_millis(250);
 /// Time after which a caller is asked to come back to a VM that does not know the newest
 /// configuration: several tries of it to learn it.
 const UNCONFIRMED_RETRY: Duration = Duration::from_millis(500);
@@ -69,19 +72,41 @@
 ) -> Result<Response<BoxBody>, Refusal> {
     let head = node.gateway.dialect.read(req)?;
     let request = head.request.clone();
+    let mut unanswered = Unanswered {
+        node,
+        request: &request,
+        since: Some(node.clock.now()),
+    };
     let served = match admit(node, req, payload, head).await {
         Ok(admitted) => admitted.run(node).await,
         Err(refusal) => Err(refusal),
     };
+    unanswered.since = None;
     served.inspect_err(|refusal| {
         log::info!(
-            request:% = request, code:% = refusal.code, run:% = refusal.run, message:% = refusal.message,
+            request:% = request, code:% = refusal.code, run:% = refusal.run, reason:% = refusal.message,
             retry_after_ms = refusal.retry_after.unwrap_or_default().as_millis() as u64;
             "refused"
         );
     })
 }
 
+/// Tells of a caller that leaves before it is answered: its request then just ends.
+struct Unanswered<'a> {
+    node: &'a Node,
+    request: &'a str,
+    since: Option<Duration>,
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if let Some(since) = self.since {
+            let waited = self.node.clock.now().saturating_sub(since);
+            log::info!(request:% = self.request, waited_ms = waited.as_millis() as u64; "caller left");
+        }
+    }
+}
+
 async fn admit(
     node: &Rc<Node>,
     req: &Request,
@@ -117,7 +142,7 @@
     let tokens = workspace
         .as_ref()
         .map_or(0, |w| w.cost(head.prompt.as_ref()));
-    let reserved = reserve(node, workspace.as_ref(), tokens).await?;
+    let reserved = reserve(node, &route, workspace.as_ref(), tokens).await?;
     let shared = head
         .prompt
         .as_ref()
@@ -191,14 +216,21 @@
 
 async fn reserve(
     node: &Rc<Node>,
+    route: &GatewayRoute,
     workspace: Option<&GatewayWorkspace>,
     tokens: Tokens,
 ) -> Result<Option<Reserved>, Refusal> {
     let Some(workspace) = workspace.filter(|workspace| workspace.quota.is_some()) else {
         return Ok(None);
     };
-    let reserved = AllowanceController::admit(node, &workspace.name, tokens).await;
-    let reserved = reserved.map_err(|mut refusal| {
+    let patience = Duration::from_millis(route.aim_ms / 4).max(BORROWED_WITHIN);
+    let admitted = AllowanceController::admit(node, &workspace.name, tokens);
+    let admitted = actix_rt::time::timeout(patience, admitted).await;
+    let late = || {
+        let message = "the workspace has used its allowance, as far as it can be had in time";
+        Refusal::not_run(RefusalCode::AllowanceExhausted, message)
+    };
+    let reserved = admitted.unwrap_or_else(|_| Err(late())).map_err(|mut refusal| {
         log::info!(
             workspace:% = workspace.name, tokens = tokens, rate = workspace.quota.map_or(0, |q| q.rate),
             burst = workspace.quota.map_or(0, |q| q.burst); "over its quota"
@@ -238,9 +270,16 @@
             let choice = self.call.choose(node, &reachable);
             let wait = self.wait(left);
             let (outcome, instance) = match choice {
-                Choice::Nowhere { retry_after } => {
-                    let refusal =
-                        self.refusal(RefusalCode::NoUpstream, "no upstream can serve it now");
+                Choice::Nowhere {
+                    because,
+                    retry_after,
+                } => {
+                    let message = format!(
+                        "no upstream of {} can serve it: {because}; regions to send to: {}",
+                        self.call.service,
+                        reachable.len()
+                    );
+                    let refusal = self.refusal(RefusalCode::NoUpstream, &message);
                     return Err(refusal.with_retry_after(retry_after));
                 }
                 Choice::Full { predicted } => {
--- a/crates/ebonystand/src/lib.rs
+++ b/crates/ebonystand/src/lib.rs
@@ -96,6 +96,7 @@
 mod limits;
 mod listen;
 mod log_settings;
+mod log_writer;
 mod logger;
 mod loop_guard;
 mod membership_controller;
--- a/crates/ebonystand/src/log_settings.rs
+++ b/crates/ebonystand/src/log_settings.rs
@@ -4,10 +4,13 @@
 /// What is logged, and where to.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LogSettings {
-    /// File that lines are appended to; standard error if absent.
+    /// File that lines are appended to; standard output if absent.
     pub file: Option<PathBuf>,
     /// Least level.
     pub level: log::LevelFilter,
+    /// Lines about steps of requests that are written in a second; failures may be twice as many,
+    /// all lines together four times.
+    pub lines_per_s: u64,
 }
 
 impl LogSettings {
@@ -16,6 +19,7 @@
         Self {
             file: reader.optional("file", None),
             level: level.filter(),
+            lines_per_s: reader.ranged("lines_per_s", 1_000, 10, 1_000_000),
         }
     }
 }
--- a/crates/ebonystand/src/serve.rs
+++ b/crates/ebonystand/src/serve.rs
@@ -35,8 +35,10 @@
     addresses_file: Option<PathBuf>,
     extension: Extension,
 ) -> Result {
-    logger::install(&settings.log)?;
-    actix_rt::System::new().block_on(serve(settings, addresses_file, extension))
+    logger::install(&settings)?;
+    let served = actix_rt::System::new().block_on(serve(settings, addresses_file, extension));
+    log::logger().flush();
+    served
 }
 
 /// Serves until SIGTERM, SIGINT or an operator's order to leave, then drains.
--- a/crates/ebonystandctl/src/lib.rs
+++ b/crates/ebonystandctl/src/lib.rs
@@ -20,9 +20,9 @@
 
 use {
     apply::Apply, attempt::Attempt, change_args::ChangeArgs, check::Check, client::Client,
-    config::Config, context::Context, drain::Drain, error::Error, key::KeyCommand,
-    preset::PresetCommand, secret::draw_hex, subcommand::Subcommand, upstream::UpstreamCommand,
-    workspace::WorkspaceCommand,
+    config::Config, context::Context, drain::Drain, error::Error, explain::Explain,
+    key::KeyCommand, preset::PresetCommand, secret::draw_hex, subcommand::Subcommand,
+    upstream::UpstreamCommand, workspace::WorkspaceCommand,
 };
 
 mod apply;
@@ -36,6 +36,7 @@
 mod drain;
 mod error;
 mod exit_status;
+mod explain;
 mod key;
 mod preset;
 mod region;
--- a/crates/ebonystandctl/src/subcommand.rs
+++ b/crates/ebonystandctl/src/subcommand.rs
@@ -7,6 +7,7 @@
     Check(Check),
     Document,
     Drain(Drain),
+    Explain(Explain),
     Key(KeyCommand),
     Preset(PresetCommand),
     RegionList,
@@ -22,6 +23,7 @@
             Check::command(),
             document::command(),
             Drain::command(),
+            Explain::command(),
             KeyCommand::command(),
             PresetCommand::command(),
             region::command(),
@@ -40,6 +42,7 @@
             "check" => Self::Check(Check::from_matches(matches)),
             "document" => Self::Document,
             "drain" => Self::Drain(Drain::from_matches(matches)),
+            "explain" => Self::Explain(Explain::from_matches(matches)),
             "key" => Self::Key(KeyCommand::from_matches(matches)),
             "preset" => Self::Preset(PresetCommand::from_matches(matches)),
             "region" => Self::RegionList,
@@ -51,7 +54,7 @@
 
     /// Whether a VM is asked.
     pub(crate) fn needs_server(&self) -> bool {
-        !matches!(self, Self::Check(_))
+        !matches!(self, Self::Check(_) | Self::Explain(_))
     }
 
     pub(crate) async fn run(&self, cx: &Context) -> Result {
@@ -60,6 +63,7 @@
             Self::Check(command) => command.run(cx),
             Self::Document => document::run(cx).await,
             Self::Drain(command) => command.run(cx).await,
+            Self::Explain(command) => command.run(cx),
             Self::Key(command) => command.run(cx).await,
             Self::Preset(command) => command.run(cx).await,
             Self::RegionList => region::run(cx).await,
