Send to another region before trying a server that is down; forget servers whose address another one has

Ruled out: quota, leader, homes. Change: a fallback to upstreams that failed comes after other regions; 421 marks an upstream as gone and uses up no attempt.

--- a/crates/ebonystand-core/src/gateway/attempt_end.rs
+++ b/crates/ebonystand-core/src/gateway/attempt_end.rs
@@ -26,6 +26,12 @@
         matches!(self, Self::Shed | Self::Stranger | Self::Unreachable)
     }
 
+    /// Whether an upstream of the service had the request in its hands, and be it to refuse it.
+    #[must_use]
+    pub fn is_attempt(self) -> bool {
+        !matches!(self, Self::Stranger | Self::Unreachable)
+    }
+
     /// Whether a byte of the request may have reached an upstream.
     #[must_use]
     pub fn was_sent(self) -> bool {
--- a/crates/ebonystand-core/src/gateway/choice.rs
+++ b/crates/ebonystand-core/src/gateway/choice.rs
@@ -25,6 +25,8 @@
         candidates: u32,
         /// The upstream.
         instance: UpstreamId,
+        /// Whether it has not failed lately.
+        is_sound: bool,
         /// Predicted time to the first byte.
         predicted: Duration,
         /// Age of the load that the prediction rests on; none if the upstream has told none.
--- a/crates/ebonystand-core/src/gateway/known_upstream.rs
+++ b/crates/ebonystand-core/src/gateway/known_upstream.rs
@@ -6,6 +6,8 @@
     /// Until when it counts as cold.
     pub(crate) cold_until: Duration,
     pub(crate) gate: ColdGate,
+    /// Another server has its address: it is not there any more, whatever the list says.
+    pub(crate) is_gone: bool,
     pub(crate) in_flight: u32,
     pub(crate) listed: ListedUpstream,
     /// Time that a call of a plain service takes, smoothed.
@@ -51,6 +53,7 @@
         Self {
             cold_until,
             gate: ColdGate::default(),
+            is_gone: false,
             in_flight: 0,
             listed,
             pace: Self::FIRST_PACE,
--- a/crates/ebonystand-core/src/gateway/next_step.rs
+++ b/crates/ebonystand-core/src/gateway/next_step.rs
@@ -32,7 +32,8 @@
         };
         let may_repeat = route.repeatable() || not_run;
         // An upstream that could not be connected to was not sent anything and is no attempt.
-        let has_tries = !end.was_sent() || tried < route.attempts;
+        // Nor is a server that only has the address of the one that was meant.
+        let has_tries = !end.is_attempt() || tried < route.attempts;
         if end == AttemptEnd::Cancelled || !may_repeat || !has_tries || !budget() {
             return Self::GiveUp { run };
         }
--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -61,9 +61,13 @@
     pub fn choose(&self, now: Duration, query: &ChoiceQuery) -> Choice {
         let here = self.choose_here(now, query);
         let (predicted, stays) = match &here {
-            Choice::Here { predicted, .. } => {
+            Choice::Here {
+                is_sound,
+                predicted,
+                ..
+            } => {
                 let most = query.aim * Self::STAYS_PERMILLE / 1_000;
-                (Some(*predicted), *predicted <= most)
+                (Some(*predicted), *is_sound && *predicted <= most)
             }
             Choice::Full { predicted } => (Some(*predicted + Self::FULL), false),
             _ => (None, false),
@@ -71,6 +75,8 @@
         if stays {
             return here;
         }
+        let is_sound = matches!(here, Choice::Here { is_sound: true, .. });
+        let predicted = predicted.filter(|_| is_sound || matches!(here, Choice::Full { .. }));
         match self.choose_away(now, query) {
             Some((region, there)) if predicted.is_none_or(|predicted| there < predicted) => {
                 Choice::Away {
@@ -97,9 +103,8 @@
             }
             AttemptEnd::Cancelled | AttemptEnd::Shed => {}
             AttemptEnd::Failed | AttemptEnd::Lost => known.observe(true),
-            AttemptEnd::Stranger | AttemptEnd::TimedOut | AttemptEnd::Unreachable => {
-                known.failed(now)
-            }
+            AttemptEnd::Stranger => known.is_gone = true,
+            AttemptEnd::TimedOut | AttemptEnd::Unreachable => known.failed(now),
         }
     }
 
@@ -267,8 +272,10 @@
 
     fn choose_here(&self, now: Duration, query: &ChoiceQuery) -> Choice {
         let mut candidates = self.candidates(query, |known| self.is_candidate(now, query, known));
-        if candidates.is_empty() {
-            // All have failed lately. One of them may be back; to refuse would be worse.
+        let is_sound = !candidates.is_empty();
+        if !is_sound {
+            // All have failed lately. One of them may be back; where no other region can serve the
+            // request either, to refuse would be worse.
             candidates = self.candidates(query, |known| self.is_open(now, query, known));
         }
         let shared = query.prompt.and_then(Prompt::shared);
@@ -300,6 +307,7 @@
             address: known.listed.address,
             candidates: u32::try_from(candidates.len()).unwrap_or(u32::MAX),
             instance: known.listed.instance.clone(),
+            is_sound,
             predicted,
             report_age: known.report(now).map(|(age, _)| age),
             unread,
@@ -343,6 +351,7 @@
 
     fn is_usable(&self, query: &ChoiceQuery, known: &KnownUpstream) -> bool {
         *known.listed.service == *query.service
+            && !known.is_gone
             && !known.listed.leaving
             && !query.evacuated.contains(&known.listed.zone)
     }
--- a/crates/ebonystand-core/tests/gateway/next_step.rs
+++ b/crates/ebonystand-core/tests/gateway/next_step.rs
@@ -81,10 +81,23 @@
     assert_ne!(step(1, false), NextStep::Retry, "no budget is left");
 }
 
-/// Half of the upstreams cannot be connected to. Nothing was sent to them, so they use up no attempt.
+/// Half of the upstreams cannot be connected to, or another server has their address. No server of the
+/// service had the request, so they use up no attempt; each try costs budget all the same.
 #[test]
 fn an_upstream_that_was_not_reached_is_no_attempt() {
     let route = kind(CallKind::Once, false, 1);
-    let step = NextStep::after(&route, AttemptEnd::Unreachable, 0, true, || true);
-    assert_eq!(step, NextStep::Retry);
+    for end in [AttemptEnd::Unreachable, AttemptEnd::Stranger] {
+        assert_eq!(
+            NextStep::after(&route, end, 0, true, || true),
+            NextStep::Retry
+        );
+        assert_ne!(
+            NextStep::after(&route, end, 0, true, || false),
+            NextStep::Retry
+        );
+    }
+    assert_ne!(
+        NextStep::after(&route, AttemptEnd::Shed, 1, true, || true),
+        NextStep::Retry
+    );
 }
--- a/crates/ebonystand-core/tests/gateway/upstreams.rs
+++ b/crates/ebonystand-core/tests/gateway/upstreams.rs
@@ -235,3 +235,36 @@
     };
     assert!(retry_after > ms(100) && retry_after <= ms(2_000));
 }
+
+/// The region's only server is down, and another region's runs. The request goes there; only where it
+/// may not, the server that is down is tried, since it may be back.
+#[rstest]
+#[case::may_leave(true)]
+#[case::must_stay(false)]
+fn another_region_goes_before_an_upstream_that_is_down(#[case] may_leave: bool) {
+    let sets = Sets {
+        reachable: if may_leave { set(&["b"]) } else { set(&[]) },
+        ..Sets::default()
+    };
+    let mut book = book(vec![listed("u1", "a-1", 1), listed("u2", "b-1", 2)]);
+    book.ended(ms(0), "u1", AttemptEnd::Unreachable, ms(1));
+    let choice = book.choose(ms(10), &sets.query(None));
+    match may_leave {
+        true => assert!(matches!(choice, Choice::Away { .. }), "{choice:?}"),
+        false => assert_eq!(instance(&choice), Some("u1")),
+    }
+}
+
+/// A server is gone and another one has its address, while the list still names the first. Each
+/// request that expects it is refused there, so it is not tried again until the list names it anew.
+#[test]
+fn a_server_whose_address_another_one_has_is_not_tried_again() {
+    let sets = Sets::default();
+    let mut book = book(vec![listed("u1", "a-1", 1)]);
+    book.ended(ms(0), "u1", AttemptEnd::Stranger, ms(1));
+    let choice = book.choose(ms(60_000), &sets.query(None));
+    assert!(matches!(choice, Choice::Nowhere { .. }), "{choice:?}");
+    book.list(ms(60_000), vec![listed("u1", "a-1", 9)]);
+    let choice = book.choose(ms(70_000), &sets.query(None));
+    assert_eq!(instance(&choice), Some("u1"));
+}
--- a/crates/ebonystand/src/gateway/serve_call.rs
+++ b/crates/ebonystand/src/gateway/serve_call.rs
@@ -296,6 +296,7 @@
                     address,
                     candidates,
                     instance,
+                    is_sound,
                     predicted,
                     report_age,
                     unread,
@@ -303,7 +304,7 @@
                     log::info!(
                         request:% = self.call.request, route:% = self.route.name,
                         workspace:? = self.call.workspace, upstream:% = instance,
-                        candidates = candidates, unread = unread,
+                        candidates = candidates, sound = is_sound, unread = unread,
                         predicted_ms = predicted.as_millis() as u64,
                         report_age_ms:? = report_age.map(|age| age.as_millis() as u64),
                         left_ms = left.as_millis() as u64, tried = self.tried;
@@ -444,7 +445,7 @@
         instance: Option<UpstreamId>,
     ) -> Result<Option<Response<BoxBody>>, Refusal> {
         let now = node.clock.now();
-        self.tried += u32::from(end.was_sent());
+        self.tried += u32::from(end.is_attempt());
         self.not_run &= end.not_run();
         if self.not_run
             && let Some(reserved) = &mut self.reserved
