Group the core's files by subsystem

Cause: over 200 files in one folder, whose prefixes already named their subsystems. Change: moves only; a folder for each of eight prefixes, one type a file inside.

--- /dev/null
+++ b/crates/ebonystand-core/src/allowance/mod.rs
@@ -0,0 +1,38 @@
+//! What a workspace may use over all VMs: parts of its allowance, lent and borrowed as leases.
+
+use super::*;
+
+pub use {
+    allowance_action::AllowanceAction,
+    allowance_item::AllowanceItem,
+    allowance_message::AllowanceMessage,
+    allowance_output::AllowanceOutput,
+    allowance_part::{AllowancePart, MicroTokens},
+    allowance_status::AllowanceStatus,
+    state::Allowance,
+};
+
+pub(crate) use {
+    allowance_cx::AllowanceCx, allowance_fleet::AllowanceFleet, allowance_lender::AllowanceLender,
+    allowance_plan::AllowancePlan, allowance_route::AllowanceRoute,
+    allowance_share::AllowanceShare, allowance_ticket::AllowanceTicket,
+};
+
+mod allowance_action;
+mod allowance_configure;
+mod allowance_cx;
+mod allowance_fleet;
+mod allowance_item;
+mod allowance_lender;
+mod allowance_message;
+mod allowance_output;
+mod allowance_part;
+mod allowance_plan;
+mod allowance_route;
+mod allowance_share;
+mod allowance_share_borrow;
+mod allowance_share_lend;
+mod allowance_share_timer;
+mod allowance_status;
+mod allowance_ticket;
+mod state;
--- /dev/null
+++ b/crates/ebonystand-core/src/document/mod.rs
@@ -0,0 +1,20 @@
+//! The configuration: what it holds, how it changes, and how it is copied in parts.
+
+use super::*;
+
+pub use {
+    document_cursor::DocumentCursor, document_entry::DocumentEntry, document_fault::DocumentFault,
+    document_part::DocumentPart, document_section::DocumentSection, state::Document,
+};
+
+pub(crate) use document_copy::DocumentCopy;
+
+mod document_change;
+mod document_copy;
+mod document_cursor;
+mod document_entry;
+mod document_fault;
+mod document_part;
+mod document_parts;
+mod document_section;
+mod state;
--- a/crates/ebonystand-core/src/lib.rs
+++ b/crates/ebonystand-core/src/lib.rs
@@ -6,13 +6,6 @@
 //! inputs; it returns typed outputs. The daemon turns sockets, timers and files into inputs.
 
 use {
-    allowance_cx::AllowanceCx,
-    allowance_fleet::AllowanceFleet,
-    allowance_lender::AllowanceLender,
-    allowance_plan::AllowancePlan,
-    allowance_route::AllowanceRoute,
-    allowance_share::AllowanceShare,
-    allowance_ticket::AllowanceTicket,
     ask_round::AskRound,
     backlog::{Backlog, Waiting},
     borrowed_lease::BorrowedLease,
@@ -22,7 +15,6 @@
     circuit::Circuit,
     demand_meter::DemandMeter,
     derive_more::{Display, From},
-    document_copy::DocumentCopy,
     encoded_weight::*,
     event_scanner::EventScanner,
     feed_peers::FeedPeers,
@@ -32,19 +24,12 @@
     held_message::HeldMessage,
     lent_lease::LentLease,
     link_budgets::LinkBudgets,
-    membership_updates::MembershipUpdates,
-    membership_view::MembershipView,
     model_count::ModelCount,
     newer_peers::NewerPeers,
     observed_load::ObservedLoad,
     open_ask::OpenAsk,
-    order_phase::OrderPhase,
-    order_record::OrderRecord,
-    order_slot::OrderSlot,
-    order_state::OrderState,
     orderer_phase::OrdererPhase,
     pick::Pick,
-    placement_view::PlacementView,
     prefix_hints::PrefixHints,
     prober::Prober,
     readiness::Readiness,
@@ -52,8 +37,6 @@
     region_contact::millis,
     region_contacts::RegionContacts,
     rendezvous::Rendezvous,
-    replica_log::ReplicaLog,
-    replica_progress::ReplicaProgress,
     route_refusal::RouteRefusal,
     run_ask::RunAsk,
     run_report::RunReport,
@@ -86,13 +69,7 @@
 pub use {
     accepted_change::AcceptedChange,
     admission::Admission,
-    allowance::Allowance,
-    allowance_action::AllowanceAction,
-    allowance_item::AllowanceItem,
-    allowance_message::AllowanceMessage,
-    allowance_output::AllowanceOutput,
-    allowance_part::{AllowancePart, MicroTokens},
-    allowance_status::AllowanceStatus,
+    allowance::*,
     append_outcome::AppendOutcome,
     ask_id::AskId,
     body_hash::BodyHash,
@@ -109,12 +86,7 @@
     connection_fate::ConnectionFate,
     deadline::Deadline,
     dispatch_end::DispatchEnd,
-    document::Document,
-    document_cursor::DocumentCursor,
-    document_entry::DocumentEntry,
-    document_fault::DocumentFault,
-    document_part::DocumentPart,
-    document_section::DocumentSection,
+    document::*,
     drain_status::DrainStatus,
     durable_state::DurableState,
     engine_view::EngineView,
@@ -125,12 +97,7 @@
     feed_input::FeedInput,
     feed_message::FeedMessage,
     feed_output::FeedOutput,
-    fence_command::FenceCommand,
-    fence_grant::FenceGrant,
-    fence_holder::FenceHolder,
-    fence_outcome::FenceOutcome,
-    fence_permit::FencePermit,
-    fence_registry::FenceRegistry,
+    fence::*,
     gateway::*,
     group_member_status::GroupMemberStatus,
     group_status::GroupStatus,
@@ -154,67 +121,32 @@
     log_snapshot::LogSnapshot,
     member_change::MemberChange,
     member_id::MemberId,
-    membership::Membership,
-    membership_body::MembershipBody,
-    membership_message::MembershipMessage,
-    membership_output::MembershipOutput,
-    membership_update::MembershipUpdate,
+    membership::*,
     model_needs::ModelNeeds,
     model_replica::ModelReplica,
     operator_error::OperatorError,
     operator_path::*,
     operator_status::OperatorStatus,
-    order_action::OrderAction,
-    order_answer::OrderAnswer,
-    order_command::OrderCommand,
-    order_dispatch::OrderDispatch,
-    order_holder::OrderHolder,
-    order_holders::OrderHolders,
-    order_id::OrderId,
-    order_journal::OrderJournal,
-    order_key_fault::OrderKeyFault,
-    order_key_parts::OrderKeyParts,
-    order_limits::OrderLimits,
-    order_outcome::OrderOutcome,
-    order_region::order_region,
-    order_reply::OrderReply,
-    order_request::OrderRequest,
-    order_stale::OrderStale,
+    order::*,
     orderer::Orderer,
     orderer_fault::OrdererFault,
     orderer_times::OrdererTimes,
     permit::Permit,
     place::Place,
-    placement::Placement,
-    placement_action::PlacementAction,
-    placement_order::PlacementOrder,
-    placement_reason::PlacementReason,
-    placement_settings::PlacementSettings,
+    placement::*,
     preset::Preset,
     preset_name::PresetName,
     presets::Presets,
     priority::Priority,
     proposal_fault::ProposalFault,
-    quarantine::Quarantine,
-    quarantine_message::QuarantineMessage,
-    quarantine_send::QuarantineSend,
-    quarantine_step::{PermitAnswer, QuarantineStep},
-    quarantine_verdict::QuarantineVerdict,
+    quarantine::*,
     queue_entry::QueueEntry,
     queue_outcome::QueueOutcome,
     refusal::Refusal,
     refusal_code::RefusalCode,
     region::Region,
     region_contact::RegionContact,
-    replica::Replica,
-    replica_config::ReplicaConfig,
-    replica_ids::*,
-    replica_input::ReplicaInput,
-    replica_message::ReplicaMessage,
-    replica_message_body::ReplicaMessageBody,
-    replica_output::ReplicaOutput,
-    replica_role::ReplicaRole,
-    replica_status::ReplicaStatus,
+    replica::*,
     reservation::Reservation,
     resumption::Resumption,
     retry_budget::RetryBudget,
@@ -259,23 +191,6 @@
 mod accepted_change;
 mod admission;
 mod allowance;
-mod allowance_action;
-mod allowance_configure;
-mod allowance_cx;
-mod allowance_fleet;
-mod allowance_item;
-mod allowance_lender;
-mod allowance_message;
-mod allowance_output;
-mod allowance_part;
-mod allowance_plan;
-mod allowance_route;
-mod allowance_share;
-mod allowance_share_borrow;
-mod allowance_share_lend;
-mod allowance_share_timer;
-mod allowance_status;
-mod allowance_ticket;
 mod append_outcome;
 mod ask_id;
 mod ask_round;
@@ -300,14 +215,6 @@
 mod demand_meter;
 mod dispatch_end;
 mod document;
-mod document_change;
-mod document_copy;
-mod document_cursor;
-mod document_entry;
-mod document_fault;
-mod document_part;
-mod document_parts;
-mod document_section;
 mod drain_status;
 mod durable_state;
 mod encoded_weight;
@@ -321,12 +228,7 @@
 mod feed_message;
 mod feed_output;
 mod feed_peers;
-mod fence_command;
-mod fence_grant;
-mod fence_holder;
-mod fence_outcome;
-mod fence_permit;
-mod fence_registry;
+mod fence;
 mod fleet;
 mod fleet_share;
 mod gateway;
@@ -357,12 +259,6 @@
 mod member_change;
 mod member_id;
 mod membership;
-mod membership_body;
-mod membership_message;
-mod membership_output;
-mod membership_update;
-mod membership_updates;
-mod membership_view;
 mod model_count;
 mod model_needs;
 mod model_replica;
@@ -372,26 +268,7 @@
 mod operator_error;
 mod operator_path;
 mod operator_status;
-mod order_action;
-mod order_answer;
-mod order_command;
-mod order_dispatch;
-mod order_holder;
-mod order_holders;
-mod order_id;
-mod order_journal;
-mod order_key_fault;
-mod order_key_parts;
-mod order_limits;
-mod order_outcome;
-mod order_phase;
-mod order_record;
-mod order_region;
-mod order_reply;
-mod order_request;
-mod order_slot;
-mod order_stale;
-mod order_state;
+mod order;
 mod orderer;
 mod orderer_fault;
 mod orderer_phase;
@@ -400,11 +277,6 @@
 mod pick;
 mod place;
 mod placement;
-mod placement_action;
-mod placement_order;
-mod placement_reason;
-mod placement_settings;
-mod placement_view;
 mod prefix_hints;
 mod preset;
 mod preset_name;
@@ -413,10 +285,6 @@
 mod prober;
 mod proposal_fault;
 mod quarantine;
-mod quarantine_message;
-mod quarantine_send;
-mod quarantine_step;
-mod quarantine_verdict;
 mod queue_entry;
 mod queue_outcome;
 mod readiness;
@@ -428,20 +296,6 @@
 mod region_contacts;
 mod rendezvous;
 mod replica;
-mod replica_config;
-mod replica_election;
-mod replica_follower;
-mod replica_ids;
-mod replica_input;
-mod replica_leader;
-mod replica_log;
-mod replica_members;
-mod replica_message;
-mod replica_message_body;
-mod replica_output;
-mod replica_progress;
-mod replica_role;
-mod replica_status;
 mod reservation;
 mod resumption;
 mod retry_budget;
--- /dev/null
+++ b/crates/ebonystand-core/src/order/mod.rs
@@ -0,0 +1,38 @@
+//! Once-only orders: their journal, their grants and what callers are told.
+
+use super::*;
+
+pub use {
+    order_action::OrderAction, order_answer::OrderAnswer, order_command::OrderCommand,
+    order_dispatch::OrderDispatch, order_holder::OrderHolder, order_holders::OrderHolders,
+    order_id::OrderId, order_journal::OrderJournal, order_key_fault::OrderKeyFault,
+    order_key_parts::OrderKeyParts, order_limits::OrderLimits, order_outcome::OrderOutcome,
+    order_region::order_region, order_reply::OrderReply, order_request::OrderRequest,
+    order_stale::OrderStale,
+};
+
+pub(crate) use {
+    order_phase::OrderPhase, order_record::OrderRecord, order_slot::OrderSlot,
+    order_state::OrderState,
+};
+
+mod order_action;
+mod order_answer;
+mod order_command;
+mod order_dispatch;
+mod order_holder;
+mod order_holders;
+mod order_id;
+mod order_journal;
+mod order_key_fault;
+mod order_key_parts;
+mod order_limits;
+mod order_outcome;
+mod order_phase;
+mod order_record;
+mod order_region;
+mod order_reply;
+mod order_request;
+mod order_slot;
+mod order_stale;
+mod order_state;
--- /dev/null
+++ b/crates/ebonystand-core/src/placement/mod.rs
@@ -0,0 +1,17 @@
+//! Which engine loads which model.
+
+use super::*;
+
+pub use {
+    placement_action::PlacementAction, placement_order::PlacementOrder,
+    placement_reason::PlacementReason, placement_settings::PlacementSettings, state::Placement,
+};
+
+pub(crate) use placement_view::PlacementView;
+
+mod placement_action;
+mod placement_order;
+mod placement_reason;
+mod placement_settings;
+mod placement_view;
+mod state;
