Let one VM of a region read the list of upstreams for all

Ruled out: gossip of the list, which lags by seconds. Change: the first VM of a region by name reads it and passes it on, a hash where it has not changed; one that hears nothing for three turns reads it itself.

--- a/crates/ebonystand-core/src/gateway/listed_upstream.rs
+++ b/crates/ebonystand-core/src/gateway/listed_upstream.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// An upstream as a list of running servers has it. The list lags behind what runs.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ListedUpstream {
     /// Where it listens.
     pub address: SocketAddr,
--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -15,6 +15,7 @@
     gateway_service::GatewayService,
     gateway_workspace::GatewayWorkspace,
     holder_plan::HolderPlan,
+    list_reader::ListReader,
     listed_upstream::ListedUpstream,
     next_step::NextStep,
     prompt::{Prompt, PromptPart},
@@ -46,6 +47,7 @@
 mod gateway_workspace;
 mod holder_plan;
 mod known_upstream;
+mod list_reader;
 mod listed_upstream;
 mod next_step;
 mod prefix_memory;
--- a/crates/ebonystand-core/tests/gateway/directory.rs
+++ b/crates/ebonystand-core/tests/gateway/directory.rs
@@ -64,3 +64,23 @@
     let vms = vms.collect::<Vec<_>>();
     assert_eq!(ports(&vms, &[]).len(), EntryChoice::LONGEST);
 }
+
+/// Three VMs of a region; the first by name reads the list for all. It goes silent, and the others
+/// read for themselves until they hear of it again.
+#[test]
+fn one_vm_of_a_region_reads_the_list_and_others_take_over_when_it_is_silent() {
+    let vms = ["1", "2", "3"].map(VmId::from);
+    let mut readers = vms.clone().map(|_| ListReader::new(ms(1_000)));
+    let reads = |readers: &[ListReader], at| {
+        let reads = readers.iter().zip(&vms);
+        let reads = reads.filter(|(reader, vm)| reader.reads(ms(at), vm, &vms));
+        reads.map(|(_, vm)| &**vm).collect::<String>()
+    };
+    assert_eq!(reads(&readers, 0), "123", "nobody has heard anything yet");
+    readers[1].heard(ms(100));
+    readers[2].heard(ms(100));
+    assert_eq!(reads(&readers, 3_000), "1");
+    assert_eq!(reads(&readers, 3_100), "123");
+    readers[2].heard(ms(3_200));
+    assert_eq!(reads(&readers, 3_300), "12");
+}
--- a/crates/ebonystand-wire/src/lib.rs
+++ b/crates/ebonystand-wire/src/lib.rs
@@ -8,8 +8,9 @@
 use {
     bytes::{Buf, BufMut, BytesMut},
     ebonystand_core::{
-        AllowanceMessage, Command, CommandOutcome, FeedMessage, Incarnation, MemberId, Prompt,
-        QuarantineMessage, RegionId, ReplicaMessage, ServiceId, Version, VmId, WorkspaceId,
+        AllowanceMessage, Command, CommandOutcome, FeedMessage, Incarnation, ListedUpstream,
+        MemberId, Prompt, QuarantineMessage, RegionId, ReplicaMessage, ServiceId, Version, VmId,
+        WorkspaceId,
     },
     hmac::{Hmac, KeyInit, Mac},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
--- a/crates/ebonystand-wire/src/peer_message.rs
+++ b/crates/ebonystand-wire/src/peer_message.rs
@@ -26,6 +26,15 @@
     Hello(Hello),
     /// Shows that the connection is alive in this direction; answered by a byte.
     Ping,
+    /// The list of upstreams as a VM of the same region has read it.
+    Listed {
+        /// Hash of the list.
+        digest: u64,
+        /// The list; absent where it has not changed.
+        upstreams: Option<Vec<ListedUpstream>>,
+    },
+    /// Asks for the list behind a digest that is not known.
+    ListWanted,
     /// What requests have to expect in the sender's region.
     Pressure {
         /// Time to the first byte of an answer, by service, in milliseconds.
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -1,8 +1,8 @@
 use super::*;
 use {
     ebonystand_core::{
-        AttemptEnd, Confirmation, ListedUpstream, Preset, RetryBudget, Retryable, RouteTable,
-        UpstreamBook, UpstreamKind, VmEntry,
+        AttemptEnd, Confirmation, ListReader, ListedUpstream, Preset, RetryBudget, Retryable,
+        RouteTable, UpstreamBook, UpstreamKind, VmEntry,
     },
     membership_controller::MembershipController,
     node::Node,
@@ -10,6 +10,7 @@
     rand_pcg::Pcg64Mcg,
     std::collections::BTreeSet,
     turns::Turns,
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Holds what serving by routes goes by, and keeps it up to date.
@@ -30,8 +31,9 @@
     suspects: RefCell<FxHashMap<VmId, Duration>>,
     table: RefCell<Rc<RouteTable>>,
     pub(crate) turns: Turns,
-    /// Whether a list of upstreams has been read.
-    listed: Cell<bool>,
+    /// The list of upstreams in force with its hash; none before the first one.
+    listed: RefCell<Option<(u64, Vec<ListedUpstream>)>>,
+    reader: RefCell<ListReader>,
     /// A preset with the share of retries of the settings.
     preset: Preset,
     needs_confirmation: bool,
@@ -78,7 +80,8 @@
             suspects: RefCell::default(),
             table: RefCell::default(),
             turns: Turns::default(),
-            listed: Cell::new(false),
+            listed: RefCell::default(),
+            reader: RefCell::new(ListReader::new(gateway.list_every)),
             preset: Preset {
                 retry_budget_permille: gateway.retry_permille * Self::RETRIES_PERMILLE / 1_000,
                 ..Preset::default()
@@ -182,7 +185,7 @@
         node.settings.gateway.serves_callers
             && self.has_routes(node)
             && self.confirmed(node.clock.now())
-            && self.listed.get()
+            && self.listed.borrow().is_some()
             && node.ready()
             && !node.draining()
     }
@@ -227,22 +230,98 @@
         }
     }
 
-    /// Reads the list of upstreams again and again until the task is dropped.
+    /// Takes over the list that another VM of the region has read, or asks for it.
+    pub(crate) fn list_heard(
+        &self,
+        node: &Rc<Node>,
+        from: &VmId,
+        digest: u64,
+        upstreams: Option<Vec<ListedUpstream>>,
+    ) {
+        let now = node.clock.now();
+        self.reader.borrow_mut().heard(now);
+        let is_known = self
+            .listed
+            .borrow()
+            .as_ref()
+            .is_some_and(|(known, _)| *known == digest);
+        match upstreams {
+            Some(upstreams) => drop(self.put_list(now, upstreams)),
+            None if is_known => {}
+            None => node.send(from, PeerMessage::ListWanted),
+        }
+    }
+
+    /// Sends the list in force to a VM that asks for it.
+    pub(crate) fn send_list(&self, node: &Node, to: &VmId) {
+        let listed = self.listed.borrow().clone();
+        if let Some((digest, upstreams)) = listed {
+            let upstreams = Some(upstreams);
+            node.send(to, PeerMessage::Listed { digest, upstreams });
+        }
+    }
+
+    /// Puts a list in force; whether it differs from the last one.
+    fn put_list(&self, now: Duration, upstreams: Vec<ListedUpstream>) -> bool {
+        let digest = xxh3_64(&postcard::to_stdvec(&upstreams).unwrap_or_default());
+        self.book.borrow_mut().list(now, upstreams.clone());
+        let before = self.listed.replace(Some((digest, upstreams)));
+        before.is_none_or(|(before, _)| before != digest)
+    }
+
+    /// Passes the list on within the region, whole if it is new.
+    fn share_list(&self, node: &Node, is_new: bool, peers: &[VmId]) {
+        let listed = self.listed.borrow();
+        let Some((digest, upstreams)) = &*listed else {
+            return;
+        };
+        for vm in peers.iter().filter(|vm| **vm != node.settings.vm) {
+            let message = PeerMessage::Listed {
+                digest: *digest,
+                upstreams: is_new.then(|| upstreams.clone()),
+            };
+            node.send(vm, message);
+        }
+    }
+
+    /// Live VMs of the region that could read the list.
+    fn readers(node: &Node) -> Vec<VmId> {
+        let live = node.membership.live(node.clock.now()).into_iter();
+        let readers = live.map(|entry| entry.record).filter(|record| {
+            record.region == node.settings.region && record.forwards.is_some() && !record.leaving
+        });
+        readers.map(|record| record.vm).collect()
+    }
+
+    /// Reads the list of upstreams again and again until the task is dropped, for all VMs of the
+    /// region where this is the one that does.
     pub(crate) async fn run_list(node: Rc<Node>) {
         let this = &node.gateway;
         let every = node.settings.gateway.list_every;
-        let mut failing = false;
+        let (mut failing, mut reading) = (false, false);
         loop {
-            match this.read_list(&node).await {
-                Ok(listed) => {
-                    if failing || !this.listed.get() {
+            let readers = Self::readers(&node);
+            let now = node.clock.now();
+            let reads = this.reader.borrow().reads(now, &node.settings.vm, &readers);
+            if reads != reading {
+                log::info!(reads = reads; "reader of the list of upstreams");
+                reading = reads;
+            }
+            let list = match reads {
+                true => Some(this.read_list(&node).await),
+                false => None,
+            };
+            match list {
+                None => {}
+                Some(Ok(listed)) => {
+                    if failing || this.listed.borrow().is_none() {
                         log::info!(upstreams = listed.len(); "list of upstreams read");
                     }
                     failing = false;
-                    this.listed.set(true);
-                    this.book.borrow_mut().list(node.clock.now(), listed);
+                    let is_new = this.put_list(node.clock.now(), listed);
+                    this.share_list(&node, is_new, &readers);
                 }
-                Err(error) => {
+                Some(Err(error)) => {
                     if !failing {
                         log::warn!(error:% = error; "list of upstreams out of reach");
                     }
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -245,6 +245,10 @@
                 let asked = Duration::from_micros(asked_us);
                 self.gateway.confirm(self, from, asked, leading, version);
             }
+            PeerMessage::Listed { digest, upstreams } => {
+                self.gateway.list_heard(self, from, digest, upstreams);
+            }
+            PeerMessage::ListWanted => self.gateway.send_list(self, from),
             PeerMessage::Pressure {
                 first_byte_ms,
                 region,
