Write what has come before a broken answer ends its caller's connection; split the gateway's large files

Change: a pause of 20 ms before the error. Files: the admitted request and the list of upstreams have files of their own; latencies of routes are counted in the metrics.

--- /dev/null
+++ b/crates/ebonystand/src/gateway/admitted.rs
@@ -0,0 +1,272 @@
+use super::*;
+use {
+    allowance_controller::Reserved,
+    call::{Call, Outcome},
+    ebonystand_core::{AttemptEnd, CallKind, Choice, GatewayRoute, NextStep},
+    in_flight::InFlight,
+    node::Node,
+    relay::Held,
+    serve_call::{UNCONFIRMED_RETRY, unconfirmed},
+};
+
+/// A request that passed the filters.
+pub(crate) struct Admitted {
+    pub(crate) call: Call,
+    pub(crate) in_flight: InFlight,
+    pub(crate) key: Option<KeyHash>,
+    /// No upstream can have run it so far.
+    pub(crate) not_run: bool,
+    pub(crate) reserved: Option<Reserved>,
+    pub(crate) route: GatewayRoute,
+    pub(crate) tokens: Tokens,
+    pub(crate) tried: u32,
+}
+
+impl Admitted {
+    /// Part of its aim, in permille, for which a request waits for room.
+    const PATIENCE_PERMILLE: u32 = 250;
+
+    pub(crate) async fn run(mut self, node: &Rc<Node>) -> Result<Response<BoxBody>, Refusal> {
+        loop {
+            let left = self.call.left(node);
+            if left.is_zero() {
+                return Err(self.refusal(RefusalCode::Deadline, "its time is over"));
+            }
+            self.check_key(node)?;
+            let mut reachable = node.gateway.reachable(node);
+            reachable.retain(|region| !self.call.full_regions.contains(region));
+            let choice = self.call.choose(node, &reachable);
+            let wait = self.wait(left);
+            let (outcome, instance) = match choice {
+                Choice::Nowhere {
+                    because,
+                    retry_after,
+                } => {
+                    let message = format!(
+                        "no upstream of {} can serve it: {because}; regions to send to: {}",
+                        self.call.service,
+                        reachable.len()
+                    );
+                    let refusal = self.refusal(RefusalCode::NoUpstream, &message);
+                    return Err(refusal.with_retry_after(retry_after));
+                }
+                Choice::Full { predicted } => {
+                    if self.wait_for_room(node).await {
+                        continue;
+                    }
+                    let refusal = self.refusal(
+                        RefusalCode::Overloaded,
+                        "all upstreams have as much as they can begin in time",
+                    );
+                    return Err(refusal.with_retry_after(self.come_back_after(node, predicted)));
+                }
+                Choice::Here {
+                    address,
+                    candidates,
+                    instance,
+                    is_sound,
+                    predicted,
+                    report_age,
+                    unread,
+                } => {
+                    log::info!(
+                        request:% = self.call.request, route:% = self.route.name,
+                        workspace:? = self.call.workspace, upstream:% = instance,
+                        candidates = candidates, sound = is_sound, unread = unread,
+                        predicted_ms = predicted.as_millis() as u64,
+                        report_age_ms:? = report_age.map(|age| age.as_millis() as u64),
+                        left_ms = left.as_millis() as u64, tried = self.tried;
+                        "sent"
+                    );
+                    self.count_use();
+                    let outcome = self.call.send_here(node, address, &instance, unread, wait);
+                    (outcome.await, Some(instance))
+                }
+                Choice::Away {
+                    here,
+                    predicted,
+                    region,
+                } => {
+                    log::info!(
+                        request:% = self.call.request, route:% = self.route.name,
+                        workspace:? = self.call.workspace, region:% = region,
+                        here_ms:? = here.map(|here| here.as_millis() as u64),
+                        predicted_ms = predicted.as_millis() as u64,
+                        left_ms = left.as_millis() as u64, tried = self.tried;
+                        "sent away"
+                    );
+                    node.metrics.sent_away.inc();
+                    self.count_use();
+                    let outcome = forward::send(node, &self.call, &region, wait).await;
+                    if matches!(
+                        &outcome,
+                        Outcome::Ended {
+                            end: AttemptEnd::Unreachable,
+                            ..
+                        }
+                    ) {
+                        self.call.full_regions.insert(region);
+                    }
+                    (outcome, None)
+                }
+            };
+            match outcome {
+                Outcome::Answered(answered) => match self.answer(node, *answered).await {
+                    Ok(response) => return Ok(response),
+                    Err((end, admitted)) => {
+                        self = *admitted;
+                        self.next(node, end, None, None, instance)?;
+                    }
+                },
+                Outcome::Ended {
+                    answer,
+                    end,
+                    retry_after,
+                } => {
+                    if let Some(answer) = self.next(node, end, answer, retry_after, instance)? {
+                        return Ok(answer);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Makes the answer of what an upstream sends: a stream as it comes, anything else once it is
+    /// whole, since an idempotent call whose answer breaks off can still be tried elsewhere.
+    async fn answer(
+        mut self,
+        node: &Rc<Node>,
+        answered: call::Answered,
+    ) -> Result<Response<BoxBody>, (AttemptEnd, Box<Self>)> {
+        let call::Answered {
+            headers,
+            mut relay,
+            status,
+        } = answered;
+        relay.observe_for(self.call.workspace.clone());
+        if self.route.kind == CallKind::Stream {
+            relay.hold(Held::new(self.in_flight, self.reserved.take()));
+            let body = BodyStream::new(Box::pin(relay.into_stream()));
+            let mut response = Response::new(status).set_body(body).map_into_boxed_body();
+            *response.headers_mut() = headers;
+            return Ok(response);
+        }
+        match relay.read_whole(node.settings.limits.body_bytes).await {
+            Ok(body) => Ok(call::whole(status, &headers, body)),
+            Err(end) => Err((end, Box::new(self))),
+        }
+    }
+
+    /// Looks at the key again: it may have been taken away while the request waited.
+    fn check_key(&self, node: &Node) -> Result<(), Refusal> {
+        if self.route.public {
+            return Ok(());
+        }
+        if !node.gateway.confirmed(node.clock.now()) {
+            return Err(self.refused(unconfirmed()));
+        }
+        let table = node.gateway.table();
+        let workspace = self.key.as_ref().and_then(|key| table.workspace(key));
+        if workspace.map(|workspace| &workspace.name) == self.call.workspace.as_ref() {
+            return Ok(());
+        }
+        Err(self.refusal(
+            RefusalCode::Unauthorized,
+            "the key was taken away while the request waited",
+        ))
+    }
+
+    /// Waits until an upstream has room; whether one may have. A request that would begin too late
+    /// for its aim is given up early, while its caller has time to come back.
+    async fn wait_for_room(&self, node: &Rc<Node>) -> bool {
+        let since = node.clock.now().saturating_sub(self.call.arrived);
+        let patience = (self.call.aim * Self::PATIENCE_PERMILLE / 1_000).saturating_sub(since);
+        if patience.is_zero() {
+            return false;
+        }
+        let prompt = self.call.prompt.as_ref();
+        let work = prompt.map_or(1, |prompt| prompt.input - prompt.shared_tokens());
+        let (rank, service) = (self.call.rank, &self.call.service);
+        turns::Turns::wait(node, service, rank, prompt.is_some(), work, patience).await
+    }
+
+    /// When a caller for whom there is no room is asked to come back: once what is ahead of it is
+    /// done, and not all at once.
+    fn come_back_after(&self, node: &Node, predicted: Duration) -> Duration {
+        let spread = node.gateway.draw() % 1_000;
+        let spread = self.call.aim * u32::try_from(spread).unwrap_or_default() / 1_000;
+        predicted.min(self.call.aim) + spread
+    }
+
+    fn count_use(&mut self) {
+        if let Some(reserved) = &mut self.reserved {
+            reserved.use_up(self.tokens);
+        }
+    }
+
+    /// Decides what follows an attempt that gave the caller nothing; `Ok(None)` for another try.
+    fn next(
+        &mut self,
+        node: &Node,
+        end: AttemptEnd,
+        answer: Option<Response<BoxBody>>,
+        retry_after: Option<Duration>,
+        instance: Option<UpstreamId>,
+    ) -> Result<Option<Response<BoxBody>>, Refusal> {
+        let now = node.clock.now();
+        self.tried += u32::from(end.is_attempt());
+        self.not_run &= end.not_run();
+        if self.not_run
+            && let Some(reserved) = &mut self.reserved
+        {
+            reserved.use_up(0);
+        }
+        self.call.excluded.extend(instance);
+        let budget = || node.gateway.may_retry(now, &self.call.service, end);
+        let step = NextStep::after(&self.route, end, self.tried, self.not_run, budget);
+        log::info!(
+            request:% = self.call.request, end:? = end, tried = self.tried,
+            attempts = self.route.attempts, not_run = self.not_run, step:? = step;
+            "attempt ended"
+        );
+        if step == NextStep::Retry {
+            node.metrics.retries.inc();
+            return Ok(None);
+        }
+        if answer.is_some() {
+            return Ok(answer);
+        }
+        let refusal = match end {
+            AttemptEnd::TimedOut => self.refusal(RefusalCode::Deadline, "no answer came in time"),
+            _ if self.not_run => self.refusal(RefusalCode::Overloaded, "the upstream is full"),
+            _ => self.refusal(RefusalCode::UpstreamFailed, "the upstream broke off"),
+        };
+        let delay = retry_after.unwrap_or(UNCONFIRMED_RETRY);
+        Err(refusal.with_retry_after(delay))
+    }
+
+    /// A refusal that says whether the request can have run.
+    fn refusal(&self, code: RefusalCode, message: &str) -> Refusal {
+        self.refused(Refusal::not_run(code, message))
+    }
+
+    fn refused(&self, mut refusal: Refusal) -> Refusal {
+        if !self.not_run {
+            refusal.run = RunState::Unknown;
+            if refusal.code != RefusalCode::Deadline {
+                refusal.code = RefusalCode::UpstreamFailed;
+            }
+        }
+        refusal
+    }
+
+    /// Time to wait for the first bytes. Where the request can be tried once more, half of what is
+    /// left: a silent upstream then costs half of the time and not the answer.
+    fn wait(&self, left: Duration) -> Duration {
+        let has_tries = self.route.repeatable() && self.tried + 1 < self.route.attempts;
+        match has_tries {
+            true => (left / 2).max(self.call.aim).min(left),
+            false => left,
+        }
+    }
+}
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -1,16 +1,15 @@
 use super::*;
 use {
     ebonystand_core::{
-        AttemptEnd, Confirmation, ListReader, ListedUpstream, Preset, RetryBudget, Retryable,
-        RouteTable, UpstreamBook, UpstreamKind, VmEntry,
+        AttemptEnd, Confirmation, Preset, RetryBudget, Retryable, RouteTable, UpstreamBook, VmEntry,
     },
+    list_controller::ListController,
     membership_controller::MembershipController,
     node::Node,
     rand::{RngExt as _, SeedableRng as _},
     rand_pcg::Pcg64Mcg,
     std::collections::BTreeSet,
     turns::Turns,
-    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Holds what serving by routes goes by, and keeps it up to date.
@@ -23,17 +22,14 @@
     evacuated: RefCell<BTreeSet<ZoneId>>,
     leader: RefCell<Option<VmId>>,
     leader_changed: tokio::sync::Notify,
+    pub(crate) list: ListController,
     pub(crate) pool: ConnectionPool,
     /// By service: those of one must not be paid by the requests of another.
     retries: RefCell<FxHashMap<Box<str>, RetryBudget>>,
     rng: RefCell<Pcg64Mcg>,
-    source: Option<Rc<dyn UpstreamSource>>,
     suspects: RefCell<FxHashMap<VmId, Duration>>,
     table: RefCell<Rc<RouteTable>>,
     pub(crate) turns: Turns,
-    /// The list of upstreams in force with its hash; none before the first one.
-    listed: RefCell<Option<(u64, Vec<ListedUpstream>)>>,
-    reader: RefCell<ListReader>,
     /// A preset with the share of retries of the settings.
     preset: Preset,
     needs_confirmation: bool,
@@ -73,15 +69,13 @@
             evacuated: RefCell::default(),
             leader: RefCell::default(),
             leader_changed: tokio::sync::Notify::new(),
+            list: ListController::new(source, gateway.list_every),
             pool: ConnectionPool::default(),
             retries: RefCell::default(),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
-            source,
             suspects: RefCell::default(),
             table: RefCell::default(),
             turns: Turns::default(),
-            listed: RefCell::default(),
-            reader: RefCell::new(ListReader::new(gateway.list_every)),
             preset: Preset {
                 retry_budget_permille: gateway.retry_permille * Self::RETRIES_PERMILLE / 1_000,
                 ..Preset::default()
@@ -141,6 +135,11 @@
         self.rng.borrow_mut().random()
     }
 
+    /// A factor that spreads what VMs that started together would otherwise do together for ever.
+    pub(crate) fn jitter(&self) -> f64 {
+        self.rng.borrow_mut().random_range(0.8..1.2)
+    }
+
     /// A VM of a region that takes forwarded requests.
     pub(crate) fn forwarder(&self, node: &Node, region: &str) -> Option<(VmId, SocketAddr)> {
         let live = self.forwarders(node);
@@ -185,7 +184,7 @@
         node.settings.gateway.serves_callers
             && self.has_routes(node)
             && self.confirmed(node.clock.now())
-            && self.listed.borrow().is_some()
+            && self.list.is_known()
             && node.ready()
             && !node.draining()
     }
@@ -230,111 +229,6 @@
         }
     }
 
-    /// Takes over the list that another VM of the region has read, or asks for it.
-    pub(crate) fn list_heard(
-        &self,
-        node: &Rc<Node>,
-        from: &VmId,
-        digest: u64,
-        upstreams: Option<Vec<ListedUpstream>>,
-    ) {
-        let now = node.clock.now();
-        self.reader.borrow_mut().heard(now);
-        let is_known = self
-            .listed
-            .borrow()
-            .as_ref()
-            .is_some_and(|(known, _)| *known == digest);
-        match upstreams {
-            Some(upstreams) => drop(self.put_list(now, upstreams)),
-            None if is_known => {}
-            None => node.send(from, PeerMessage::ListWanted),
-        }
-    }
-
-    /// Sends the list in force to a VM that asks for it.
-    pub(crate) fn send_list(&self, node: &Node, to: &VmId) {
-        let listed = self.listed.borrow().clone();
-        if let Some((digest, upstreams)) = listed {
-            let upstreams = Some(upstreams);
-            node.send(to, PeerMessage::Listed { digest, upstreams });
-        }
-    }
-
-    /// Puts a list in force; whether it differs from the last one.
-    fn put_list(&self, now: Duration, upstreams: Vec<ListedUpstream>) -> bool {
-        let digest = xxh3_64(&postcard::to_stdvec(&upstreams).unwrap_or_default());
-        self.book.borrow_mut().list(now, upstreams.clone());
-        let before = self.listed.replace(Some((digest, upstreams)));
-        before.is_none_or(|(before, _)| before != digest)
-    }
-
-    /// Passes the list on within the region, whole if it is new.
-    fn share_list(&self, node: &Node, is_new: bool, peers: &[VmId]) {
-        let listed = self.listed.borrow();
-        let Some((digest, upstreams)) = &*listed else {
-            return;
-        };
-        for vm in peers.iter().filter(|vm| **vm != node.settings.vm) {
-            let message = PeerMessage::Listed {
-                digest: *digest,
-                upstreams: is_new.then(|| upstreams.clone()),
-            };
-            node.send(vm, message);
-        }
-    }
-
-    /// Live VMs of the region that could read the list.
-    fn readers(node: &Node) -> Vec<VmId> {
-        let live = node.membership.live(node.clock.now()).into_iter();
-        let readers = live.map(|entry| entry.record).filter(|record| {
-            record.region == node.settings.region && record.forwards.is_some() && !record.leaving
-        });
-        readers.map(|record| record.vm).collect()
-    }
-
-    /// Reads the list of upstreams again and again until the task is dropped, for all VMs of the
-    /// region where this is the one that does.
-    pub(crate) async fn run_list(node: Rc<Node>) {
-        let this = &node.gateway;
-        let every = node.settings.gateway.list_every;
-        let (mut failing, mut reading) = (false, false);
-        loop {
-            let readers = Self::readers(&node);
-            let now = node.clock.now();
-            let reads = this.reader.borrow().reads(now, &node.settings.vm, &readers);
-            if reads != reading {
-                log::info!(reads = reads; "reader of the list of upstreams");
-                reading = reads;
-            }
-            let list = match reads {
-                true => Some(this.read_list(&node).await),
-                false => None,
-            };
-            match list {
-                None => {}
-                Some(Ok(listed)) => {
-                    if failing || this.listed.borrow().is_none() {
-                        log::info!(upstreams = listed.len(); "list of upstreams read");
-                    }
-                    failing = false;
-                    let is_new = this.put_list(node.clock.now(), listed);
-                    this.share_list(&node, is_new, &readers);
-                }
-                Some(Err(error)) => {
-                    if !failing {
-                        log::warn!(error:% = error; "list of upstreams out of reach");
-                    }
-                    failing = true;
-                }
-            }
-            this.pool.prune(node.clock.now());
-            // Spread, so that the VMs that started together do not ask together for ever.
-            let part = this.rng.borrow_mut().random_range(0.8..1.2);
-            actix_rt::time::sleep(every.mul_f64(part)).await;
-        }
-    }
-
     /// Tells other regions what requests have to expect here, and all VMs whether callers may be
     /// sent here, until the task is dropped.
     pub(crate) async fn run_pressure(node: Rc<Node>) {
@@ -410,36 +304,6 @@
         usable.map(|(_, forwarder)| forwarder.clone()).collect()
     }
 
-    async fn read_list(&self, node: &Rc<Node>) -> Result<Vec<ListedUpstream>, FetchError> {
-        let Some(source) = &self.source else {
-            return Ok(Self::configured(&node.document()));
-        };
-        let fetch = Fetch {
-            node: Rc::clone(node),
-        };
-        source.list(&fetch).await
-    }
-
-    /// The upstreams that the configuration itself names.
-    fn configured(document: &Document) -> Vec<ListedUpstream> {
-        let upstreams = document.upstreams.iter();
-        let listed = upstreams.filter_map(|(id, upstream)| {
-            let UpstreamKind::Service { service } = &upstream.kind else {
-                return None;
-            };
-            Some(ListedUpstream {
-                address: upstream.address,
-                cold_for: Duration::ZERO,
-                instance: id.clone(),
-                leaving: upstream.leaving,
-                service: service.clone(),
-                slots: u32::try_from(upstream.speed).unwrap_or(u32::MAX),
-                zone: upstream.zone.clone(),
-            })
-        });
-        listed.collect()
-    }
-
     fn tell_pressure(node: &Rc<Node>) {
         let this = &node.gateway;
         let now = node.clock.now();
--- /dev/null
+++ b/crates/ebonystand/src/gateway/list_controller.rs
@@ -0,0 +1,176 @@
+use super::*;
+use {
+    ebonystand_core::{ListReader, ListedUpstream, UpstreamKind},
+    node::Node,
+    xxhash_rust::xxh3::xxh3_64,
+};
+
+/// Holds the list of upstreams, reads it or hears it from the VM of the region that does.
+pub(crate) struct ListController {
+    /// The list in force with its hash; none before the first one.
+    listed: RefCell<Option<(u64, Vec<ListedUpstream>)>>,
+    reader: RefCell<ListReader>,
+    source: Option<Rc<dyn UpstreamSource>>,
+}
+
+impl ListController {
+    pub(crate) fn new(source: Option<Rc<dyn UpstreamSource>>, every: Duration) -> Self {
+        Self {
+            listed: RefCell::default(),
+            reader: RefCell::new(ListReader::new(every)),
+            source,
+        }
+    }
+
+    /// Whether there is a list.
+    pub(crate) fn is_known(&self) -> bool {
+        self.listed.borrow().is_some()
+    }
+
+    /// Takes over the list that another VM of the region has read, or asks for it.
+    pub(crate) fn heard(
+        &self,
+        node: &Rc<Node>,
+        from: &VmId,
+        digest: u64,
+        upstreams: Option<Vec<ListedUpstream>>,
+    ) {
+        let now = node.clock.now();
+        self.reader.borrow_mut().heard(now);
+        let is_known = self
+            .listed
+            .borrow()
+            .as_ref()
+            .is_some_and(|(known, _)| *known == digest);
+        match upstreams {
+            Some(upstreams) => drop(self.put(node, upstreams)),
+            None if is_known => {}
+            None => node.send(from, PeerMessage::ListWanted),
+        }
+    }
+
+    /// Sends the list in force to a VM that asks for it.
+    pub(crate) fn send(&self, node: &Node, to: &VmId) {
+        let listed = self.listed.borrow().clone();
+        if let Some((digest, upstreams)) = listed {
+            let upstreams = Some(upstreams);
+            node.send(to, PeerMessage::Listed { digest, upstreams });
+        }
+    }
+
+    /// Puts a list in force; whether it differs from the last one.
+    fn put(&self, node: &Node, upstreams: Vec<ListedUpstream>) -> bool {
+        let digest = digest(&upstreams);
+        let now = node.clock.now();
+        let mut book = node.gateway.book.borrow_mut();
+        book.list(now, upstreams.clone());
+        let before = self.listed.replace(Some((digest, upstreams)));
+        before.is_none_or(|(before, _)| before != digest)
+    }
+
+    /// Passes the list on within the region, whole if it is new.
+    fn share(&self, node: &Node, is_new: bool, peers: &[VmId]) {
+        let listed = self.listed.borrow();
+        let Some((digest, upstreams)) = &*listed else {
+            return;
+        };
+        for vm in peers.iter().filter(|vm| **vm != node.settings.vm) {
+            let message = PeerMessage::Listed {
+                digest: *digest,
+                upstreams: is_new.then(|| upstreams.clone()),
+            };
+            node.send(vm, message);
+        }
+    }
+
+    /// Live VMs of the region that could read the list.
+    fn readers(node: &Node) -> Vec<VmId> {
+        let live = node.membership.live(node.clock.now()).into_iter();
+        let readers = live.map(|entry| entry.record).filter(|record| {
+            record.region == node.settings.region && record.forwards.is_some() && !record.leaving
+        });
+        readers.map(|record| record.vm).collect()
+    }
+
+    /// Reads the list of upstreams again and again until the task is dropped, for all VMs of the
+    /// region where this is the one that does.
+    pub(crate) async fn run(node: Rc<Node>) {
+        let this = &node.gateway.list;
+        let every = node.settings.gateway.list_every;
+        let (mut failing, mut reading) = (false, false);
+        loop {
+            let readers = Self::readers(&node);
+            let now = node.clock.now();
+            let reads = this.reader.borrow().reads(now, &node.settings.vm, &readers);
+            if reads != reading {
+                log::info!(reads = reads; "reader of the list of upstreams");
+                reading = reads;
+            }
+            let list = match reads {
+                true => Some(this.read(&node).await),
+                false => None,
+            };
+            match list {
+                None => {}
+                Some(Ok(listed)) => {
+                    if failing || this.listed.borrow().is_none() {
+                        log::info!(upstreams = listed.len(); "list of upstreams read");
+                    }
+                    failing = false;
+                    let is_new = this.put(&node, listed);
+                    this.share(&node, is_new, &readers);
+                }
+                Some(Err(error)) => {
+                    if !failing {
+                        log::warn!(error:% = error; "list of upstreams out of reach");
+                    }
+                    failing = true;
+                }
+            }
+            node.gateway.pool.prune(node.clock.now());
+            // Spread, so that the VMs that started together do not ask together for ever.
+            let part = node.gateway.jitter();
+            actix_rt::time::sleep(every.mul_f64(part)).await;
+        }
+    }
+
+    async fn read(&self, node: &Rc<Node>) -> Result<Vec<ListedUpstream>, FetchError> {
+        let Some(source) = &self.source else {
+            return Ok(Self::configured(&node.document()));
+        };
+        let fetch = Fetch {
+            node: Rc::clone(node),
+        };
+        source.list(&fetch).await
+    }
+
+    /// The upstreams that the configuration itself names.
+    fn configured(document: &Document) -> Vec<ListedUpstream> {
+        let upstreams = document.upstreams.iter();
+        let listed = upstreams.filter_map(|(id, upstream)| {
+            let UpstreamKind::Service { service } = &upstream.kind else {
+                return None;
+            };
+            Some(ListedUpstream {
+                address: upstream.address,
+                cold_for: Duration::ZERO,
+                instance: id.clone(),
+                leaving: upstream.leaving,
+                service: service.clone(),
+                slots: u32::try_from(upstream.speed).unwrap_or(u32::MAX),
+                zone: upstream.zone.clone(),
+            })
+        });
+        listed.collect()
+    }
+}
+
+fn digest(upstreams: &[ListedUpstream]) -> u64 {
+    match postcard::to_stdvec(upstreams) {
+        Ok(bytes) => xxh3_64(&bytes),
+        Err(error) => {
+            log::error!(error:% = error; "the list of upstreams cannot be encoded");
+            0
+        }
+    }
+}
--- a/crates/ebonystand/src/gateway/mod.rs
+++ b/crates/ebonystand/src/gateway/mod.rs
@@ -18,13 +18,14 @@
     upstream_source::UpstreamSource,
 };
 
-pub(crate) use controller::GatewayController;
+pub(crate) use {controller::GatewayController, list_controller::ListController};
 
 use {
     connection::{Answering, Connection},
     connection_pool::ConnectionPool,
 };
 
+mod admitted;
 mod answer_marks;
 mod attempt;
 mod call;
@@ -38,6 +39,7 @@
 mod forward;
 mod gateway_handle;
 mod headers;
+mod list_controller;
 mod native_dialect;
 mod outgoing_call;
 pub(crate) mod receive_forward;
--- a/crates/ebonystand/src/gateway/relay.rs
+++ b/crates/ebonystand/src/gateway/relay.rs
@@ -23,6 +23,8 @@
     node: Rc<Node>,
     request: Box<str>,
     started: Duration,
+    /// Workspace whose latencies this answer counts among; none on a VM that it passes on its way.
+    workspace: Option<WorkspaceId>,
     bytes: u64,
 }
 
@@ -52,6 +54,11 @@
 }
 
 impl Relay {
+    /// Time between the last bytes of an answer that breaks off and the end of its caller's
+    /// connection. The server throws away what it has not yet written when a body ends in an error;
+    /// without the pause a caller would lose events, or the whole head, that had come.
+    const LAST_BYTES: Duration = Duration::from_millis(20);
+
     /// Waits for the first bytes of the body; from then on the answer cannot be taken back.
     pub(crate) async fn start(
         node: &Rc<Node>,
@@ -85,6 +92,7 @@
             node: Rc::clone(node),
             request: call.request.clone(),
             started: call.arrived,
+            workspace: None,
         })
     }
 
@@ -102,6 +110,16 @@
         }
     }
 
+    /// Counts this answer's latencies among those of a workspace.
+    pub(crate) fn observe_for(&mut self, workspace: Option<WorkspaceId>) {
+        let Some(id) = &workspace else { return };
+        let waited = self.node.clock.now().saturating_sub(self.started);
+        let label = self.node.metrics.workspace(id);
+        let first = self.node.metrics.first_token.get_or_create(&label);
+        first.observe(waited.as_secs_f64());
+        self.workspace = workspace;
+    }
+
     pub(crate) fn hold(&mut self, held: Held) {
         self._held = held;
     }
@@ -111,6 +129,9 @@
     pub(crate) fn into_stream(self) -> impl Stream<Item = Result<Bytes, RelayFault>> {
         stream::unfold(self, |mut relay| async move {
             let item = relay.next().await.transpose()?;
+            if item.is_err() {
+                actix_rt::time::sleep(Self::LAST_BYTES).await;
+            }
             Some((item, relay))
         })
     }
@@ -170,6 +191,12 @@
 
     fn finish(&mut self) {
         let now = self.node.clock.now();
+        if let Some(id) = &self.workspace {
+            let label = self.node.metrics.workspace(id);
+            let whole = now.saturating_sub(self.started);
+            let metrics = self.node.metrics.whole.get_or_create(&label);
+            metrics.observe(whole.as_secs_f64());
+        }
         let first_byte = self.attempt.as_ref().and_then(Attempt::first_byte);
         log::info!(
             request:% = self.request, upstream:% = self.instance, bytes = self.bytes,
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -246,9 +246,9 @@
                 self.gateway.confirm(self, from, asked, leading, version);
             }
             PeerMessage::Listed { digest, upstreams } => {
-                self.gateway.list_heard(self, from, digest, upstreams);
+                self.gateway.list.heard(self, from, digest, upstreams);
             }
-            PeerMessage::ListWanted => self.gateway.send_list(self, from),
+            PeerMessage::ListWanted => self.gateway.list.send(self, from),
             PeerMessage::Pressure {
                 first_byte_ms,
                 region,
--- a/crates/ebonystand/src/serve.rs
+++ b/crates/ebonystand/src/serve.rs
@@ -5,7 +5,7 @@
     allowance_controller::AllowanceController,
     clock::Clock,
     ebonystand_core::ReplicaConfig,
-    gateway::{GatewayController, receive_forward, serve_call},
+    gateway::{GatewayController, ListController, receive_forward, serve_call},
     group_controller::GroupController,
     group_thread::{GroupEvent, GroupThread},
     http_server::HttpBounds,
@@ -201,7 +201,7 @@
     actix_rt::spawn(AllowanceController::run(Rc::clone(node)));
     if node.settings.gateway.serves_callers {
         actix_rt::spawn(GatewayController::run_confirm(Rc::clone(node)));
-        actix_rt::spawn(GatewayController::run_list(Rc::clone(node)));
+        actix_rt::spawn(ListController::run(Rc::clone(node)));
         actix_rt::spawn(GatewayController::run_pressure(Rc::clone(node)));
     }
     actix_rt::spawn(MembershipController::run(Rc::clone(node)));
