--- a/crates/ebonystand-core/tests/order_journal.rs
+++ b/crates/ebonystand-core/tests/order_journal.rs
@@ -148,6 +148,19 @@
     assert_eq!(journal.grant(OLD, &holder("b", 1, 1), 1), Expired);
 }
 
+/// A caller asks again for an order of yesterday, a day after it made the key. Forgotten any sooner,
+/// the key would be refused although its caller may still rely on it; kept much longer, the journal
+/// would fill.
+#[rstest]
+#[case::a_day_old("1796166827-a", false)]
+#[case::a_second_older("1796166826-a", true)]
+fn a_key_stays_usable_for_a_day(#[case] key: &str, #[case] is_pruned: bool) {
+    let (mut journal, vm) = (Fixture::default(), holder("a", 1, 1));
+    assert_eq!(journal.grant(key, &vm, 1), Granted);
+    journal.grant(A, &vm, 1);
+    assert_eq!(journal.0.prune_due(NOW).is_some(), is_pruned);
+}
+
 /// The clock of the VM that prunes jumps ten years ahead. Believed, it would expire each key that
 /// callers mint for ten years, so the floor stays behind the newest key that was granted.
 #[test]
--- a/crates/ebonystand-fakes/src/engine.rs
+++ b/crates/ebonystand-fakes/src/engine.rs
@@ -31,12 +31,6 @@
     }
 }
 
-#[derive(Serialize)]
-struct Load {
-    queued_tokens: u64,
-    running: u64,
-}
-
 struct Running {
     done: bool,
     engine: Engine,
@@ -73,13 +67,7 @@
         }
         let path: Box<str> = req.path().into();
         match (req.method(), &*path) {
-            (&Method::GET, "/load") => server::json(
-                StatusCode::OK,
-                &Load {
-                    queued_tokens: 0,
-                    running: self.running.get(),
-                },
-            ),
+            (&Method::GET, "/load") => server::load(self.running.get()),
             (&Method::POST, "/v1/chat/completions") => self.complete(req).await,
             _ => server::json(StatusCode::NOT_FOUND, &"no such path"),
         }
--- a/crates/ebonystand-fakes/src/registry.rs
+++ b/crates/ebonystand-fakes/src/registry.rs
@@ -19,10 +19,7 @@
         }
         let path: Box<str> = req.path().into();
         match (req.method(), &*path) {
-            (&Method::GET, "/load") => server::json(
-                StatusCode::OK,
-                &serde_json::json!({"queued_tokens": 0, "running": 0}),
-            ),
+            (&Method::GET, "/load") => server::load(0),
             (&Method::POST, _) => self.issue(req).await,
             (&Method::GET, _) => {
                 let body = Bytes::new();
--- a/crates/ebonystand-fakes/src/server.rs
+++ b/crates/ebonystand-fakes/src/server.rs
@@ -45,3 +45,17 @@
         .body(text)
         .map_into_boxed_body()
 }
+
+/// Answer to the question how much runs here; nothing waits.
+pub(crate) fn load(running: u64) -> Response<BoxBody> {
+    #[derive(Serialize)]
+    struct Load {
+        queued_tokens: u64,
+        running: u64,
+    }
+    let load = Load {
+        queued_tokens: 0,
+        running,
+    };
+    json(StatusCode::OK, &load)
+}
--- a/crates/ebonystand/tests/integration/routes.rs
+++ b/crates/ebonystand/tests/integration/routes.rs
@@ -173,6 +173,20 @@
     received.answer("200 OK", "served")
 }
 
+/// A stream's head and first chunk, and what its server does then; any other request is answered whole.
+fn first_chunk(received: &Received, then: Then) -> Reply {
+    if !received.head.contains("/stream/") {
+        return echo(received);
+    }
+    let request = received.request();
+    Reply {
+        bytes: format!(
+            "HTTP/1.1 200 OK\r\nx-ebonystand-request: {request}\r\ntransfer-encoding: chunked\r\n\r\n5\r\nfirst\r\n"
+        ),
+        then,
+    }
+}
+
 /// A caller's order reaches its upstream as it was sent, with the workspace's name and without the
 /// key; the upstream's answer comes back as it was given.
 #[actix_rt::test]
@@ -407,18 +421,7 @@
 #[case::over_the_hop(vec!["a", "b"])]
 #[actix_rt::test]
 async fn a_caller_that_leaves_frees_its_upstream(#[case] regions: Vec<&'static str>) {
-    let scripted = Scripted::start(|received| {
-        if !received.head.contains("/stream/") {
-            return echo(received);
-        }
-        let request = received.request();
-        Reply {
-            bytes: format!(
-                "HTTP/1.1 200 OK\r\nx-ebonystand-request: {request}\r\ntransfer-encoding: chunked\r\n\r\n5\r\nfirst\r\n"
-            ),
-            then: Then::Wait,
-        }
-    });
+    let scripted = Scripted::start(|received| first_chunk(received, Then::Wait));
     let last = regions.len() - 1;
     let regions = regions.into_iter().enumerate();
     let regions = regions.map(|(n, region)| match n == last {
@@ -452,18 +455,7 @@
 /// A stream breaks off in the middle. What the caller gets must not look whole.
 #[actix_rt::test]
 async fn a_stream_that_breaks_off_does_not_look_whole() {
-    let scripted = Scripted::start(|received| {
-        if !received.head.contains("/stream/") {
-            return echo(received);
-        }
-        let request = received.request();
-        Reply {
-            bytes: format!(
-                "HTTP/1.1 200 OK\r\nx-ebonystand-request: {request}\r\ntransfer-encoding: chunked\r\n\r\n5\r\nfirst\r\n"
-            ),
-            then: Then::Close,
-        }
-    });
+    let scripted = Scripted::start(|received| first_chunk(received, Then::Close));
     let fleet = Setting::new(vec![("a", vec![scripted])]).start().await;
     put(&fleet, routing(1)).await;
     served(&fleet.vms[0], "/look/first").await;
