Tell the VMs of a region what is under way, and other regions how long a prompt waits

The time told to other regions was that of a plain call, which for an engine is the time of whole streams (seconds): nothing was sent away before all was full. Beside it, each VM guessed what the others had under way as its own times four. Ruled out: the engines' own reports alone, which come with answers only and a second late. Change: VMs of a region tell one another what they have under way, each 100 ms or 5 ms a VM; regions tell the wait of a prompt without its own reading; requests leave from three tenths of their aim (was seven); reading a token counts three times its own delay; three VMs of a region, by rendezvous, send to a cold upstream.

--- a/crates/ebonystand-core/src/gateway/choice_query.rs
+++ b/crates/ebonystand-core/src/gateway/choice_query.rs
@@ -5,6 +5,8 @@
 pub struct ChoiceQuery<'a> {
     /// Time to the first byte that is aimed at.
     pub aim: Duration,
+    /// What an upstream of its service bears while it is cold.
+    pub cold: ColdTerms,
     /// Zones whose upstreams get nothing.
     pub evacuated: &'a BTreeSet<ZoneId>,
     /// Upstreams that must not get it, because they failed it.
@@ -20,8 +22,6 @@
     pub reachable: &'a BTreeSet<RegionId>,
     /// Service that serves it.
     pub service: &'a str,
-    /// Live VMs of the own region.
-    pub vms: u32,
 }
 
 impl ChoiceQuery<'_> {
--- a/crates/ebonystand-core/src/gateway/known_upstream.rs
+++ b/crates/ebonystand-core/src/gateway/known_upstream.rs
@@ -68,37 +68,56 @@
         }
     }
 
-    /// Requests that occupy or wait for a slot, as far as this VM can tell.
-    pub(crate) fn occupied(&self, now: Duration) -> u32 {
+    /// Requests that occupy or wait for a slot, as far as this VM can tell. `others` is what the
+    /// other VMs of the region have under way.
+    pub(crate) fn occupied(&self, now: Duration, others: UnderWay) -> u32 {
         let told = self.report(now).map(|(_, slots)| slots);
         let told = told.map_or(0, |slots| slots.running + slots.waiting + self.sent_since);
-        told.max(self.in_flight)
+        told.max(self.in_flight + others.requests)
     }
 
-    /// Time to the first byte of an engine that must read `unread` tokens. The other VMs of the
-    /// region are taken to have as much under way as this one.
-    pub(crate) fn engine_delay(&self, now: Duration, unread: Tokens, vms: u32) -> Duration {
+    /// What this VM has under way here.
+    pub(crate) fn under_way(&self) -> UnderWay {
+        UnderWay {
+            requests: self.in_flight,
+            unread: self.window.used(),
+        }
+    }
+
+    /// Time to the first byte of an engine that must read `unread` tokens.
+    pub(crate) fn engine_delay(&self, now: Duration, unread: Tokens, others: UnderWay) -> Duration {
         /// Time that each request beyond the slots waits for one to become free.
         const PER_WAITING: Duration = Duration::from_millis(60);
-        let work = self.window.used() * u64::from(vms.clamp(1, 4)) + unread;
-        let reading = Duration::from_secs_f64(work as f64 / self.speed / 1_000.0);
-        let waiting = (self.occupied(now) + 1).saturating_sub(self.listed.slots.max(1));
-        reading + PER_WAITING * waiting
+        let work = self.window.used() + others.unread + unread;
+        let waiting = (self.occupied(now, others) + 1).saturating_sub(self.listed.slots.max(1));
+        self.reading(work) + PER_WAITING * waiting
+    }
+
+    /// Time in which the engine reads so many prompt tokens.
+    pub(crate) fn reading(&self, tokens: Tokens) -> Duration {
+        Duration::from_secs_f64(tokens as f64 / self.speed / 1_000.0)
     }
 
     /// Whether a request fits that has `work` to be read, or is a call.
-    pub(crate) fn has_room(&self, now: Duration, is_engine: bool, work: u64) -> bool {
+    pub(crate) fn has_room(
+        &self,
+        now: Duration,
+        is_engine: bool,
+        work: u64,
+        others: UnderWay,
+    ) -> bool {
+        let occupied = self.occupied(now, others);
         if is_engine {
-            self.occupied(now) < self.listed.slots && self.window.fits(work)
+            occupied < self.listed.slots && self.window.fits(work)
         } else {
-            self.occupied(now) < self.listed.slots * Self::CALLS_A_SLOT
+            occupied < self.listed.slots * Self::CALLS_A_SLOT
         }
     }
 
     /// Time that a call takes here.
-    pub(crate) fn call_delay(&self, now: Duration) -> Duration {
+    pub(crate) fn call_delay(&self, now: Duration, others: UnderWay) -> Duration {
         let slots = self.listed.slots.max(1);
-        let turns = 1.0 + f64::from(self.occupied(now)) / f64::from(slots);
+        let turns = 1.0 + f64::from(self.occupied(now, others)) / f64::from(slots);
         self.pace.mul_f64(turns)
     }
 
--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -20,18 +20,21 @@
     next_step::NextStep,
     prompt::{Prompt, PromptPart},
     quota::{Quota, QuotaUnit},
+    region_vms::RegionVms,
     reported_slots::ReportedSlots,
     route_table::RouteTable,
     routing::Routing,
     routing_fault::RoutingFault,
     split_part::SplitPart,
     turn_queue::TurnQueue,
+    under_way::UnderWay,
     unfit::Unfit,
     upstream_book::UpstreamBook,
 };
 
 use {
-    cold_gate::ColdGate, known_upstream::KnownUpstream, prefix_memory::PrefixMemory, window::Window,
+    cold_gate::ColdGate, fellows::Fellows, known_upstream::KnownUpstream,
+    prefix_memory::PrefixMemory, window::Window,
 };
 
 mod attempt_end;
@@ -42,6 +45,7 @@
 mod cold_terms;
 mod confirmation;
 mod entry_choice;
+mod fellows;
 mod gateway_route;
 mod gateway_service;
 mod gateway_workspace;
@@ -53,12 +57,14 @@
 mod prefix_memory;
 mod prompt;
 mod quota;
+mod region_vms;
 mod reported_slots;
 mod route_table;
 mod routing;
 mod routing_fault;
 mod split_part;
 mod turn_queue;
+mod under_way;
 mod unfit;
 mod upstream_book;
 mod window;
--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -8,6 +8,8 @@
 #[derive(Clone, Debug)]
 pub struct UpstreamBook {
     here: RegionId,
+    fellows: Fellows,
+    vms: RegionVms,
     upstreams: BTreeMap<UpstreamId, KnownUpstream>,
     /// Predicted time to the first byte in other regions, with when it was told.
     away: FxHashMap<(RegionId, ServiceId), (Duration, Duration)>,
@@ -25,11 +27,14 @@
     const AWAY_TRIP: Duration = Duration::from_millis(130);
     /// Part of its aim, in permille, up to which a request stays in its region. Sending away costs
     /// bytes between regions, which are scarce, and a cold prefix.
-    const STAYS_PERMILLE: u32 = 700;
+    const STAYS_PERMILLE: u32 = 300;
     /// Part of its aim, in permille, within which an answer is to begin at its upstream. The rest is
     /// for the way there and back and for waiting before; and what is read without a pause keeps the
     /// streams that run from ending in time.
     const BEGINS_PERMILLE: u32 = 350;
+    /// What reading a token costs others beside the time that the request itself waits for it: those that
+    /// come behind it and the streams that run wait as long.
+    const READING_COSTS: u32 = 2;
     /// An upstream that appears on the list, or whose zone comes back, counts as cold for so long
     /// at least: the list lags, and may not say yet that it is.
     const NEW_IS_COLD: Duration = Duration::from_millis(2_000);
@@ -38,11 +43,13 @@
     /// Longest such time.
     const LONGEST_RETRY: Duration = Duration::from_secs(2);
 
-    /// Book of a VM in region `here`.
+    /// Book of the VM `own` in region `here`.
     #[must_use]
-    pub fn new(here: RegionId, zones: BTreeMap<ZoneId, RegionId>) -> Self {
+    pub fn new(own: VmId, here: RegionId, zones: BTreeMap<ZoneId, RegionId>) -> Self {
         Self {
             here,
+            fellows: Fellows::default(),
+            vms: RegionVms::new(own),
             upstreams: BTreeMap::new(),
             away: FxHashMap::default(),
             zones,
@@ -121,7 +128,8 @@
             return;
         };
         if let Some(waited) = waited {
-            known.measure_reading(known.window.used().max(unread), waited);
+            let others = self.fellows.at(instance).unread;
+            known.measure_reading(known.window.used().max(unread) + others, waited);
             let target = aim * Self::BEGINS_PERMILLE / 1_000;
             known.window.observe(now, waited, target, unread);
         }
@@ -135,7 +143,7 @@
             *known.listed.service == *service
                 && self.region(known) == Some(&self.here)
                 && !known.listed.leaving
-                && known.has_room(now, is_engine, work)
+                && known.has_room(now, is_engine, work, self.others(known))
         })
     }
 
@@ -161,28 +169,30 @@
         self.upstreams.values().map(|known| &known.listed)
     }
 
-    /// Predicted time to the first byte of a usual request for each service served in this region,
-    /// for VMs of other regions.
+    /// Predicted time to the first byte for each service served in this region, for VMs of other
+    /// regions: of a call, or of a prompt without its own reading, which depends on its length.
+    /// `is_engine` tells which services read prompts.
     #[must_use]
     pub fn pressures(
         &self,
         now: Duration,
         evacuated: &BTreeSet<ZoneId>,
-        vms: u32,
+        is_engine: impl Fn(&str) -> bool,
     ) -> Vec<(ServiceId, Duration)> {
         let services: BTreeSet<_> = self.upstreams.values().map(|u| &u.listed.service).collect();
         let reachable = BTreeSet::new();
+        let empty = Prompt::default();
         let predicted = |service: &ServiceId| {
             let query = ChoiceQuery {
                 aim: Duration::MAX,
+                cold: ColdTerms::default(),
                 evacuated,
                 excluded: &[],
                 homes: None,
                 left: Duration::MAX,
-                prompt: None,
+                prompt: is_engine(service).then_some(&empty),
                 reachable: &reachable,
                 service,
-                vms,
             };
             match self.choose_here(now, &query) {
                 Choice::Here { predicted, .. } => Some((service.clone(), predicted)),
@@ -203,28 +213,41 @@
     }
 
     /// Notes that a request is sent.
-    pub fn sent(
-        &mut self,
-        now: Duration,
-        query: &ChoiceQuery,
-        cold: ColdTerms,
-        instance: &str,
-        unread: Tokens,
-    ) {
+    pub fn sent(&mut self, now: Duration, query: &ChoiceQuery, instance: &str, unread: Tokens) {
         let Some(known) = self.upstreams.get_mut(instance) else {
             return;
         };
         known.in_flight += 1;
         known.sent_since += 1;
         known.window.take(unread);
-        if now < known.cold_until {
-            known.gate.pass(now, cold.per_s, query.vms);
+        let senders = self.vms.cold_senders(instance).unwrap_or(1);
+        if now < known.cold_until && query.cold.per_s > 0.0 {
+            known.gate.pass(now, query.cold.per_s, senders);
         }
         if let Some(prompt) = query.prompt {
             known.prefixes.note(prompt);
         }
     }
 
+    /// Takes over which VMs of the region live, and forgets what those told that have fallen silent.
+    pub fn set_vms(&mut self, now: Duration, live: impl IntoIterator<Item = VmId>) {
+        self.vms.set(live);
+        self.fellows.forget_silent(now);
+    }
+
+    /// Takes what another VM of the region has under way.
+    pub fn fellow_told(&mut self, now: Duration, vm: VmId, under_way: Vec<(UpstreamId, UnderWay)>) {
+        self.fellows.tell(now, vm, under_way);
+    }
+
+    /// What this VM has under way, for the others of the region.
+    #[must_use]
+    pub fn under_way(&self) -> Vec<(UpstreamId, UnderWay)> {
+        let all = self.upstreams.iter();
+        let all = all.map(|(instance, known)| (instance.clone(), known.under_way()));
+        all.filter(|(_, under_way)| !under_way.is_none()).collect()
+    }
+
     /// Takes what a VM of another region predicts there.
     pub fn told(
         &mut self,
@@ -285,16 +308,18 @@
         });
         let best = candidates.iter().map(|known| {
             let is_owner = owner.as_ref() == Some(&known.listed.instance);
+            let others = self.others(known);
             let unread = Self::unread(known, query.prompt, is_owner);
             let delay = match query.prompt {
-                Some(_) => known.engine_delay(now, unread, query.vms),
-                None => known.call_delay(now),
+                Some(_) => known.engine_delay(now, unread, others),
+                None => known.call_delay(now, others),
             };
-            let has_room = known.has_room(now, query.prompt.is_some(), unread);
-            (!has_room, known.weighed(delay), unread, *known)
+            let has_room = known.has_room(now, query.prompt.is_some(), unread, others);
+            let cost = known.weighed(delay) + known.reading(unread) * Self::READING_COSTS;
+            (!has_room, cost, delay, unread, *known)
         });
-        let best = best.min_by_key(|(full, delay, _, known)| (*full, *delay, known.in_flight));
-        let Some((full, predicted, unread, known)) = best else {
+        let best = best.min_by_key(|(full, cost, _, _, known)| (*full, *cost, known.in_flight));
+        let Some((full, _, predicted, unread, known)) = best else {
             return Choice::Nowhere {
                 because: self.unfit(now, query),
                 retry_after: self.opens_after(now, query),
@@ -341,7 +366,8 @@
     /// Whether an upstream may be sent to, leaving aside whether it answers.
     fn is_open(&self, now: Duration, query: &ChoiceQuery, known: &KnownUpstream) -> bool {
         let is_here = self.region(known) == Some(&self.here);
-        let is_open = now >= known.cold_until || now >= known.gate.opens();
+        let is_warm = now >= known.cold_until || query.cold.per_s <= 0.0;
+        let is_open = is_warm || self.opens(known).is_some_and(|at| now >= at);
         is_here
             && query.allows(&self.here)
             && self.is_usable(query, known)
@@ -364,7 +390,8 @@
             .filter(|known| self.region(known) == Some(&self.here) && self.is_usable(query, known));
         let opens = opens.map(|known| {
             let gate = if now < known.cold_until {
-                known.gate.opens().min(known.cold_until)
+                let opens = self.opens(known).unwrap_or(known.cold_until);
+                opens.min(known.cold_until)
             } else {
                 Duration::ZERO
             };
@@ -374,6 +401,17 @@
         opens.clamp(Self::SHORTEST_RETRY, Self::LONGEST_RETRY)
     }
 
+    /// When this VM may send to an upstream that is cold; `None` while it is.
+    fn opens(&self, known: &KnownUpstream) -> Option<Duration> {
+        let senders = self.vms.cold_senders(&known.listed.instance);
+        senders.map(|_| known.gate.opens())
+    }
+
+    /// What the other VMs of the region have under way at an upstream.
+    fn others(&self, known: &KnownUpstream) -> UnderWay {
+        self.fellows.at(&known.listed.instance)
+    }
+
     fn region(&self, known: &KnownUpstream) -> Option<&RegionId> {
         self.zones.get(&known.listed.zone)
     }
@@ -404,7 +442,8 @@
         let of_service = of_service.filter(|known| *known.listed.service == *query.service);
         for known in of_service {
             unfit.listed += 1;
-            let is_cold = now < known.cold_until && now < known.gate.opens();
+            let is_closed = self.opens(known).is_none_or(|at| now < at);
+            let is_cold = now < known.cold_until && is_closed;
             let count = match () {
                 () if self.region(known) != Some(&self.here) => &mut unfit.elsewhere,
                 () if known.listed.leaving => &mut unfit.leaving,
--- a/crates/ebonystand-core/tests/gateway/load.rs
+++ b/crates/ebonystand-core/tests/gateway/load.rs
@@ -39,10 +39,7 @@
             }],
             ..prompt(n, n)
         };
-        let query = ChoiceQuery {
-            vms: 1,
-            ..sets.query(Some(&prompt))
-        };
+        let query = sets.query(Some(&prompt));
         let (instance, unread) = match book.choose(now, &query) {
             Choice::Here {
                 instance, unread, ..
@@ -53,7 +50,7 @@
         let Some(engine) = engines.iter_mut().find(|engine| engine.name == instance) else {
             continue;
         };
-        book.sent(now, &query, service("s").cold, &instance, unread);
+        book.sent(now, &query, &instance, unread);
         engine.free_at = engine.free_at.max(now) + ms(unread / SPEED);
         in_time += u64::from(engine.free_at - now <= AIM);
         begins.push((engine.free_at, instance, unread, now));
--- a/crates/ebonystand-core/tests/gateway/main.rs
+++ b/crates/ebonystand-core/tests/gateway/main.rs
@@ -98,9 +98,13 @@
 
 /// Book of a VM in region `a`; zone `a-1` stands in region `a`, `b-1` in region `b`.
 pub(crate) fn book(upstreams: Vec<ListedUpstream>) -> UpstreamBook {
+    book_of("vm", upstreams)
+}
+
+pub(crate) fn book_of(vm: &str, upstreams: Vec<ListedUpstream>) -> UpstreamBook {
     let zones = [("a-1", "a"), ("a-2", "a"), ("b-1", "b")];
     let zones = zones.map(|(zone, region)| (zone.into(), region.into()));
-    let mut book = UpstreamBook::new("a".into(), BTreeMap::from(zones));
+    let mut book = UpstreamBook::new(vm.into(), "a".into(), BTreeMap::from(zones));
     book.list(ms(0), upstreams);
     book
 }
@@ -128,6 +132,7 @@
     pub(crate) fn query<'a>(&'a self, prompt: Option<&'a Prompt>) -> ChoiceQuery<'a> {
         ChoiceQuery {
             aim: ms(800),
+            cold: service("s").cold,
             evacuated: &self.evacuated,
             excluded: &self.excluded,
             homes: self.homes.as_ref(),
@@ -135,7 +140,6 @@
             prompt,
             reachable: &self.reachable,
             service: "s",
-            vms: 3,
         }
     }
 }
--- a/crates/ebonystand-core/tests/gateway/upstreams.rs
+++ b/crates/ebonystand-core/tests/gateway/upstreams.rs
@@ -18,8 +18,7 @@
     else {
         return None;
     };
-    let cold = service("s").cold;
-    book.sent(now, query, cold, &instance, unread);
+    book.sent(now, query, &instance, unread);
     Some(instance)
 }
 
@@ -90,26 +89,27 @@
 
 /// An upstream comes back cold behind a cut, and each VM of its region knows by itself only. All of
 /// them send as much as they may. However they are timed, any second of theirs together has no more
-/// than the upstream bears.
+/// than the upstream bears: also where there are many more VMs than it bears requests in a second.
 #[rstest]
 #[case(1)]
 #[case(2)]
 #[case(3)]
 #[case(5)]
+#[case(22)]
+#[case(44)]
 fn vms_that_hear_nothing_of_each_other_keep_a_cold_upstream_within_its_bound(#[case] vms: u32) {
     let sets = Sets::default();
     let mut cold = listed("u1", "a-1", 1);
-    cold.cold_for = ms(8_000);
+    cold.cold_for = ms(9_000);
     let mut sent = Vec::new();
+    let live = (0..vms).map(|vm| VmId::from(format!("vm{vm}")));
+    let live = live.collect::<Vec<_>>();
     for vm in 0..vms {
-        let mut book = book(vec![cold.clone()]);
+        let mut book = book_of(&format!("vm{vm}"), vec![cold.clone()]);
+        book.set_vms(ms(0), live.clone());
         for at in (0..8_000).step_by(7) {
             let now = ms(at + u64::from(vm) * 3);
-            let query = ChoiceQuery {
-                vms,
-                ..sets.query(None)
-            };
-            let sends = send(&mut book, now, &query);
+            let sends = send(&mut book, now, &sets.query(None));
             if sends.is_some() {
                 book.ended(now, "u1", AttemptEnd::Answered, ms(5));
                 sent.push(now);
@@ -268,3 +268,53 @@
     let choice = book.choose(ms(70_000), &sets.query(None));
     assert_eq!(instance(&choice), Some("u1"));
 }
+
+/// Ten VMs send to the same engines, and each prompt costs an engine as much wherever it comes from. A VM
+/// that only knows what it sent itself meets the others at the engine that all of them hold for idle;
+/// told by them, it goes to the other one. What a VM that is gone had under way counts no more.
+#[test]
+fn vms_that_tell_what_they_have_under_way_do_not_meet_at_one_engine() {
+    let sets = Sets::default();
+    let mut book = book(vec![listed("u1", "a-1", 1), listed("u2", "a-1", 2)]);
+    let prompt = prompt(7, 1);
+    let chosen = |book: &UpstreamBook, now| {
+        let choice = book.choose(now, &sets.query(Some(&prompt)));
+        instance(&choice).map(str::to_owned)
+    };
+    let first = chosen(&book, ms(0)).expect("an engine");
+    let under_way = UnderWay {
+        requests: 3,
+        unread: 20_000,
+    };
+    for vm in 0..9 {
+        let under_way = vec![(first.as_str().into(), under_way)];
+        book.fellow_told(ms(0), format!("vm{vm}").into(), under_way);
+    }
+    assert_ne!(chosen(&book, ms(10)), Some(first.clone()));
+    book.set_vms(ms(2_000), ["vm".into()]);
+    assert_eq!(chosen(&book, ms(2_000)), Some(first));
+}
+
+/// A VM tells another region how long a prompt waits there. The engine's streams run for seconds, yet
+/// a prompt that comes now begins at once: told the time of whole answers, the other region would
+/// keep its own callers waiting beside idle engines.
+#[test]
+fn another_region_is_told_how_long_a_prompt_waits_and_not_how_long_answers_take() {
+    let sets = Sets::default();
+    let mut book = book(vec![listed("u1", "a-1", 1)]);
+    let prompt = prompt(7, 1);
+    for n in 0..20 {
+        let sent = send(&mut book, ms(n * 4_000), &sets.query(Some(&prompt))).expect("an engine");
+        let (aim, waited) = (ms(800), Some(ms(100)));
+        book.first_byte(ms(n * 4_000 + 100), &sent, 6_500, aim, waited);
+        book.ended(
+            ms(n * 4_000 + 3_900),
+            &sent,
+            AttemptEnd::Answered,
+            ms(3_900),
+        );
+    }
+    let told = book.pressures(ms(90_000), &sets.evacuated, |service| service == "s");
+    assert_eq!(told.len(), 1);
+    assert!(told[0].1 < ms(100), "{told:?}");
+}
--- a/crates/ebonystand-wire/src/peer_message.rs
+++ b/crates/ebonystand-wire/src/peer_message.rs
@@ -65,4 +65,6 @@
         /// The message.
         message: ReplicaMessage,
     },
+    /// What the sender has under way at upstreams of its region; those without any are left out.
+    UnderWay(Vec<(UpstreamId, UnderWay)>),
 }
--- a/crates/ebonystand/src/gateway/attempt.rs
+++ b/crates/ebonystand/src/gateway/attempt.rs
@@ -1,5 +1,5 @@
 use super::*;
-use ebonystand_core::{AttemptEnd, ChoiceQuery, ColdTerms};
+use ebonystand_core::{AttemptEnd, ChoiceQuery};
 
 /// One request on its way to one upstream, as the book of upstreams counts it. Dropped before it
 /// ended, it counts as cancelled.
@@ -17,13 +17,12 @@
     pub(crate) fn begin(
         node: &Rc<Node>,
         query: &ChoiceQuery,
-        cold: ColdTerms,
         instance: &UpstreamId,
         unread: Tokens,
     ) -> Self {
         let started = node.clock.now();
         let mut book = node.gateway.book.borrow_mut();
-        book.sent(started, query, cold, instance, unread);
+        book.sent(started, query, instance, unread);
         Self {
             aim: query.aim,
             ended: false,
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -90,6 +90,7 @@
     ) -> ChoiceQuery<'a> {
         ChoiceQuery {
             aim: self.aim,
+            cold: self.cold(node),
             evacuated: &document.evacuated,
             excluded: &self.excluded,
             homes: self.homes.as_ref(),
@@ -97,7 +98,6 @@
             prompt: self.prompt.as_ref(),
             reachable,
             service: &self.service,
-            vms: node.vms_of_region(),
         }
     }
 
@@ -114,7 +114,7 @@
             let document = node.document();
             let none = BTreeSet::new();
             let query = self.query(node, &document, &none);
-            Attempt::begin(node, &query, self.cold(node), instance, unread)
+            Attempt::begin(node, &query, instance, unread)
         };
         let mut headers = self.headers.clone();
         let outgoing = OutgoingCall {
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -49,6 +49,11 @@
     const RETRIES_PERMILLE: u64 = 850;
     /// VMs that a new leader tells of itself.
     const TOLD_OF_LEADER: usize = 256;
+    /// Time between two tellings of what this VM has under way: short against the time that a prompt
+    /// takes to be read.
+    const UNDER_WAY_EVERY: Duration = Duration::from_millis(100);
+    /// The same for each VM of a large region, so that none sends or takes more than 200 a second.
+    const UNDER_WAY_EACH: Duration = Duration::from_millis(5);
     /// A VM that did not answer a forwarded request gets no other one for so long.
     const SUSPECT_FOR: Duration = Duration::from_secs(2);
 
@@ -62,7 +67,11 @@
         let mut zones = gateway.zones.clone();
         zones.insert(settings.zone.clone(), settings.region.clone());
         Self {
-            book: RefCell::new(UpstreamBook::new(settings.region.clone(), zones)),
+            book: RefCell::new(UpstreamBook::new(
+                settings.vm.clone(),
+                settings.region.clone(),
+                zones,
+            )),
             confirmation: RefCell::new(Confirmation::new(gateway.confirmed_for)),
             embedded: dialect.is_some(),
             dialect: dialect.unwrap_or_else(|| Rc::new(native_dialect::NativeDialect)),
@@ -244,6 +253,37 @@
         }
     }
 
+    /// Tells the VMs of the region again and again what this one has under way, until the task is
+    /// dropped.
+    pub(crate) async fn run_under_way(node: Rc<Node>) {
+        let this = &node.gateway;
+        let mut told_some = false;
+        loop {
+            let live = node.membership.live(node.clock.now()).into_iter();
+            let of_region = live.filter(|entry| {
+                let record = &entry.record;
+                record.region == node.settings.region && record.takes_callers
+            });
+            let vms = of_region.map(|entry| entry.record.vm).collect::<Vec<_>>();
+            let count = u32::try_from(vms.len()).unwrap_or(u32::MAX);
+            let under_way = {
+                let mut book = this.book.borrow_mut();
+                book.set_vms(node.clock.now(), vms.iter().cloned());
+                book.under_way()
+            };
+            // Once more when nothing is left, or the others would go by the last word.
+            let tells = told_some || !under_way.is_empty();
+            told_some = !under_way.is_empty();
+            if tells {
+                for vm in vms.iter().filter(|vm| **vm != node.settings.vm) {
+                    node.send(vm, PeerMessage::UnderWay(under_way.clone()));
+                }
+            }
+            let every = Self::UNDER_WAY_EVERY.max(Self::UNDER_WAY_EACH * count);
+            actix_rt::time::sleep(every.mul_f64(this.jitter())).await;
+        }
+    }
+
     /// Notes that a VM does not answer.
     pub(crate) fn suspect(&self, now: Duration, vm: &VmId) {
         let until = now + Self::SUSPECT_FOR;
@@ -307,10 +347,11 @@
     fn tell_pressure(node: &Rc<Node>) {
         let this = &node.gateway;
         let now = node.clock.now();
-        let vms = node.vms_of_region();
         let pressures = {
             let evacuated = this.evacuated.borrow();
-            this.book.borrow().pressures(now, &evacuated, vms)
+            let table = this.table();
+            let is_engine = |name: &str| table.service(name).is_some_and(|service| service.engine);
+            this.book.borrow().pressures(now, &evacuated, is_engine)
         };
         let first_byte_ms = pressures.into_iter();
         let first_byte_ms = first_byte_ms
--- a/crates/ebonystand/src/gateway/receive_forward.rs
+++ b/crates/ebonystand/src/gateway/receive_forward.rs
@@ -60,7 +60,10 @@
     let Some(in_flight) = InFlight::enter(&node.in_flight, limit) else {
         return Outcome::ended(AttemptEnd::Unreachable);
     };
-    if !node.gateway.serves(node) {
+    // This VM has been told to stop, and goes on for want of another one in its region. A long answer
+    // would be cut off when it ends; the VM that forwards can still turn elsewhere.
+    let is_too_long = serve_call::would_be_cut_off(node, forwarded.prompt.as_ref());
+    if is_too_long || !node.gateway.serves(node) {
         return Outcome::ended(AttemptEnd::Unreachable);
     }
     let body = match body::read(node, req.headers(), payload).await {
--- a/crates/ebonystand/src/gateway/serve_call.rs
+++ b/crates/ebonystand/src/gateway/serve_call.rs
@@ -5,7 +5,7 @@
     admitted::Admitted,
     allowance_controller::{AllowanceController, Reserved},
     call::Call,
-    ebonystand_core::{GatewayRoute, GatewayWorkspace, RouteTable},
+    ebonystand_core::{GatewayRoute, GatewayWorkspace, Prompt, RouteTable},
     in_flight::InFlight,
     node::Node,
     std::collections::BTreeSet,
@@ -44,6 +44,11 @@
     response
 }
 
+/// Whether this VM would stop before the answer to a request that comes now has ended.
+pub(crate) fn would_be_cut_off(node: &Node, prompt: Option<&Prompt>) -> bool {
+    node.lingered() && prompt.is_some_and(|prompt| prompt.output > SHORT_ANSWER)
+}
+
 /// Path and query as they came.
 pub(crate) fn path_and_query(req: &Request) -> Box<str> {
     let whole = req.uri().path_and_query();
@@ -110,11 +115,7 @@
         let soon = START_TAKES.saturating_sub(arrived).max(UNCONFIRMED_RETRY);
         return Err(refusal.with_retry_after(soon));
     }
-    let is_long = head
-        .prompt
-        .as_ref()
-        .is_some_and(|p| p.output > SHORT_ANSWER);
-    if node.lingered() && is_long {
+    if would_be_cut_off(node, head.prompt.as_ref()) {
         return Err(unready(
             RefusalCode::Draining,
             "this VM is leaving; the answer would be cut off",
@@ -128,10 +129,7 @@
         .as_ref()
         .map_or(0, |w| w.cost(head.prompt.as_ref()));
     let reserved = reserve(node, &route, workspace.as_ref(), tokens).await?;
-    let shared = head
-        .prompt
-        .as_ref()
-        .and_then(ebonystand_core::Prompt::shared);
+    let shared = head.prompt.as_ref().and_then(Prompt::shared);
     let hash = shared.unwrap_or_else(|| node.gateway.draw());
     // A route without a weight is never put in force.
     let service = route.service(hash).cloned().unwrap_or_default();
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -259,6 +259,11 @@
                 let mut book = self.gateway.book.borrow_mut();
                 book.told(now, &region, pressures.collect());
             }
+            PeerMessage::UnderWay(under_way) => {
+                let now = self.clock.now();
+                let mut book = self.gateway.book.borrow_mut();
+                book.fellow_told(now, from.clone(), under_way);
+            }
             PeerMessage::Allowance(message) => AllowanceController::receive(self, from, message),
             PeerMessage::Feed(message) => {
                 let input = ebonystand_core::FeedInput::Message {
