Wait for room on a full disk; let a VM without routes stop once it has lingered

And a VM without routes never told that it takes callers, so that its neighbours counted as takers of nothing and it waited half of drain_ms (a minute) when told to stop. Ruled out: trying a failed sync again, which may report success for bytes that are lost; only a write that found no room is repeated, from the length of the intact frames. Change: writes wait for room and log it once; what a VM tells follows from the interface that it serves.

--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -198,6 +198,15 @@
             && !node.draining()
     }
 
+    /// Whether callers of either interface may be sent here. A VM without routes takes those of the
+    /// product's own; one that a program embeds serves by routes alone.
+    fn takes_callers(&self, node: &Node) -> bool {
+        if self.embedded || self.has_routes(node) {
+            return self.serves(node);
+        }
+        node.settings.gateway.serves_callers && node.ready() && !node.draining()
+    }
+
     /// Other regions with a VM that takes forwarded requests.
     pub(crate) fn reachable(&self, node: &Node) -> BTreeSet<RegionId> {
         let forwarders = self.forwarders(node).into_iter();
@@ -245,7 +254,7 @@
         actix_rt::spawn(Turns::run(Rc::clone(&node)));
         loop {
             actix_rt::time::sleep(Self::PRESSURE_EVERY).await;
-            let takes_callers = this.serves(&node);
+            let takes_callers = this.takes_callers(&node);
             MembershipController::set_takes_callers(&node, takes_callers);
             if node.settings.gateway.forwards.is_some() {
                 Self::tell_pressure(&node);
--- a/crates/ebonystand/src/lib.rs
+++ b/crates/ebonystand/src/lib.rs
@@ -18,7 +18,7 @@
         WorkspaceId, ZoneId,
     },
     ebonystand_wire::{FrameReader, FrameWriter, Hello, Nonce, PeerMessage, Secret},
-    files::replace_file,
+    files::{FULL_PAUSE, replace_file},
     futures_util::{Stream, StreamExt as _, stream},
     record_log::RecordLog,
     rustc_hash::FxHashMap,
@@ -49,6 +49,7 @@
 
 pub use {
     error::Error,
+    files::once_there_is_room,
     gateway::{
         AnswerMarks, CallHead, ConnectionFault, Dialect, Extension, Fetch, FetchError, Gateway,
         GatewaySettings, Handler, OutgoingCall, ReplaceError, Surface, UpstreamSource, header_text,
--- a/crates/ebonystand/src/record_log.rs
+++ b/crates/ebonystand/src/record_log.rs
@@ -12,6 +12,8 @@
 pub(crate) struct RecordLog {
     file: File,
     frames: u64,
+    /// Length of the intact frames in bytes.
+    len: u64,
     path: PathBuf,
 }
 
@@ -26,7 +28,15 @@
     pub(crate) fn append(&mut self, records: &[LogRecord]) -> Result<(), StorageError> {
         let frame = Self::frame(self.frames, records)?;
         let path = &self.path;
-        self.file.write_all(&frame).context(IoSnafu {
+        let mut tried = false;
+        let write = || {
+            // A try that found no room may have left a part of the frame.
+            if std::mem::replace(&mut tried, true) {
+                self.file.set_len(self.len)?;
+            }
+            self.file.write_all(&frame)
+        };
+        once_there_is_room(path, FULL_PAUSE, write).context(IoSnafu {
             action: "write",
             path,
         })?;
@@ -35,12 +45,14 @@
             path,
         })?;
         self.frames += 1;
+        self.len += frame.len() as u64;
         Ok(())
     }
 
     /// Makes or replaces the file at once, with one frame; a crash leaves the old one or the new.
     pub(crate) fn create(path: &Path, records: &[LogRecord]) -> Result<Self, StorageError> {
-        replace_file(path, &Self::frame(0, records)?)?;
+        let frame = Self::frame(0, records)?;
+        replace_file(path, &frame)?;
         let file = File::options().append(true).open(path).context(IoSnafu {
             action: "open",
             path,
@@ -48,6 +60,7 @@
         Ok(Self {
             file,
             frames: 1,
+            len: frame.len() as u64,
             path: path.into(),
         })
     }
@@ -102,6 +115,7 @@
         let log = Self {
             file,
             frames,
+            len: offset as u64,
             path: path.into(),
         };
         Ok((log, records))
--- a/crates/ebonystand/tests/integration/callers.rs
+++ b/crates/ebonystand/tests/integration/callers.rs
@@ -106,6 +106,30 @@
     assert!(fleet.vms[0].wait());
 }
 
+/// Three VMs serve the product's own interface, without a route. One is told to stop and nothing runs on
+/// it. Its region has others that take callers, so it stops once it has lingered, a tenth of a second
+/// here; waiting for another taker it would go on for half of its time to drain, a minute.
+#[actix_rt::test]
+async fn a_vm_without_routes_does_not_wait_for_others_that_are_there() {
+    let mut fleet = FleetBuilder::new()
+        .region("utara", 3)
+        .engine(EngineOptions::default())
+        .start()
+        .await;
+    fleet.wait_until_ready().await;
+    for vm in 0..2 {
+        fleet.vms[vm].log_with("readiness told").await;
+    }
+    fleet.vms[2].signal("TERM");
+    for _ in 0..300 {
+        if !fleet.vms[2].running() {
+            return;
+        }
+        actix_rt::time::sleep(std::time::Duration::from_millis(100)).await;
+    }
+    panic!("it still runs after half a minute");
+}
+
 /// A workspace is bound to a region that the VM does not stand in. The VM refuses before it reads
 /// the body and names the VMs to turn to, and the upstreams of its own region see nothing.
 #[actix_rt::test]
--- a/crates/ebonystand/tests/storage.rs
+++ b/crates/ebonystand/tests/storage.rs
@@ -2,7 +2,7 @@
 
 use {
     bytes::Bytes,
-    ebonystand::{Group, GroupEffect, Storage, StorageError},
+    ebonystand::{Group, GroupEffect, Storage, StorageError, once_there_is_room},
     ebonystand_core::{
         DurableState, HardState, LogEntry, LogIndex, LogPayload, LogPosition, LogRecord,
         LogSnapshot, MemberId, Membership, ReplicaConfig, ReplicaInput, VmId,
@@ -11,6 +11,7 @@
     std::{
         collections::BTreeSet,
         fs,
+        io::{self, ErrorKind},
         path::{Path, PathBuf},
         time::Duration,
     },
@@ -186,6 +187,20 @@
     assert_eq!(commits(folder.path(), &["z"]), ["x", "y", "z"]);
 }
 
+/// The disk is full for a while. A write that finds no room is tried again from where the file stood, so
+/// that the process neither ends nor leaves a part of the write behind; any other fault is told at once.
+#[test]
+fn a_write_waits_for_room_on_a_full_disk() {
+    let full = || io::Error::from(ErrorKind::StorageFull);
+    let mut results = vec![Ok(7), Err(full()), Err(full())];
+    let write = || results.pop().expect("no try after one that succeeded");
+    let written = once_there_is_room(Path::new("log"), Duration::ZERO, write);
+    assert_eq!(written.expect("written"), 7);
+    let broken = || Err::<(), _>(io::Error::from(ErrorKind::BrokenPipe));
+    let told = once_there_is_room(Path::new("log"), Duration::ZERO, broken);
+    assert_eq!(told.expect_err("told").kind(), ErrorKind::BrokenPipe);
+}
+
 fn commits(folder: &Path, commands: &[&str]) -> Vec<String> {
     let vm = VmId::from("a");
     let cfg = ReplicaConfig::new(vm.clone(), BTreeSet::from([vm]));
