--- a/crates/ebonystand-core/src/gateway/known_upstream.rs
+++ b/crates/ebonystand-core/src/gateway/known_upstream.rs
@@ -108,7 +108,7 @@
     ) -> bool {
         let occupied = self.occupied(now, others);
         if is_engine {
-            occupied < self.listed.slots && self.window.fits(work)
+            occupied < self.listed.slots && self.window.fits(work, others.unread)
         } else {
             occupied < self.listed.slots * Self::CALLS_A_SLOT
         }
--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -27,14 +27,14 @@
     const AWAY_TRIP: Duration = Duration::from_millis(130);
     /// Part of its aim, in permille, up to which a request stays in its region. Sending away costs
     /// bytes between regions, which are scarce, and a cold prefix.
-    const STAYS_PERMILLE: u32 = 300;
+    const STAYS_PERMILLE: u32 = 150;
     /// Part of its aim, in permille, within which an answer is to begin at its upstream. The rest is
     /// for the way there and back and for waiting before; and what is read without a pause keeps the
     /// streams that run from ending in time.
     const BEGINS_PERMILLE: u32 = 350;
     /// What reading a token costs others beside the time that the request itself waits for it: those that
     /// come behind it and the streams that run wait as long.
-    const READING_COSTS: u32 = 2;
+    const READING_COSTS: u32 = 5;
     /// An upstream that appears on the list, or whose zone comes back, counts as cold for so long
     /// at least: the list lags, and may not say yet that it is.
     const NEW_IS_COLD: Duration = Duration::from_millis(2_000);
@@ -131,7 +131,7 @@
             let others = self.fellows.at(instance).unread;
             known.measure_reading(known.window.used().max(unread) + others, waited);
             let target = aim * Self::BEGINS_PERMILLE / 1_000;
-            known.window.observe(now, waited, target, unread);
+            known.window.observe(now, waited, target, unread, others);
         }
         known.window.give(unread);
     }
@@ -248,6 +248,13 @@
         all.filter(|(_, under_way)| !under_way.is_none()).collect()
     }
 
+    /// Notes that another region had no room for a request. None is sent there until it tells of
+    /// room: each would cost a round trip and its bytes, and a part of its caller's time.
+    pub fn refused_away(&mut self, now: Duration, region: &RegionId, service: &str) {
+        let key = (region.clone(), ServiceId::from(service));
+        self.away.insert(key, (now, Self::FULL));
+    }
+
     /// Takes what a VM of another region predicts there.
     pub fn told(
         &mut self,
@@ -288,7 +295,10 @@
                 let served = self.upstreams.values().any(|known| {
                     self.region(known) == Some(region) && self.is_usable(query, known)
                 });
-                served.then(|| (region.clone(), self.delay_away(now, region, query)))
+                let delay = self.delay_away(now, region, query);
+                delay
+                    .filter(|_| served)
+                    .map(|delay| (region.clone(), delay))
             })
             .min_by_key(|(_, delay)| *delay)
     }
@@ -339,14 +349,21 @@
         }
     }
 
-    fn delay_away(&self, now: Duration, region: &RegionId, query: &ChoiceQuery) -> Duration {
+    /// Predicted time to the first byte in another region; `None` while that has no room.
+    fn delay_away(
+        &self,
+        now: Duration,
+        region: &RegionId,
+        query: &ChoiceQuery,
+    ) -> Option<Duration> {
         let key = (region.clone(), ServiceId::from(query.service));
         let told = self.away.get(&key);
         let told = told.filter(|(at, _)| now.saturating_sub(*at) < Self::AWAY_LIFE);
         let reading = query.prompt.map_or(Duration::ZERO, |prompt| {
             Duration::from_millis(prompt.input / 50)
         });
-        Self::AWAY_TRIP + reading + told.map_or(Self::AWAY_UNKNOWN, |(_, delay)| *delay)
+        let told = told.map_or(Self::AWAY_UNKNOWN, |(_, delay)| *delay);
+        (told < Self::FULL).then_some(Self::AWAY_TRIP + reading + told)
     }
 
     fn candidates<'a>(
--- a/crates/ebonystand/src/gateway/admitted.rs
+++ b/crates/ebonystand/src/gateway/admitted.rs
@@ -72,7 +72,7 @@
                     log::info!(
                         request:% = self.call.request, route:% = self.route.name,
                         workspace:? = self.call.workspace, upstream:% = instance,
-                        candidates = candidates, sound = is_sound, unread = unread,
+                        candidates = candidates, sound = is_sound, tokens = self.tokens, unread = unread,
                         predicted_ms = predicted.as_millis() as u64,
                         report_age_ms:? = report_age.map(|age| age.as_millis() as u64),
                         left_ms = left.as_millis() as u64, tried = self.tried;
@@ -89,7 +89,7 @@
                 } => {
                     log::info!(
                         request:% = self.call.request, route:% = self.route.name,
-                        workspace:? = self.call.workspace, region:% = region,
+                        workspace:? = self.call.workspace, region:% = region, tokens = self.tokens,
                         here_ms:? = here.map(|here| here.as_millis() as u64),
                         predicted_ms = predicted.as_millis() as u64,
                         left_ms = left.as_millis() as u64, tried = self.tried;
@@ -105,6 +105,9 @@
                             ..
                         }
                     ) {
+                        let now = node.clock.now();
+                        let mut book = node.gateway.book.borrow_mut();
+                        book.refused_away(now, &region, &self.call.service);
                         self.call.full_regions.insert(region);
                     }
                     (outcome, None)
