Count VMs that do not take callers yet among those that share a cold upstream's rate; name what peers tell

Cause, by reading: a VM counted those of its region that take callers. Of VMs that start together the first would hold itself for alone and send a cold upstream its whole rate, and so would the next ones: more than it bears. Ruled out: counting all live VMs: those with a log alone send nothing, and would take places among the three. Change: VMs that take forwarded requests or callers are counted. Fellows are named peer loads.

--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -33,7 +33,7 @@
 };
 
 use {
-    cold_gate::ColdGate, fellows::Fellows, known_upstream::KnownUpstream,
+    cold_gate::ColdGate, known_upstream::KnownUpstream, peer_loads::PeerLoads,
     prefix_memory::PrefixMemory, window::Window,
 };
 
@@ -45,7 +45,6 @@
 mod cold_terms;
 mod confirmation;
 mod entry_choice;
-mod fellows;
 mod gateway_route;
 mod gateway_service;
 mod gateway_workspace;
@@ -54,6 +53,7 @@
 mod list_reader;
 mod listed_upstream;
 mod next_step;
+mod peer_loads;
 mod prefix_memory;
 mod prompt;
 mod quota;
--- a/crates/ebonystand-core/src/gateway/fellows.rs
+++ b/crates/ebonystand-core/src/gateway/peer_loads.rs
@@ -8,7 +8,7 @@
 /// earned of credit owed rose from 0.585 to 0.855 on a day of regional peaks (one play), together
 /// with telling other regions how long a prompt waits.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Fellows {
+pub(crate) struct PeerLoads {
     told: BTreeMap<VmId, Told>,
     sums: FxHashMap<UpstreamId, UnderWay>,
 }
@@ -19,7 +19,7 @@
     under_way: Vec<(UpstreamId, UnderWay)>,
 }
 
-impl Fellows {
+impl PeerLoads {
     /// What a VM told counts for so long: some turns may get lost on the way, and what a VM that is
     /// gone had under way has ended.
     const LIFE: Duration = Duration::from_millis(1_000);
--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -8,7 +8,7 @@
 #[derive(Clone, Debug)]
 pub struct UpstreamBook {
     here: RegionId,
-    fellows: Fellows,
+    peer_loads: PeerLoads,
     vms: RegionVms,
     upstreams: BTreeMap<UpstreamId, KnownUpstream>,
     /// Predicted time to the first byte in other regions, with when it was told.
@@ -51,7 +51,7 @@
     pub fn new(own: VmId, here: RegionId, zones: BTreeMap<ZoneId, RegionId>) -> Self {
         Self {
             here,
-            fellows: Fellows::default(),
+            peer_loads: PeerLoads::default(),
             vms: RegionVms::new(own),
             upstreams: BTreeMap::new(),
             away: FxHashMap::default(),
@@ -131,7 +131,7 @@
             return;
         };
         if let Some(waited) = waited {
-            let others = self.fellows.at(instance).unread;
+            let others = self.peer_loads.at(instance).unread;
             known.measure_reading(known.window.used().max(unread) + others, waited);
             let target = aim * Self::BEGINS_PERMILLE / 1_000;
             known.window.observe(now, waited, target, unread, others);
@@ -235,12 +235,12 @@
     /// Takes over which VMs of the region live, and forgets what those told that have fallen silent.
     pub fn set_vms(&mut self, now: Duration, live: impl IntoIterator<Item = VmId>) {
         self.vms.set(live);
-        self.fellows.forget_silent(now);
+        self.peer_loads.forget_silent(now);
     }
 
     /// Takes what another VM of the region has under way.
-    pub fn fellow_told(&mut self, now: Duration, vm: VmId, under_way: Vec<(UpstreamId, UnderWay)>) {
-        self.fellows.tell(now, vm, under_way);
+    pub fn peer_told(&mut self, now: Duration, vm: VmId, under_way: Vec<(UpstreamId, UnderWay)>) {
+        self.peer_loads.tell(now, vm, under_way);
     }
 
     /// What this VM has under way, for the others of the region.
@@ -429,7 +429,7 @@
 
     /// What the other VMs of the region have under way at an upstream.
     fn others(&self, known: &KnownUpstream) -> UnderWay {
-        self.fellows.at(&known.listed.instance)
+        self.peer_loads.at(&known.listed.instance)
     }
 
     fn region(&self, known: &KnownUpstream) -> Option<&RegionId> {
--- a/crates/ebonystand-core/tests/gateway/upstreams.rs
+++ b/crates/ebonystand-core/tests/gateway/upstreams.rs
@@ -288,7 +288,7 @@
     };
     for vm in 0..9 {
         let under_way = vec![(first.as_str().into(), under_way)];
-        book.fellow_told(ms(0), format!("vm{vm}").into(), under_way);
+        book.peer_told(ms(0), format!("vm{vm}").into(), under_way);
     }
     assert_ne!(chosen(&book, ms(10)), Some(first.clone()));
     book.set_vms(ms(2_000), ["vm".into()]);
@@ -338,7 +338,7 @@
         requests: 3,
         unread: 40_000,
     };
-    book.fellow_told(ms(0), "vm1".into(), vec![("u1".into(), under_way)]);
+    book.peer_told(ms(0), "vm1".into(), vec![("u1".into(), under_way)]);
     let away = |book: &UpstreamBook, now| {
         let choice = book.choose(now, &sets.query(Some(&crowd)));
         matches!(choice, Choice::Away { .. })
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -269,9 +269,12 @@
         let mut told_some = false;
         loop {
             let live = node.membership.live(node.clock.now()).into_iter();
+            // Those that do not take callers yet may the next moment: of VMs that start together each would
+            // otherwise hold itself for alone, and send a cold upstream all that it bears.
             let of_region = live.filter(|entry| {
                 let record = &entry.record;
-                record.region == node.settings.region && record.takes_callers
+                let serves = record.takes_callers || record.forwards.is_some();
+                record.region == node.settings.region && serves
             });
             let vms = of_region.map(|entry| entry.record.vm).collect::<Vec<_>>();
             let count = u32::try_from(vms.len()).unwrap_or(u32::MAX);
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -263,7 +263,7 @@
             PeerMessage::UnderWay(under_way) => {
                 let now = self.clock.now();
                 let mut book = self.gateway.book.borrow_mut();
-                book.fellow_told(now, from.clone(), under_way);
+                book.peer_told(now, from.clone(), under_way);
             }
             PeerMessage::Allowance(message) => AllowanceController::receive(self, from, message),
             PeerMessage::Feed(message) => {
