--- a/crates/ebonystand/src/gateway/serve_call.rs
+++ b/crates/ebonystand/src/gateway/serve_call.rs
@@ -62,6 +62,7 @@
 ) -> Result<Response<BoxBody>, Refusal> {
     let head = node.gateway.dialect.read(req)?;
     let request = head.request.clone();
+    let host = head.host.clone();
     let mut unanswered = Unanswered {
         node,
         request: &request,
@@ -73,8 +74,10 @@
     };
     unanswered.since = None;
     served.inspect_err(|refusal| {
+        let table = node.gateway.table();
+        let route = table.find(&host, req.path()).map_or("none", |route| &route.name);
         log::info!(
-            request:% = request, code:% = refusal.code, run:% = refusal.run, reason:% = refusal.message,
+            request:% = request, route:% = route, code:% = refusal.code, run:% = refusal.run, reason:% = refusal.message,
             retry_after_ms = refusal.retry_after.unwrap_or_default().as_millis() as u64;
             "refused"
         );
