Let requests that only full other regions can serve wait for room, at both ends

Ruled out: too few engines (those of the other regions were busy half of the time); homes (most have none). Change: no upstream here and full regions elsewhere counts as no room, not as nobody; a forwarded request waits in the other region's queue like its own do. Refusals keep their time to come back.

--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -18,6 +18,8 @@
 }
 
 impl UpstreamBook {
+    /// What another region told counts for so long.
+    pub(super) const AWAY_LIFE: Duration = Duration::from_secs(2);
     /// Delay told to other regions beyond the predicted one while no upstream has room.
     pub(super) const FULL: Duration = Duration::from_millis(1_000);
     /// Part of its aim, in permille, within which an answer is to begin at its upstream. The rest is
@@ -120,14 +122,21 @@
         self.caches.told(now, cached, from_away);
     }
 
-    /// Whether an upstream of the own region has room for a request.
+    /// Whether a request that waits may find room now: at an upstream of the own region, or in another
+    /// one that has told of it.
     #[must_use]
     pub fn has_room(&self, now: Duration, service: &str, is_engine: bool, work: u64) -> bool {
-        self.upstreams.values().any(|known| {
+        let mut upstreams = self.upstreams.values();
+        let here = upstreams.any(|known| {
             *known.listed.service == *service
                 && self.region(known) == Some(&self.here)
                 && !known.listed.leaving
                 && known.has_room(now, is_engine, work, self.others(known))
+        });
+        let mut told = self.away.iter();
+        here || told.any(|((_, of), (at, delay))| {
+            let is_fresh = now.saturating_sub(*at) < Self::AWAY_LIFE;
+            **of == *service && is_fresh && *delay < Self::FULL
         })
     }
 
--- a/crates/ebonystand-core/src/gateway/upstream_choice.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_choice.rs
@@ -25,8 +25,6 @@
 impl UpstreamBook {
     /// Delay to assume of another region that has told nothing.
     const AWAY_UNKNOWN: Duration = Duration::from_millis(300);
-    /// What another region told counts for so long.
-    const AWAY_LIFE: Duration = Duration::from_secs(2);
     /// Network time of a request that is sent away and of its first byte, there and back.
     const AWAY_TRIP: Duration = Duration::from_millis(130);
     /// Part of its aim, in permille, up to which a request stays in its region. Sending away costs
@@ -68,10 +66,21 @@
                     region,
                 }
             }
+            None if matches!(here, Choice::Nowhere { .. }) => self.full_away(query).unwrap_or(here),
             _ => here,
         }
     }
 
+    /// What a request has to expect that other regions alone can serve and none has room for.
+    ///
+    /// They tell of room again within a fraction of its aim. Refused at once, callers of a zone that is
+    /// evacuated at its peak came back, all together, to find the others' callers ahead of them again.
+    fn full_away(&self, query: &ChoiceQuery) -> Option<Choice> {
+        let predicted = Self::AWAY_TRIP + Self::FULL;
+        let serves = self.regions_away(query).next().is_some();
+        serves.then_some(Choice::Full { predicted })
+    }
+
     pub(super) fn choose_here(&self, now: Duration, query: &ChoiceQuery) -> Choice {
         let mut candidates = self.candidates(query, |known| self.is_candidate(now, query, known));
         let is_sound = !candidates.is_empty();
@@ -123,19 +132,23 @@
     }
 
     fn choose_away(&self, now: Duration, query: &ChoiceQuery) -> Option<(RegionId, Duration)> {
+        let regions = self.regions_away(query);
+        let delays = regions.filter_map(|region| {
+            let delay = self.delay_away(now, region, query)?;
+            Some((region.clone(), delay))
+        });
+        delays.min_by_key(|(_, delay)| *delay)
+    }
+
+    /// Other regions that may and can serve a request, whether or not they have room.
+    fn regions_away<'a>(&'a self, query: &'a ChoiceQuery) -> impl Iterator<Item = &'a RegionId> {
         let regions = query.reachable.iter();
         let regions = regions.filter(|region| **region != self.here && query.allows(region));
-        regions
-            .filter_map(|region| {
-                let served = self.upstreams.values().any(|known| {
-                    self.region(known) == Some(region) && self.is_usable(query, known)
-                });
-                let delay = self.delay_away(now, region, query);
-                delay
-                    .filter(|_| served)
-                    .map(|delay| (region.clone(), delay))
-            })
-            .min_by_key(|(_, delay)| *delay)
+        regions.filter(|region| {
+            let mut upstreams = self.upstreams.values();
+            upstreams
+                .any(|known| self.region(known) == Some(*region) && self.is_usable(query, known))
+        })
     }
 
     /// Predicted time to the first byte in another region; `None` while that has no room.
--- a/crates/ebonystand-core/tests/gateway/upstreams.rs
+++ b/crates/ebonystand-core/tests/gateway/upstreams.rs
@@ -352,3 +352,31 @@
     book.told(ms(250), &"b".into(), vec![("s".into(), ms(20))]);
     assert!(away(&book, ms(251)));
 }
+
+/// The zone of a region is evacuated at its peak, and the other region has no room at this moment. Its callers wait,
+/// as those of the other region do; refused at once, they would come back all together a second later
+/// to find the others ahead of them again. Where no region may serve them, waiting is of no use.
+#[rstest]
+#[case::full(true, true)]
+#[case::unreachable(false, false)]
+fn a_request_that_only_a_full_region_can_serve_waits(
+    #[case] is_reachable: bool,
+    #[case] waits: bool,
+) {
+    let sets = Sets {
+        evacuated: set(&["a-1"]),
+        reachable: if is_reachable { set(&["b"]) } else { set(&[]) },
+        ..Sets::default()
+    };
+    let mut book = book(vec![listed("u1", "a-1", 1), listed("u2", "b-1", 2)]);
+    let prompt = prompt(7, 1);
+    book.refused_away(ms(0), &"b".into(), "s");
+    let choice = book.choose(ms(10), &sets.query(Some(&prompt)));
+    let found = matches!(choice, Choice::Full { .. });
+    assert_eq!(found, waits, "{choice:?}");
+    // Told of room, it goes.
+    book.told(ms(100), &"b".into(), vec![("s".into(), ms(20))]);
+    assert!(book.has_room(ms(110), "s", true, 6_500));
+    let choice = book.choose(ms(110), &sets.query(Some(&prompt)));
+    assert_eq!(matches!(choice, Choice::Away { .. }), waits, "{choice:?}");
+}
--- a/crates/ebonystand/src/gateway/admitted.rs
+++ b/crates/ebonystand/src/gateway/admitted.rs
@@ -23,9 +23,6 @@
 }
 
 impl Admitted {
-    /// Part of its aim, in permille, for which a request waits for room.
-    const PATIENCE_PERMILLE: u32 = 250;
-
     pub(crate) async fn run(mut self, node: &Rc<Node>) -> Result<Response<BoxBody>, Refusal> {
         loop {
             let left = self.call.left(node);
@@ -51,7 +48,7 @@
                     return Err(refusal.with_retry_after(retry_after));
                 }
                 Choice::Full { predicted } => {
-                    if self.wait_for_room(node).await {
+                    if self.call.wait_for_room(node).await {
                         continue;
                     }
                     let refusal = self.refusal(
@@ -189,20 +186,6 @@
         ))
     }
 
-    /// Waits until an upstream has room; whether one may have. A request that would begin too late
-    /// for its aim is given up early, while its caller has time to come back.
-    async fn wait_for_room(&self, node: &Rc<Node>) -> bool {
-        let since = node.clock.now().saturating_sub(self.call.arrived);
-        let patience = (self.call.aim * Self::PATIENCE_PERMILLE / 1_000).saturating_sub(since);
-        if patience.is_zero() {
-            return false;
-        }
-        let prompt = self.call.prompt.as_ref();
-        let work = prompt.map_or(1, |prompt| prompt.input - prompt.shared_tokens());
-        let (rank, service) = (self.call.rank, &self.call.service);
-        turns::Turns::wait(node, service, rank, prompt.is_some(), work, patience).await
-    }
-
     /// When a caller for whom there is no room is asked to come back: once what is ahead of it is
     /// done, and not all at once.
     fn come_back_after(&self, node: &Node, predicted: Duration) -> Duration {
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -5,6 +5,7 @@
     node::Node,
     relay::Relay,
     std::collections::BTreeSet,
+    turns::Turns,
 };
 
 /// A request that may be sent: to an upstream of the own region, or to a VM of another one.
@@ -75,11 +76,27 @@
 }
 
 impl Call {
+    /// Part of its aim, in permille, for which a request waits for room.
+    const PATIENCE_PERMILLE: u32 = 250;
     /// Largest failure of an upstream that is kept for the caller, in bytes.
     const LARGEST_FAILURE: usize = 64 << 10;
     /// Longest time for the rest of an answer that is thrown away.
     const REST: Duration = Duration::from_millis(200);
 
+    /// Waits until an upstream has room; whether one may have. A request that would begin too late
+    /// for its aim is given up early, while its caller has time to come back.
+    pub(crate) async fn wait_for_room(&self, node: &Rc<Node>) -> bool {
+        let since = node.clock.now().saturating_sub(self.arrived);
+        let patience = (self.aim * Self::PATIENCE_PERMILLE / 1_000).saturating_sub(since);
+        if patience.is_zero() {
+            return false;
+        }
+        let prompt = self.prompt.as_ref();
+        let work = prompt.map_or(1, |prompt| prompt.input - prompt.shared_tokens());
+        let (rank, service) = (self.rank, &self.service);
+        Turns::wait(node, service, rank, prompt.is_some(), work, patience).await
+    }
+
     pub(crate) fn left(&self, node: &Node) -> Duration {
         self.end.saturating_sub(node.clock.now())
     }
--- a/crates/ebonystand/src/gateway/receive_forward.rs
+++ b/crates/ebonystand/src/gateway/receive_forward.rs
@@ -91,7 +91,11 @@
         workspace: forwarded.workspace,
     };
     let none = BTreeSet::new();
-    match call.choose(node, &none) {
+    let mut choice = call.choose(node, &none);
+    while matches!(choice, Choice::Full { .. }) && call.wait_for_room(node).await {
+        choice = call.choose(node, &none);
+    }
+    match choice {
         Choice::Here {
             address,
             import,
