Hold requests that come while their VM starts, until the fleet can serve

Cause: after a start of all VMs together it takes 2.5 s until requests are served (an election, then the rest of the leases that former starts held). Ruled out: a shorter rest of leases (renewals must outlast lost packets), a quicker election (followers have promised the former leader its lease). Change: such a request is read and held until its VM can serve, for gateway.start_takes_ms from the start and half of its own time at most; its wait for room begins after it.

--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -10,6 +10,8 @@
 
 /// A request that may be sent: to an upstream of the own region, or to a VM of another one.
 pub(crate) struct Call {
+    /// When it had passed the filters; from then on it waits for room.
+    pub(crate) admitted: Duration,
     /// Time to the first byte that is aimed at.
     pub(crate) aim: Duration,
     /// When it came.
@@ -86,7 +88,7 @@
     /// Waits until an upstream has room; whether one may have. A request that would begin too late
     /// for its aim is given up early, while its caller has time to come back.
     pub(crate) async fn wait_for_room(&self, node: &Rc<Node>) -> bool {
-        let since = node.clock.now().saturating_sub(self.arrived);
+        let since = node.clock.now().saturating_sub(self.admitted);
         let patience = (self.aim * Self::PATIENCE_PERMILLE / 1_000).saturating_sub(since);
         if patience.is_zero() {
             return false;
--- a/crates/ebonystand/src/gateway/receive_forward.rs
+++ b/crates/ebonystand/src/gateway/receive_forward.rs
@@ -74,6 +74,7 @@
         }
     };
     let call = Call {
+        admitted: now,
         aim: Duration::from_millis(forwarded.aim_ms),
         arrived: now,
         body,
--- a/crates/ebonystand/src/gateway/serve_call.rs
+++ b/crates/ebonystand/src/gateway/serve_call.rs
@@ -17,9 +17,8 @@
 /// Time after which a caller is asked to come back to a VM that does not know the newest
 /// configuration: several tries of it to learn it.
 pub(crate) const UNCONFIRMED_RETRY: Duration = Duration::from_millis(500);
-/// Time from the start of a VM until it serves when all VMs start together: an election, and the rest
-/// of the leases that their former starts held.
-const START_TAKES: Duration = Duration::from_millis(2_500);
+/// Time between two looks whether a VM that starts can serve.
+const START_LOOK: Duration = Duration::from_millis(20);
 /// Longest answer in tokens that a VM which is about to stop begins: under two seconds of generation
 /// at 7 ms a token.
 const SHORT_ANSWER: Tokens = 256;
@@ -113,10 +112,11 @@
     let limit = node.settings.limits.requests;
     let in_flight = InFlight::enter(&node.in_flight, limit)
         .ok_or_else(|| unready(RefusalCode::Overloaded, "this VM has too many requests"))?;
+    let body = started(node, req, payload, head.deadline).await?;
     if !node.gateway.has_routes(node) {
         let refusal = unready(RefusalCode::NotReady, "this VM has no configuration yet");
-        let soon = START_TAKES.saturating_sub(arrived).max(UNCONFIRMED_RETRY);
-        return Err(refusal.with_retry_after(soon));
+        let soon = start_end(node).saturating_sub(node.clock.now());
+        return Err(refusal.with_retry_after(soon.max(UNCONFIRMED_RETRY)));
     }
     if would_be_cut_off(node, head.prompt.as_ref()) {
         return Err(unready(
@@ -126,12 +126,15 @@
     }
     let table = node.gateway.table();
     let (route, workspace) = find(node, &table, &head, req.path())?;
-    let body = body::read(node, req.headers(), payload).await?;
+    let body = match body {
+        Some(body) => body,
+        None => body::read(node, req.headers(), payload).await?,
+    };
     let longest = Duration::from_millis(route.timeout_ms);
     let tokens = workspace
         .as_ref()
         .map_or(0, |w| w.cost(head.prompt.as_ref()));
-    let reserved = reserve(node, &route, workspace.as_ref(), tokens).await?;
+    let reserved = reserve(node, &route, workspace.as_ref(), tokens, head.deadline).await?;
     let shared = head.prompt.as_ref().and_then(Prompt::shared);
     let hash = shared.unwrap_or_else(|| node.gateway.draw());
     // A route without a weight is never put in force.
@@ -146,6 +149,7 @@
         .and_then(|w| w.rank)
         .unwrap_or(route.rank);
     let call = Call {
+        admitted: node.clock.now(),
         aim: Duration::from_millis(route.aim_ms),
         arrived,
         body,
@@ -174,6 +178,44 @@
     })
 }
 
+/// Waits until a VM that has just started can serve; the body if it was read for that.
+///
+/// After a start of all VMs together, callers came back before the fleet could serve and were refused
+/// again: they may wait a third of their time only, and a start takes longer. Held here, they are
+/// answered late and not at all refused; of a region's callers in those two seconds nothing else is left.
+async fn started(
+    node: &Rc<Node>,
+    req: &Request,
+    payload: &mut Payload,
+    deadline: Option<Duration>,
+) -> Result<Option<Bytes>, Refusal> {
+    let is_ready = || {
+        let now = node.clock.now();
+        node.gateway.has_routes(node) && node.gateway.confirmed(now)
+    };
+    let until = start_until(node, deadline);
+    if is_ready() || node.clock.now() >= until {
+        return Ok(None);
+    }
+    // A caller whose request is not read takes its VM for dead.
+    let body = body::read(node, req.headers(), payload).await?;
+    while !is_ready() && node.clock.now() < until && !node.draining() {
+        actix_rt::time::sleep(START_LOOK).await;
+    }
+    Ok(Some(body))
+}
+
+/// Until when a request waits for the start of its VM: until this should be done, and not for more than
+/// half of its own time.
+fn start_until(node: &Node, deadline: Option<Duration>) -> Duration {
+    let half = deadline.map(|deadline| node.clock.now() + deadline / 2);
+    half.map_or(start_end(node), |half| half.min(start_end(node)))
+}
+
+fn start_end(node: &Node) -> Duration {
+    node.settings.gateway.start_takes
+}
+
 /// The route and the workspace. A VM whose copy of the configuration is not confirmed to be the
 /// newest says neither that a route or a key does not exist nor that a key is good.
 fn find(
@@ -210,11 +252,19 @@
     route: &GatewayRoute,
     workspace: Option<&GatewayWorkspace>,
     tokens: Tokens,
+    deadline: Option<Duration>,
 ) -> Result<Option<Reserved>, Refusal> {
     let Some(workspace) = workspace.filter(|workspace| workspace.quota.is_some()) else {
         return Ok(None);
     };
     let patience = Duration::from_millis(route.aim_ms / 4).max(BORROWED_WITHIN);
+    while node.clock.now() < start_until(node, deadline) {
+        match AllowanceController::admit(node, &workspace.name, tokens).await {
+            Ok(reserved) => return Ok(Some(reserved)),
+            // The holders' parts rest until the leases of their former starts have ended.
+            Err(_) => actix_rt::time::sleep(START_LOOK).await,
+        }
+    }
     let admitted = AllowanceController::admit(node, &workspace.name, tokens);
     let admitted = actix_rt::time::timeout(patience, admitted).await;
     let late = || {
--- a/crates/ebonystand/src/gateway/settings.rs
+++ b/crates/ebonystand/src/gateway/settings.rs
@@ -24,6 +24,9 @@
     pub retry_permille: u64,
     /// Whether callers may be sent to this VM.
     pub serves_callers: bool,
+    /// Time from the start of a VM until it serves when all VMs start together: an election, and the rest
+    /// of the leases that their former starts held. Requests wait so long for it at most.
+    pub start_takes: Duration,
     /// Regions of availability zones.
     pub zones: BTreeMap<ZoneId, RegionId>,
 }
@@ -46,6 +49,7 @@
             quota_window: millis(reader.ranged("quota_window_ms", 0, 0, 600_000)),
             retry_permille: permille(reader.optional("retry_ratio", 0.1)),
             serves_callers: reader.optional("serves_callers", true),
+            start_takes: millis(reader.ranged("start_takes_ms", 2_500, 0, 600_000)),
             zones: reader.optional("zones", BTreeMap::new()),
         }
     }
--- a/crates/ebonystand/tests/integration/routes.rs
+++ b/crates/ebonystand/tests/integration/routes.rs
@@ -24,6 +24,7 @@
 /// Regions with their upstreams; one VM in each.
 struct Setting {
     regions: Vec<(&'static str, Vec<Scripted>)>,
+    start_takes_ms: u64,
     withdrawn_within_ms: u64,
 }
 
@@ -46,6 +47,7 @@
     fn new(regions: Vec<(&'static str, Vec<Scripted>)>) -> Self {
         Self {
             regions,
+            start_takes_ms: 2_500,
             withdrawn_within_ms: 0,
         }
     }
@@ -57,6 +59,7 @@
         let mut builder = FleetBuilder::new().settings(json!({
             "forwards": "127.0.0.1:0",
             "list_every_ms": 50,
+            "start_takes_ms": self.start_takes_ms,
             "withdrawn_within_ms": self.withdrawn_within_ms,
             "zones": zones,
         }));
@@ -577,3 +580,29 @@
     assert!(fleet.vms[0].running());
     served(&fleet.vms[0], "/look/after").await;
 }
+
+/// The only VM is killed and started again. Its first caller comes while no leader is elected and the leases
+/// of the former start still hold the allowance. It waits for both and is answered; told to come back, it
+/// would be refused a second time.
+#[actix_rt::test]
+async fn a_request_waits_for_the_start_of_its_vm() {
+    let scripted = Scripted::start(echo);
+    let mut setting = Setting::new(vec![("a", vec![scripted])]);
+    setting.start_takes_ms = 60_000;
+    setting.withdrawn_within_ms = 5_000;
+    let mut fleet = setting.start().await;
+    put(&fleet, routing(1)).await;
+    served(&fleet.vms[0], "/look/first").await;
+    fleet.vms[0].kill();
+    fleet.vms[0].restart();
+    let mut answer = call(&fleet.vms[0], "GET", "/look/x", "after-0", "").await;
+    // Until the routes are read from its disk, the VM speaks its other interface.
+    for n in 1..2_000 {
+        if !answer.body.contains("this VM has just started") {
+            break;
+        }
+        actix_rt::time::sleep(Duration::from_millis(5)).await;
+        answer = call(&fleet.vms[0], "GET", "/look/x", &format!("after-{n}"), "").await;
+    }
+    assert_eq!((answer.status, &*answer.body), (200, "served"));
+}
