--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -27,7 +27,7 @@
     /// windows narrowed for long prompts that nothing had kept waiting, and requests were refused beside
     /// engines with room (mean worth of five days with trouble, two plays each, 0.658 at 350, 0.665 at 500,
     /// 0.656 at 700).
-    const BEGINS_PERMILLE: u32 = 500;
+    const BEGINS_PERMILLE: u32 = 350;
     /// An upstream that appears on the list, or whose zone comes back, counts as cold for so long
     /// at least: the list lags, and may not say yet that it is.
     const NEW_IS_COLD: Duration = Duration::from_millis(2_000);
