--- a/crates/ebonystand-core/src/gateway/known_upstream.rs
+++ b/crates/ebonystand-core/src/gateway/known_upstream.rs
@@ -106,12 +106,14 @@
         work: u64,
         others: UnderWay,
     ) -> bool {
-        let occupied = self.occupied(now, others);
-        if is_engine {
-            occupied < self.listed.slots && self.window.fits(work, others.unread)
-        } else {
-            occupied < self.listed.slots * Self::CALLS_A_SLOT
-        }
+        let fits = !is_engine || self.window.fits(work, others.unread);
+        fits && self.has_slot(now, is_engine, others)
+    }
+
+    /// Whether a slot is free, or soon will be for a call.
+    pub(crate) fn has_slot(&self, now: Duration, is_engine: bool, others: UnderWay) -> bool {
+        let requests = if is_engine { 1 } else { Self::CALLS_A_SLOT };
+        self.occupied(now, others) < self.listed.slots * requests
     }
 
     /// Time that a call takes here.
--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -17,6 +17,7 @@
     holder_plan::HolderPlan,
     list_reader::ListReader,
     listed_upstream::ListedUpstream,
+    mechanism::Mechanism,
     next_step::NextStep,
     prompt::{Prompt, PromptPart},
     quota::{Quota, QuotaUnit},
@@ -52,6 +53,7 @@
 mod known_upstream;
 mod list_reader;
 mod listed_upstream;
+mod mechanism;
 mod next_step;
 mod peer_loads;
 mod prefix_memory;
--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -14,6 +14,8 @@
     pub(super) upstreams: BTreeMap<UpstreamId, KnownUpstream>,
     /// Predicted time to the first byte in other regions, with when it was told.
     pub(super) away: FxHashMap<(RegionId, ServiceId), (Duration, Duration)>,
+    /// Mechanisms that an experiment leaves out.
+    without: BTreeSet<Mechanism>,
     zones: BTreeMap<ZoneId, RegionId>,
 }
 
@@ -46,10 +48,24 @@
             vms: RegionVms::new(own),
             upstreams: BTreeMap::new(),
             away: FxHashMap::default(),
+            without: BTreeSet::new(),
             zones,
         }
     }
 
+    /// Leaves mechanisms out, for an experiment.
+    #[must_use]
+    pub fn without(mut self, mechanisms: BTreeSet<Mechanism>) -> Self {
+        self.without = mechanisms;
+        self
+    }
+
+    /// Whether a mechanism is used.
+    #[must_use]
+    pub fn uses(&self, mechanism: Mechanism) -> bool {
+        !self.without.contains(&mechanism)
+    }
+
     /// Whether an upstream may be sent to.
     #[must_use]
     pub fn admits(&self, now: Duration, query: &ChoiceQuery, instance: &str) -> bool {
@@ -133,7 +149,9 @@
 
     /// Takes what a VM tells of what engines keep; `from_away` if it is of another region.
     pub fn caches_told(&mut self, now: Duration, cached: Vec<CachedPrefix>, from_away: bool) {
-        self.caches.told(now, cached, from_away);
+        if self.uses(Mechanism::ToldCaches) {
+            self.caches.told(now, cached, from_away);
+        }
     }
 
     /// Whether a request that waits may find room now: at an upstream of the own region, or in another
@@ -145,7 +163,7 @@
             *known.listed.service == *service
                 && self.region(known) == Some(&self.here)
                 && !known.listed.leaving
-                && known.has_room(now, is_engine, work, self.others(known))
+                && self.fits(now, known, is_engine, work)
         });
         let mut told = self.away.iter();
         here || told.any(|((_, of), (at, delay))| {
@@ -252,7 +270,9 @@
 
     /// Takes what another VM of the region has under way.
     pub fn peer_told(&mut self, now: Duration, vm: VmId, under_way: Vec<(UpstreamId, UnderWay)>) {
-        self.peer_loads.tell(now, vm, under_way);
+        if self.uses(Mechanism::PeerLoads) {
+            self.peer_loads.tell(now, vm, under_way);
+        }
     }
 
     /// What this VM has under way, for the others of the region.
@@ -360,6 +380,21 @@
         senders.map(|_| known.gate.opens())
     }
 
+    /// Whether an upstream has room for a request.
+    pub(super) fn fits(
+        &self,
+        now: Duration,
+        known: &KnownUpstream,
+        is_engine: bool,
+        work: u64,
+    ) -> bool {
+        let others = self.others(known);
+        match self.uses(Mechanism::Windows) {
+            true => known.has_room(now, is_engine, work, others),
+            false => known.has_slot(now, is_engine, others),
+        }
+    }
+
     /// What the other VMs of the region have under way at an upstream.
     pub(super) fn others(&self, known: &KnownUpstream) -> UnderWay {
         self.peer_loads.at(&known.listed.instance)
--- a/crates/ebonystand-core/src/gateway/upstream_choice.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_choice.rs
@@ -64,7 +64,9 @@
         let is_sound = matches!(here, Choice::Here { is_sound: true, .. });
         let predicted = predicted.filter(|_| is_sound || matches!(here, Choice::Full { .. }));
         match self.choose_away(now, query) {
-            Some((region, there)) if predicted.is_none_or(|predicted| there < predicted) => {
+            Some((region, there))
+                if predicted.is_none_or(|here| self.uses(Mechanism::Away) && there < here) =>
+            {
                 Choice::Away {
                     here: predicted,
                     predicted: there,
@@ -82,7 +84,8 @@
     /// evacuated at its peak came back, all together, to find the others' callers ahead of them again.
     fn full_away(&self, query: &ChoiceQuery) -> Option<Choice> {
         let predicted = Self::AWAY_TRIP + Self::FULL;
-        let serves = self.regions_away(query).next().is_some();
+        let serves =
+            self.uses(Mechanism::ForwardedWait) && self.regions_away(query).next().is_some();
         serves.then_some(Choice::Full { predicted })
     }
 
@@ -94,7 +97,7 @@
             // request either, to refuse would be worse.
             candidates = self.candidates(query, |known| self.is_open(now, query, known));
         }
-        let placed = query.prompt.map(|prompt| Self::placed(prompt, &candidates));
+        let placed = query.prompt.map(|prompt| self.placed(prompt, &candidates));
         let weighed = candidates.iter().map(|known| match &placed {
             Some(placed) => self.weigh_prompt(now, query, known, placed),
             None => self.weigh_call(now, known),
@@ -186,7 +189,7 @@
         placed: &Placed,
         kept: Tokens,
     ) -> Option<(CacheSource, Duration)> {
-        let terms = query.engine?;
+        let terms = query.engine.filter(|_| self.uses(Mechanism::Imports))?;
         let (source, tokens) = placed.prefixes.iter().find_map(|prefix| {
             let source = self.export(now, query, known, prefix.id)?;
             Some((source, prefix.tokens.saturating_sub(kept)))
@@ -201,7 +204,11 @@
             instance: source.listed.instance.clone(),
             tokens,
         };
-        let is_worth_it = takes < known.reading(tokens).max(Self::IMPORTED_WITHIN);
+        let within = match self.uses(Mechanism::ShortImports) {
+            true => Self::IMPORTED_WITHIN,
+            false => Duration::ZERO,
+        };
+        let is_worth_it = tokens == 0 || takes < known.reading(tokens).max(within);
         is_worth_it.then_some((source, takes))
     }
 
@@ -244,8 +251,9 @@
             && region.is_some_and(|region| query.allows(region))
     }
 
-    fn placed<'a>(prompt: &'a Prompt, candidates: &[&KnownUpstream]) -> Placed<'a> {
-        let owner = prompt.shared().and_then(|shared| {
+    fn placed<'a>(&self, prompt: &'a Prompt, candidates: &[&KnownUpstream]) -> Placed<'a> {
+        let shared = prompt.shared().filter(|_| self.uses(Mechanism::Owner));
+        let owner = shared.and_then(|shared| {
             let names = candidates.iter().map(|known| &known.listed.instance);
             Rendezvous::new(shared).owner(names).cloned()
         });
@@ -256,14 +264,22 @@
         }
     }
 
+    /// A delay at an upstream, with what its failures cost.
+    fn weighed(&self, known: &KnownUpstream, delay: Duration) -> Duration {
+        match self.uses(Mechanism::FailingWeight) {
+            true => known.weighed(delay),
+            false => delay,
+        }
+    }
+
     fn weigh_call<'a>(&self, now: Duration, known: &'a KnownUpstream) -> Weighed<'a> {
         let others = self.others(known);
         let delay = known.call_delay(now, others);
         Weighed {
-            cost: known.weighed(delay),
+            cost: self.weighed(known, delay),
             delay,
             import: None,
-            is_full: !known.has_room(now, false, 0, others),
+            is_full: !self.fits(now, known, false, 0),
             known,
             unread: 0,
         }
@@ -298,12 +314,15 @@
             false => 0,
         };
         let delay = known.engine_delay(now, unread, others) + import_time;
-        let burden = known.reading(unread - lasting.min(unread)) + import_time;
+        let burden = match self.uses(Mechanism::ReadingCosts) {
+            true => known.reading(unread - lasting.min(unread)) + import_time,
+            false => Duration::ZERO,
+        };
         Weighed {
-            cost: known.weighed(delay) + burden * Self::READING_COSTS,
+            cost: self.weighed(known, delay) + burden * Self::READING_COSTS,
             delay,
             import,
-            is_full: !known.has_room(now, true, unread, others),
+            is_full: !self.fits(now, known, true, unread),
             known,
             unread,
         }
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -67,12 +67,14 @@
         let gateway = &settings.gateway;
         let mut zones = gateway.zones.clone();
         zones.insert(settings.zone.clone(), settings.region.clone());
+        let book = UpstreamBook::new(settings.vm.clone(), settings.region.clone(), zones);
+        if !gateway.without.is_empty() {
+            let without = gateway.without.iter().map(ToString::to_string);
+            let without = without.collect::<Vec<_>>().join(" ");
+            log::warn!(without:% = without; "mechanisms are left out for an experiment");
+        }
         Self {
-            book: RefCell::new(UpstreamBook::new(
-                settings.vm.clone(),
-                settings.region.clone(),
-                zones,
-            )),
+            book: RefCell::new(book.without(gateway.without.clone())),
             confirmation: RefCell::new(Confirmation::new(gateway.confirmed_for)),
             embedded: dialect.is_some(),
             dialect: dialect.unwrap_or_else(|| Rc::new(native_dialect::NativeDialect)),
--- a/crates/ebonystand/src/gateway/receive_forward.rs
+++ b/crates/ebonystand/src/gateway/receive_forward.rs
@@ -3,7 +3,7 @@
 use super::*;
 use {
     call::{Call, Destination, Outcome},
-    ebonystand_core::{AttemptEnd, Choice},
+    ebonystand_core::{AttemptEnd, Choice, Mechanism},
     ebonystand_wire::Forwarded,
     in_flight::InFlight,
     node::Node,
@@ -93,7 +93,8 @@
     };
     let none = BTreeSet::new();
     let mut choice = call.choose(node, &none);
-    while matches!(choice, Choice::Full { .. }) && call.wait_for_room(node).await {
+    let waits = node.gateway.book.borrow().uses(Mechanism::ForwardedWait);
+    while waits && matches!(choice, Choice::Full { .. }) && call.wait_for_room(node).await {
         choice = call.choose(node, &none);
     }
     match choice {
--- a/crates/ebonystand/src/gateway/settings.rs
+++ b/crates/ebonystand/src/gateway/settings.rs
@@ -1,5 +1,9 @@
 use super::*;
-use {settings_reader::SettingsReader, std::collections::BTreeMap};
+use {
+    ebonystand_core::Mechanism,
+    settings_reader::SettingsReader,
+    std::collections::{BTreeMap, BTreeSet},
+};
 
 /// Settings of serving by routes.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -27,6 +31,8 @@
     /// Time from the start of a VM until it serves when all VMs start together: an election, and the rest
     /// of the leases that their former starts held. Requests wait so long for it at most.
     pub start_takes: Duration,
+    /// Mechanisms that an experiment leaves out.
+    pub without: BTreeSet<Mechanism>,
     /// Regions of availability zones.
     pub zones: BTreeMap<ZoneId, RegionId>,
 }
@@ -50,6 +56,7 @@
             retry_permille: permille(reader.optional("retry_ratio", 0.1)),
             serves_callers: reader.optional("serves_callers", true),
             start_takes: millis(reader.ranged("start_takes_ms", 2_500, 0, 600_000)),
+            without: reader.optional("without", BTreeSet::new()),
             zones: reader.optional("zones", BTreeMap::new()),
         }
     }
