Ask callers bound to a region out of reach to stay away for 2 s; say in a refusal which regions may serve

The line did not say which regions may. Ruled out: a longer time than 2 s (callers wait a third of theirs at most). Kept for the callers.

--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -356,7 +356,13 @@
     }
 
     /// When the first upstream may be sent to again.
+    ///
+    /// Where none here may serve it, its regions cannot be reached, which ends when a cut does and not when an
+    /// upstream here is ready: told 250 ms, callers came back to be refused a second time.
     pub(super) fn opens_after(&self, now: Duration, query: &ChoiceQuery) -> Duration {
+        if !query.allows(&self.here) {
+            return Self::LONGEST_RETRY;
+        }
         let opens = self
             .upstreams
             .values()
--- a/crates/ebonystand-core/tests/gateway/upstreams.rs
+++ b/crates/ebonystand-core/tests/gateway/upstreams.rs
@@ -380,3 +380,20 @@
     let choice = book.choose(ms(110), &sets.query(Some(&prompt)));
     assert_eq!(matches!(choice, Choice::Away { .. }), waits, "{choice:?}");
 }
+
+/// A workspace is bound to a region that is cut off. An upstream here is idle, but may not serve it; when the cut
+/// ends nobody knows. Its callers are asked to stay away for as long as anybody is, not to come back at
+/// once to be refused again.
+#[test]
+fn callers_bound_to_a_region_that_cannot_be_reached_do_not_come_back_at_once() {
+    let sets = Sets {
+        homes: Some(set(&["b"])),
+        ..Sets::default()
+    };
+    let book = book(vec![listed("u1", "a-1", 1), listed("u2", "b-1", 2)]);
+    let choice = book.choose(ms(0), &sets.query(None));
+    let Choice::Nowhere { retry_after, .. } = choice else {
+        panic!("{choice:?}");
+    };
+    assert_eq!(retry_after, ms(2_000));
+}
--- a/crates/ebonystand/src/gateway/admitted.rs
+++ b/crates/ebonystand/src/gateway/admitted.rs
@@ -40,8 +40,9 @@
                     retry_after,
                 } => {
                     let message = format!(
-                        "no upstream of {} can serve it: {because}; regions to send to: {}",
+                        "no upstream of {} can serve it: {because}; may go to: {}; regions to send to: {}",
                         self.call.service,
+                        self.call.homes_text(),
                         reachable.len()
                     );
                     let refusal = self.refusal(RefusalCode::NoUpstream, &message);
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -133,6 +133,19 @@
         }
     }
 
+    /// Regions that may serve it, for a log line; none where those of its route and of its workspace have
+    /// none in common.
+    pub(crate) fn homes_text(&self) -> Box<str> {
+        let Some(homes) = &self.homes else {
+            return "any region".into();
+        };
+        let names = homes.iter().map(|home| &**home).collect::<Vec<_>>();
+        match names.is_empty() {
+            true => "no region".into(),
+            false => names.join(" ").into(),
+        }
+    }
+
     /// Sends it to an upstream of the own region and waits `wait` for the first bytes.
     pub(crate) async fn send_here(
         &self,
