Bound what a VM would tell of caches and has nobody to tell

Found when reading the change: on a VM without other regions the list of what is still to be told to them is never taken, and grew by an entry every 5 s for each part in use. Bounded at the number of known beginnings; what does not fit is told when it is due again. On fleets of several regions the list is emptied every 250 ms and never gets near.

--- a/crates/ebonystand-core/src/prefix_cache/cache_directory.rs
+++ b/crates/ebonystand-core/src/prefix_cache/cache_directory.rs
@@ -61,8 +61,8 @@
             return;
         }
         holder.told = Some(now);
-        self.for_others.push(cached.clone());
-        self.for_region.push(cached);
+        Self::tell(&mut self.for_others, &cached);
+        Self::tell(&mut self.for_region, &cached);
     }
 
     /// Forgets all that an engine keeps: it is gone, or has become cold.
@@ -125,7 +125,7 @@
             if let Some(holder) = self.holder(now, &cached) {
                 holder.told = Some(now);
                 if from_away {
-                    self.for_region.push(cached);
+                    Self::tell(&mut self.for_region, &cached);
                 }
             }
         }
@@ -158,6 +158,14 @@
         Some(holder)
     }
 
+    /// Adds to what is still to be told. A VM that tells nobody, having no other region, would gather it for
+    /// ever; what does not fit is told when it is due again.
+    fn tell(untold: &mut Vec<CachedPrefix>, cached: &CachedPrefix) {
+        if untold.len() < Self::MOST {
+            untold.push(cached.clone());
+        }
+    }
+
     fn is_live(now: Duration, holder: &Holder) -> bool {
         now.saturating_sub(holder.used) < Self::LIFE
     }
--- a/crates/ebonystand-core/tests/gateway/caches.rs
+++ b/crates/ebonystand-core/tests/gateway/caches.rs
@@ -235,6 +235,22 @@
     assert!(directory.keeps(ms(60_000), 7, "u1"));
 }
 
+/// A VM of a fleet with one region has nobody to tell of another one. What it would tell goes on coming for weeks, and
+/// must not fill its memory.
+#[test]
+fn what_nobody_is_told_is_bounded() {
+    let mut directory = CacheDirectory::default();
+    let cached = CachedPrefix {
+        homes: None,
+        instance: "u1".into(),
+        prefix: 7,
+    };
+    for n in 0..20_000 {
+        directory.begun(ms(n * 6_000), cached.clone());
+    }
+    assert_eq!(directory.take_for_others().len(), CacheDirectory::MOST);
+}
+
 /// A part of 90 tokens is read in the time that an import takes to be set up. It is imported all the same: the
 /// engine's time is scarcer than its link's, and a request waits no more than 10 ms for it.
 #[test]
