--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -133,7 +133,7 @@
                 instance: instance.clone(),
                 prefix: prefix.id,
             };
-            self.caches.begun(now, cached);
+            self.caches.begun(now, &cached);
         }
     }
 
--- a/crates/ebonystand-core/src/prefix_cache/cache_directory.rs
+++ b/crates/ebonystand-core/src/prefix_cache/cache_directory.rs
@@ -52,8 +52,8 @@
     const SWEEP_EVERY: Duration = Duration::from_secs(1);
 
     /// Notes that an engine has begun an answer to a prompt with this beginning.
-    pub fn begun(&mut self, now: Duration, cached: CachedPrefix) {
-        let Some(holder) = self.holder(now, &cached) else {
+    pub fn begun(&mut self, now: Duration, cached: &CachedPrefix) {
+        let Some(holder) = self.holder(now, cached) else {
             return;
         };
         let is_due = |told: Duration| now >= told + Self::TOLD_EVERY;
@@ -61,8 +61,8 @@
             return;
         }
         holder.told = Some(now);
-        Self::tell(&mut self.for_others, &cached);
-        Self::tell(&mut self.for_region, &cached);
+        Self::tell(&mut self.for_others, cached);
+        Self::tell(&mut self.for_region, cached);
     }
 
     /// Forgets all that an engine keeps: it is gone, or has become cold.
--- a/crates/ebonystand-core/tests/gateway/caches.rs
+++ b/crates/ebonystand-core/tests/gateway/caches.rs
@@ -226,12 +226,12 @@
         prefix,
     };
     for prefix in 0..20_000 {
-        directory.begun(ms(0), cached(prefix));
+        directory.begun(ms(0), &cached(prefix));
     }
     let known = (0..20_000).filter(|prefix| directory.keeps(ms(1), *prefix, "u1"));
     assert_eq!(known.count(), CacheDirectory::MOST);
     directory.sweep(ms(60_000));
-    directory.begun(ms(60_000), cached(7));
+    directory.begun(ms(60_000), &cached(7));
     assert!(directory.keeps(ms(60_000), 7, "u1"));
 }
 
@@ -246,7 +246,7 @@
         prefix: 7,
     };
     for n in 0..20_000 {
-        directory.begun(ms(n * 6_000), cached.clone());
+        directory.begun(ms(n * 6_000), &cached);
     }
     assert_eq!(directory.take_for_others().len(), CacheDirectory::MOST);
 }
