--- a/crates/ebonystand-core/src/gateway/upstream_choice.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_choice.rs
@@ -34,13 +34,12 @@
     /// behind it and the streams that run wait as long. Without it, prompts leave the upstream that
     /// keeps what they share for gains smaller than what they cost. An import costs as much in times its own, far
     /// shorter, delay. At 5, from before engines imported, prompts stayed with busy engines: mean worth of five days with
-    /// trouble 0.674 at 5, 0.679 at 2 (four plays each; the other two deployments 0.575 and 0.594, then
-    /// 0.591 and 0.608, one play each).
+    /// trouble 0.674 at 5, 0.679 at 2 (four plays each).
     const READING_COSTS: u32 = 2;
 
     /// Time that an import may take though reading would be faster. Short parts are read in less, but by the
     /// engine, which is what is scarce: with them imported, the mean worth of five days with trouble rose
-    /// from 0.663 to 0.674 (four plays each).
+    /// from 0.663 (three plays) to 0.674 (four).
     const IMPORTED_WITHIN: Duration = Duration::from_millis(10);
 
     /// Chooses where a request goes.
@@ -179,9 +178,9 @@
     /// it lacks, and the time that it takes; `None` if no other one keeps any, or reading is faster.
     ///
     /// One is also named where `known` is not known to lack anything: it may have dropped a part for a
-    /// newer one, or may still be reading it for another request, and would then read it again. An
-    /// import of nothing costs nothing. Shared tokens read again on the heaviest day of a peak region
-    /// that is evacuated: 1.19 to 0.48 million (one play each).
+    /// newer one, or may still be reading it for another request, and would then read it again. Shared
+    /// tokens read again on the worst of six days: 2.0 and 1.5 million without, 1.2, 1.3 and 1.1 with it
+    /// (a play each).
     fn import(
         &self,
         now: Duration,
--- a/crates/ebonystand-core/src/prefix_cache/cache_directory.rs
+++ b/crates/ebonystand-core/src/prefix_cache/cache_directory.rs
@@ -40,9 +40,9 @@
 
 impl CacheDirectory {
     /// A beginning that has not been used for so long counts as dropped: an engine at its peak fills
-    /// its memory with other prompts in 15 to 25 s.
+    /// its memory with other prompts in an estimated 15 to 25 s.
     const LIFE: Duration = Duration::from_secs(20);
-    /// Beginnings that are known at most: 8,192 with three engines each take under 2 MB. Further ones
+    /// Beginnings that are known at most: with three engines each, of some 80 bytes, 2 MB. Further ones
     /// are read as if engines handed nothing over.
     pub const MOST: usize = 8_192;
     /// Time after which the others are told again of a beginning that goes on being used, so that they
--- a/crates/ebonystand-core/src/prefix_cache/engine_terms.rs
+++ b/crates/ebonystand-core/src/prefix_cache/engine_terms.rs
@@ -13,7 +13,7 @@
 }
 
 impl EngineTerms {
-    /// Time that an import takes beside its transfer: a round trip and the set-up of a connection.
+    /// Time assumed for an import beside its transfer: a round trip and the set-up of a connection.
     const SET_UP: Duration = Duration::from_millis(5);
 
     /// Time in which an engine imports so many tokens from another one; `None` if engines hand nothing
