Log how questions for the configuration end, which lists are heard, and why links break

From logs it could not be told whether a VM lacked the newest configuration because copies took too long, because small messages waited behind large ones, or because nobody asked. Each question now has a line with its end, the VM that was asked and the wait; a list that is heard tells its sender and how many upstreams leave; a link that breaks tells why and how much waited. No decision is changed.

--- a/crates/ebonystand-core/src/feed.rs
+++ b/crates/ebonystand-core/src/feed.rs
@@ -32,6 +32,16 @@
     since: Duration,
 }
 
+impl Pull {
+    fn ended(self, now: Duration, end: PullEnd) -> FeedOutput {
+        FeedOutput::PullEnded {
+            end,
+            from: self.from,
+            waited: Some(now.saturating_sub(self.since)),
+        }
+    }
+}
+
 impl Feed {
     /// Peers that a VM passes a change on to.
     pub const FAN_OUT: usize = 4;
@@ -155,8 +165,8 @@
         changes: Vec<AcceptedChange>,
         outputs: &mut Vec<FeedOutput>,
     ) {
-        if self.pull.as_ref().is_some_and(|pull| pull.from == from) {
-            self.pull = None;
+        if let Some(pull) = self.pull.take_if(|pull| pull.from == from) {
+            outputs.push(pull.ended(now, PullEnd::Answered));
             self.follow_copy(&changes, outputs);
             if changes.is_empty() {
                 // Nothing came of it: asking the same peer at once would repeat without end.
@@ -344,10 +354,15 @@
         part: DocumentPart,
         outputs: &mut Vec<FeedOutput>,
     ) {
-        if self.pull.as_ref().is_none_or(|pull| pull.from != from) {
+        let Some(pull) = self.pull.take_if(|pull| pull.from == from) else {
+            outputs.push(FeedOutput::PullEnded {
+                end: PullEnd::Late,
+                from,
+                waited: None,
+            });
             return;
-        }
-        self.pull = None;
+        };
+        outputs.push(pull.ended(now, PullEnd::Answered));
         let version = part.version;
         if part.cursor == DocumentCursor::default() {
             self.copy = DocumentCopy::start(part);
@@ -373,6 +388,7 @@
         let late = |pull: &mut Pull| now.saturating_sub(pull.since) >= Self::PULL_ANSWER;
         if let Some(pull) = self.pull.take_if(late) {
             self.newer.remove(&pull.from);
+            outputs.push(pull.ended(now, PullEnd::TimedOut));
         }
         self.newer.retain(now, self.version);
         self.pull(now, outputs);
--- a/crates/ebonystand-core/src/feed_output.rs
+++ b/crates/ebonystand-core/src/feed_output.rs
@@ -18,6 +18,15 @@
         /// The change.
         req: ChangeRequest,
     },
+    /// A question for a newer configuration ended; only to be noted.
+    PullEnded {
+        /// How.
+        end: PullEnd,
+        /// The VM that was asked.
+        from: VmId,
+        /// Time since the question; none for a late answer.
+        waited: Option<Duration>,
+    },
     /// The VM may serve from now on.
     Ready,
     /// Send a message.
--- a/crates/ebonystand-core/src/lib.rs
+++ b/crates/ebonystand-core/src/lib.rs
@@ -140,6 +140,7 @@
     presets::Presets,
     priority::Priority,
     proposal_fault::ProposalFault,
+    pull_end::PullEnd,
     quarantine::*,
     queue_entry::QueueEntry,
     queue_outcome::QueueOutcome,
@@ -286,6 +287,7 @@
 mod priority;
 mod prober;
 mod proposal_fault;
+mod pull_end;
 mod quarantine;
 mod queue_entry;
 mod queue_outcome;
--- a/crates/ebonystand-core/tests/common/feeds.rs
+++ b/crates/ebonystand-core/tests/common/feeds.rs
@@ -213,7 +213,7 @@
                 assert!(self.vms[vm].catalog.install(*document), "not newer");
             }
             FeedOutput::Propose { req } => self.change(req.change),
-            FeedOutput::Ready | FeedOutput::Withdrawn { .. } => {}
+            FeedOutput::PullEnded { .. } | FeedOutput::Ready | FeedOutput::Withdrawn { .. } => {}
             FeedOutput::Send { message, to } => {
                 let to: usize = to[3..].parse().expect("a VM's number");
                 self.send(vm, to, &message);
--- a/crates/ebonystand/src/gateway/list_controller.rs
+++ b/crates/ebonystand/src/gateway/list_controller.rs
@@ -43,7 +43,14 @@
             .as_ref()
             .is_some_and(|(known, _)| *known == digest);
         match upstreams {
-            Some(upstreams) => drop(self.put(node, upstreams)),
+            Some(upstreams) => {
+                log::info!(
+                    from:% = from, leaving = upstreams.iter().filter(|u| u.leaving).count(),
+                    upstreams = upstreams.len();
+                    "list of upstreams heard"
+                );
+                self.put(node, upstreams);
+            }
             None if is_known => {}
             None => node.send(from, PeerMessage::ListWanted),
         }
--- a/crates/ebonystand/src/peer_link.rs
+++ b/crates/ebonystand/src/peer_link.rs
@@ -53,7 +53,9 @@
     loop {
         match connection(to, &hello, &secret, &mut rx).await {
             Ok(()) => return,
-            Err(error) => log::debug!(to:% = to, error:% = error; "link to a VM broke"),
+            Err(error) => {
+                log::info!(to:% = to, error:% = error, waiting = rx.len(); "link to a VM broke");
+            }
         }
         // What waits is stale by the time the VM is back; the protocols send anew.
         while waiting(&mut rx) {
--- a/crates/ebonystand/src/state_controller.rs
+++ b/crates/ebonystand/src/state_controller.rs
@@ -223,6 +223,11 @@
                     let _ = GroupController::propose(&node, Command::Change(req)).await;
                 });
             }
+            FeedOutput::PullEnded { end, from, waited } => log::info!(
+                end:% = end, from:% = from, version = node.document().version,
+                waited_ms:? = waited.map(|waited| waited.as_millis() as u64);
+                "question for the configuration ended"
+            ),
             FeedOutput::Ready => log::info!("ready to serve"),
             FeedOutput::Send { message, to } => {
                 node.send(&to, PeerMessage::Feed(Box::new(message)))
