Add a failing test: large routings in succession on narrow links

What callers saw: requests outside the homes of their route and at upstreams that leave, by a routing that had been replaced seconds before.

--- a/crates/ebonystand-core/tests/common/feeds.rs
+++ b/crates/ebonystand-core/tests/common/feeds.rs
@@ -23,6 +23,14 @@
     pub served: Version,
 }
 
+/// A VM's link, which carries one message after another each way.
+#[derive(Clone)]
+pub struct Link {
+    pub bytes_per_s: f64,
+    free_in: Duration,
+    free_out: Duration,
+}
+
 pub struct Feeds {
     /// Bytes sent by all VMs.
     pub bytes: u64,
@@ -30,6 +38,8 @@
     pub cut: BTreeSet<(usize, usize)>,
     /// What each version's document is, by the log's member.
     pub history: BTreeMap<Version, Document>,
+    /// Links of the VMs; empty if they carry any number of bytes at once.
+    pub links: Vec<Link>,
     pub loss: f64,
     /// Messages sent by each VM.
     pub messages: Vec<u64>,
@@ -66,6 +76,28 @@
     }
 }
 
+impl Link {
+    pub fn new(megabits_per_s: f64) -> Self {
+        Self {
+            bytes_per_s: megabits_per_s * 1e6 / 8.0,
+            free_in: Duration::ZERO,
+            free_out: Duration::ZERO,
+        }
+    }
+
+    fn carry(
+        &mut self,
+        at: Duration,
+        bytes: u64,
+        free: fn(&mut Self) -> &mut Duration,
+    ) -> Duration {
+        let takes = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
+        let free = free(self);
+        *free = at.max(*free) + takes;
+        *free
+    }
+}
+
 impl Feeds {
     pub fn new(count: usize, seed: u64) -> Self {
         let vms = (0..count).map(|vm| Self::vm(vm, Catalog::default(), Duration::ZERO, seed));
@@ -74,6 +106,7 @@
             cut: BTreeSet::new(),
             flying: Vec::new(),
             history: BTreeMap::new(),
+            links: Vec::new(),
             loss: 0.0,
             messages: vec![0; count],
             now: Duration::ZERO,
@@ -221,9 +254,22 @@
         }
     }
 
+    /// When a message that leaves now has come through the links of both VMs.
+    fn carry(&mut self, from: usize, to: usize, late: Duration, bytes: u64) -> Duration {
+        let sent = match self.links.get_mut(from) {
+            Some(link) => link.carry(self.now, bytes, |link| &mut link.free_out),
+            None => self.now,
+        };
+        match self.links.get_mut(to) {
+            Some(link) => link.carry(sent + late, bytes, |link| &mut link.free_in),
+            None => sent + late,
+        }
+    }
+
     fn send(&mut self, from: usize, to: usize, message: &FeedMessage) {
         self.messages[from] += 1;
-        self.bytes += postcard::to_stdvec(message).expect("it encodes").len() as u64;
+        let bytes = postcard::to_stdvec(message).expect("it encodes").len() as u64;
+        self.bytes += bytes;
         if self.is_cut(from, to) {
             return;
         }
@@ -234,7 +280,8 @@
             }
             let late = Duration::from_millis(self.rng.random_range(1..400));
             let message = message.clone();
-            self.flying.push((self.now + late, from, to, message));
+            let at = self.carry(from, to, late, bytes);
+            self.flying.push((at, from, to, message));
         }
     }
 
--- a/crates/ebonystand-core/tests/feed.rs
+++ b/crates/ebonystand-core/tests/feed.rs
@@ -5,9 +5,10 @@
 
 use {
     ebonystand_core::{
-        AcceptedChange, Change, Document, Feed, FeedInput, FeedMessage, PresetName, Version,
+        AcceptedChange, CallKind, Change, Document, Feed, FeedInput, FeedMessage, GatewayRoute,
+        GatewayService, PresetName, Routing, SplitPart, Version,
     },
-    feeds::{Feeds, give_key, put_workspace},
+    feeds::{Feeds, Link, give_key, put_workspace},
     rand::RngExt,
     rstest::rstest,
     std::time::Duration,
@@ -231,3 +232,72 @@
     assert!(mean <= 6.0);
     assert!(took <= 9 * SECOND);
 }
+
+/// A routing as an operator sends it, with the text that it was read from.
+fn routing(revision: u64, routes: usize) -> Routing {
+    let route = |number: usize| GatewayRoute {
+        aim_ms: 1_000,
+        attempts: 2,
+        has_prompts: false,
+        homes: ["armor".into(), "argoat".into()].into(),
+        host: "ficu95.example".into(),
+        kind: CallKind::Idempotent,
+        name: format!("r-{number:08}").into(),
+        pause_ms: 600,
+        prefix: format!("/p{number:07}/").into(),
+        public: false,
+        rank: 1,
+        resumable: false,
+        split: vec![SplitPart {
+            service: "stock".into(),
+            weight: 1,
+        }],
+        timeout_ms: 4_000,
+    };
+    let services = vec![GatewayService {
+        cold: Default::default(),
+        connections: 100,
+        engine: None,
+        health_path: "/health".into(),
+        name: "stock".into(),
+    }];
+    let routes: Vec<_> = (0..routes).map(route).collect();
+    let source = serde_json::to_string(&routes).expect("it encodes").into();
+    Routing {
+        revision,
+        routes,
+        services,
+        source,
+        workspaces: Vec::new(),
+    }
+}
+
+/// Callers' requests ran outside the homes of their routes, and at upstreams that were leaving,
+/// for as long as half a minute after an operator had added routes.
+///
+/// All VMs ask for a copy of the new routing at once. On links of 10 Mbit/s the copies take longer
+/// than a question is waited for. No VM may then go by a routing that was replaced over four seconds
+/// ago, the bound of the deployments concerned.
+#[rstest]
+#[case(12)]
+#[case(93)]
+fn large_routings_in_succession_are_in_force_in_time_on_narrow_links(#[case] count: usize) {
+    const APPLIED: Duration = Duration::from_secs(4);
+    for seed in 0..5 {
+        let mut feeds = Feeds::new(count, seed);
+        feeds.links = vec![Link::new(10.0); count];
+        feeds.links[0] = Link::new(1_000.0);
+        feeds.run(10 * SECOND);
+        for revision in 1..=2 {
+            feeds.change(Change::PutRouting {
+                regions: Default::default(),
+                routing: Box::new(routing(revision, 2_850)),
+            });
+            feeds.run(Duration::from_millis(1_400));
+        }
+        feeds.run(APPLIED - Duration::from_millis(1_400));
+        let newest = feeds.version(0);
+        let late = (0..count).filter(|vm| feeds.version(*vm) < newest);
+        assert_eq!(late.count(), 0, "seed {seed}: VMs of {count} that lag");
+    }
+}
