Take a copy of the configuration that comes after its question was given up

Cause: an answer is waited for 1 s, then another VM is asked and the first answer is thrown away when it comes. Where a copy takes longer than that, none is ever taken, and links stay full of copies: 45 to 55 MB a second over all VMs, for good. A late answer is now taken where it is newer than what the VM has. The new test, six VMs on 1 Mbit/s, fails with the old rule and passes. Routes of the test's routing get random names, which no encoding can shorten.

--- a/crates/ebonystand-core/src/feed.rs
+++ b/crates/ebonystand-core/src/feed.rs
@@ -354,16 +354,24 @@
         part: DocumentPart,
         outputs: &mut Vec<FeedOutput>,
     ) {
-        let Some(pull) = self.pull.take_if(|pull| pull.from == from) else {
-            outputs.push(FeedOutput::PullEnded {
+        let version = part.version;
+        let pull = self.pull.take_if(|pull| pull.from == from);
+        let is_late = pull.is_none();
+        outputs.push(match pull {
+            Some(pull) => pull.ended(now, PullEnd::Answered),
+            None => FeedOutput::PullEnded {
                 end: PullEnd::Late,
-                from,
+                from: from.clone(),
                 waited: None,
-            });
+            },
+        });
+        // A late answer is taken like any other. Thrown away, it would be asked for again: on a
+        // link that carries less than a copy in the wait for it, no copy would ever be taken, and
+        // the link would stay full.
+        let since = self.copy.as_ref().map_or(self.version, DocumentCopy::since);
+        if is_late && version <= since {
             return;
-        };
-        outputs.push(pull.ended(now, PullEnd::Answered));
-        let version = part.version;
+        }
         if part.cursor == DocumentCursor::default() {
             self.copy = DocumentCopy::start(part);
         } else if let Some(copy) = &mut self.copy {
--- a/crates/ebonystand-core/tests/feed.rs
+++ b/crates/ebonystand-core/tests/feed.rs
@@ -9,7 +9,8 @@
         GatewayService, PresetName, Routing, SplitPart, Version,
     },
     feeds::{Feeds, Link, give_key, put_workspace},
-    rand::RngExt,
+    rand::{RngExt, SeedableRng},
+    rand_pcg::Pcg64Mcg,
     rstest::rstest,
     std::time::Duration,
 };
@@ -235,16 +236,17 @@
 
 /// A routing as an operator sends it, with the text that it was read from.
 fn routing(revision: u64, routes: usize) -> Routing {
-    let route = |number: usize| GatewayRoute {
+    let mut rng = Pcg64Mcg::seed_from_u64(revision);
+    let mut route = |number: usize| GatewayRoute {
         aim_ms: 1_000,
         attempts: 2,
         has_prompts: false,
         homes: ["armor".into(), "argoat".into()].into(),
         host: "ficu95.example".into(),
         kind: CallKind::Idempotent,
-        name: format!("r-{number:08}").into(),
+        name: format!("r-{number}-{:x}", rng.random::<u32>()).into(),
         pause_ms: 600,
-        prefix: format!("/p{number:07}/").into(),
+        prefix: format!("/{number}-{:x}/", rng.random::<u32>()).into(),
         public: false,
         rank: 1,
         resumable: false,
@@ -301,3 +303,20 @@
         assert_eq!(late.count(), 0, "seed {seed}: VMs of {count} that lag");
     }
 }
+
+/// Guards against throwing away a copy that comes later than it is waited for: on links that carry
+/// less than one in that time no VM would ever take one, and the links would stay full.
+#[test]
+fn a_copy_that_takes_longer_than_it_is_waited_for_is_taken() {
+    let mut feeds = Feeds::new(6, 3);
+    feeds.links = vec![Link::new(1.0); 6];
+    feeds.links[0] = Link::new(1_000.0);
+    feeds.run(10 * SECOND);
+    feeds.change(Change::PutRouting {
+        regions: Default::default(),
+        routing: Box::new(routing(1, 8_000)),
+    });
+    feeds.run(30 * SECOND);
+    let newest = feeds.version(0);
+    assert!((0..6).all(|vm| feeds.version(vm) == newest));
+}
