Close a link between VMs when it stops, not when a write takes long

What callers saw: configurations acknowledged after 10 to 20 s, leaders of the log lost with no fault, lists of upstreams seconds old while large routings were on their way. Cause: a write to another VM had 2 s for all that waited, up to 8 MB. On a link that carries less the connection was closed, all that waited was dropped, and the protocols sent it again, for ever; that an answer to a ping had come meanwhile was not looked at first. The limit is now for a write that takes no byte, and answers are read before their lateness is judged. Left: bytes that the system has taken but not sent still delay the answer to a ping behind them.

--- a/crates/ebonystand/src/lib.rs
+++ b/crates/ebonystand/src/lib.rs
@@ -66,6 +66,7 @@
     settings_fault::SettingsFault,
     storage::Storage,
     storage_error::StorageError,
+    write_moving::write_moving,
 };
 
 mod admitted_request;
@@ -128,6 +129,7 @@
 mod storage_error;
 mod subcommand;
 mod system_clock;
+mod write_moving;
 
 /// Result of the daemon's own operations.
 pub type Result<T = (), E = Error> = std::result::Result<T, E>;
--- a/crates/ebonystand/src/peer_link.rs
+++ b/crates/ebonystand/src/peer_link.rs
@@ -90,18 +90,11 @@
     let mut heard = Instant::now();
     let mut spoken = Instant::now();
     loop {
-        write(&mut to, &mut buf).await?;
+        write_moving(&mut to, &mut buf, PeerLink::SILENCE).await?;
         tokio::select! {
-            message = rx.recv() => {
-                let Some(message) = message else { return Ok(()) };
-                spoken = Instant::now();
-                writer.write(&message, &mut buf)?;
-                // What else waits goes into the same write.
-                while buf.len() < FrameReader::MAX_PAYLOAD {
-                    let Ok(message) = rx.try_recv() else { break };
-                    writer.write(&message, &mut buf)?;
-                }
-            }
+            // An answer to a ping that came during a long write is read before the wait for it is
+            // looked at.
+            biased;
             read = from.read(&mut pong) => {
                 if read? == 0 {
                     return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
@@ -123,19 +116,16 @@
                 asked.get_or_insert_with(Instant::now);
                 writer.write(&PeerMessage::Ping, &mut buf)?;
             }
+            message = rx.recv() => {
+                let Some(message) = message else { return Ok(()) };
+                spoken = Instant::now();
+                writer.write(&message, &mut buf)?;
+                // What else waits goes into the same write.
+                while buf.len() < FrameReader::MAX_PAYLOAD {
+                    let Ok(message) = rx.try_recv() else { break };
+                    writer.write(&message, &mut buf)?;
+                }
+            }
         }
     }
 }
-
-async fn write(
-    to: &mut tokio::net::tcp::OwnedWriteHalf,
-    buf: &mut BytesMut,
-) -> Result<(), LinkError> {
-    if buf.is_empty() {
-        return Ok(());
-    }
-    let written = actix_rt::time::timeout(PeerLink::SILENCE, to.write_all(buf)).await;
-    written.map_err(|_| LinkError::Silent)??;
-    buf.clear();
-    Ok(())
-}
