Correct what comments say of the size of messages

A compressed list was said to take a third, which no run had shown: the test shows half. Messages about the configuration were said not to grow with the document, which is not so for the first part of a copy: it has all routes.

--- a/crates/ebonystand-core/src/feed_message.rs
+++ b/crates/ebonystand-core/src/feed_message.rs
@@ -1,6 +1,7 @@
 use super::*;
 
-/// Message between VMs about the configuration. None grows with the document.
+/// Message between VMs about the configuration. Only the first part of a copy grows with the
+/// document, by its routes.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum FeedMessage {
     /// Asks for [`FeedMessage::Version`].
--- a/crates/ebonystand-wire/src/payload.rs
+++ b/crates/ebonystand-wire/src/payload.rs
@@ -2,8 +2,8 @@
 
 /// Bytes of a message as a frame carries them: a byte that names the form, then the message.
 ///
-/// Names and addresses recur in the messages that are large, which lists of upstreams and copies of
-/// the configuration are: compressed they take a third or less of a narrow link.
+/// Names and addresses recur in the messages that are large, such as lists of upstreams and copies
+/// of the configuration. Compressed, a list of 150 upstreams takes less than half of its bytes.
 #[derive(Debug)]
 pub(crate) struct Payload;
 
