Let a VM that starts serve once it has what the log's leader has

What callers saw: requests by an old configuration, at a VM that has just started. Cause: such a VM took itself for caught up once it knew of no peer with a newer version, and a peer that does not answer within 1 s is forgotten. With a slow link, a lost message or a starved peer it served by whatever it had come to so far: version 33 where it had served 1,009 before. The version that the leader tells is now kept, and the VM is ready once it has it. Where no leader answers the wait of 5 s is as before. 'caught_up' and 'confirmed' of Readiness are asked as before, with that one condition more.

--- a/crates/ebonystand-core/src/feed.rs
+++ b/crates/ebonystand-core/src/feed.rs
@@ -153,8 +153,11 @@
 
     fn check_ready(&mut self, now: Duration, outputs: &mut Vec<FeedOutput>) {
         self.newer.retain(now, self.version);
-        let caught_up = self.version > 0 && self.newer.is_empty();
-        if self.readiness.check(now, caught_up, self.leading) {
+        let has_newer = !self.newer.is_empty();
+        if self
+            .readiness
+            .check(now, self.version, has_newer, self.leading)
+        {
             outputs.push(FeedOutput::Ready);
         }
     }
@@ -310,7 +313,7 @@
                 version,
                 withdrawals,
             } => {
-                self.readiness.heard(leading);
+                self.readiness.heard(leading, version);
                 self.withdraw(document, &withdrawals, outputs);
                 return self.heard(now, from, version, None, outputs);
             }
--- a/crates/ebonystand-core/tests/feed.rs
+++ b/crates/ebonystand-core/tests/feed.rs
@@ -64,10 +64,11 @@
 }
 
 /// A document of several parts is replaced, so that VMs that serve copy it, and it goes on changing
-/// meanwhile. Parts of different versions must not be put in force as one document.
+/// meanwhile. Parts of different versions must not be put in force as one document, nor may a VM
+/// that starts serve by an early version of it.
 #[test]
 fn a_document_copied_while_it_changes_is_of_one_version() {
-    for seed in 0..8 {
+    for seed in (0..8).chain([93, 167]) {
         let mut feeds = Feeds::new(4, seed);
         feeds.change(put_workspace("w0", 1));
         for key in 0..3 * Document::PART_ENTRIES {
@@ -323,3 +324,28 @@
     let newest = feeds.version(0);
     assert!((0..6).all(|vm| feeds.version(vm) == newest));
 }
+
+/// Guards against a VM that starts, gets no answer to its question for the newest configuration in
+/// time, and serves by the early version that it has come to.
+#[test]
+fn a_vm_that_starts_does_not_serve_before_it_has_what_the_leader_has() {
+    let mut feed = Feed::new("a".into(), vec!["b".into()], Duration::ZERO, 1);
+    let mut document = Document::default();
+    document.version = 3;
+    let told = |version| FeedInput::Message {
+        from: "b".into(),
+        message: FeedMessage::Version {
+            leading: true,
+            version,
+            withdrawals: Vec::new(),
+        },
+    };
+    feed.step(Duration::ZERO, &document, told(9));
+    for tick in 1..20 {
+        feed.step(tick * Feed::TICK, &document, FeedInput::Tick);
+        assert!(!feed.is_ready());
+    }
+    document.version = 9;
+    feed.step(20 * Feed::TICK, &document, told(9));
+    assert!(feed.is_ready());
+}
