Refuse to read back a routing on a VM that lacks the operator's text

Copies on VMs without a log leave that text out. Read there, an empty text would have been given for the operator's. The users' deployments serve operators on VMs with a log only, so none of their operators met it; found by reading.

--- a/crates/ebonystand/src/gateway/gateway_handle.rs
+++ b/crates/ebonystand/src/gateway/gateway_handle.rs
@@ -87,8 +87,12 @@
     /// The routing in force, as new as anything that was acknowledged before the call.
     ///
     /// # Errors
-    /// [`ReplaceError::NoLeader`] if it is not known which is the newest.
+    /// [`ReplaceError::NoLeader`] if it is not known which is the newest, [`ReplaceError::NoLog`] on a
+    /// VM whose copy lacks the operator's text.
     pub async fn routing(&self) -> Result<Routing, ReplaceError> {
+        if self.node.settings.data_folder.is_none() {
+            return Err(ReplaceError::NoLog);
+        }
         let outcome = GroupController::propose(&self.node, Command::Barrier).await;
         let Ok(CommandOutcome::Barrier(version)) = outcome else {
             return Err(ReplaceError::NoLeader);
