--- a/crates/ebonystand/tests/integration/fleet.rs
+++ b/crates/ebonystand/tests/integration/fleet.rs
@@ -81,8 +81,11 @@
     }
 
     /// Adds a registry server to the region added last.
-    pub(crate) fn registry(mut self) -> Self {
-        let registry = StandIn::registry();
+    pub(crate) fn registry(self) -> Self {
+        self.registry_at(StandIn::registry())
+    }
+
+    pub(crate) fn registry_at(mut self, registry: StandIn) -> Self {
         let service = "registry".into();
         let name = format!("registry{}", self.registries.len());
         self.upstream(&name, &registry, UpstreamKind::Service { service });
--- a/crates/ebonystand/tests/soak/checker.rs
+++ b/crates/ebonystand/tests/soak/checker.rs
@@ -80,6 +80,7 @@
             }
             Event::LookedUp { .. }
             | Event::Settled { .. }
+            | Event::Silenced { .. }
             | Event::StreamEnded { .. }
             | Event::Struck { .. } => {}
         }
--- a/crates/ebonystand/tests/soak/event.rs
+++ b/crates/ebonystand/tests/soak/event.rs
@@ -25,6 +25,8 @@
     Settled { version: u64, vm: usize },
     /// A fault of the plan began.
     Struck { fault: Box<str>, vm: usize },
+    /// The connections to an upstream fell silent.
+    Silenced { upstream: usize },
     /// An answer with success came to its end, and its connection closed in order.
     StreamEnded {
         /// It ends with the event that tells of an error.
--- a/crates/ebonystand/tests/soak/history.rs
+++ b/crates/ebonystand/tests/soak/history.rs
@@ -61,7 +61,7 @@
         let issued = count(|event| matches!(event, Event::OrderAnswered { status: 201, .. }));
         let streams = count(|event| matches!(event, Event::StreamEnded { whole: true, .. }));
         let changes = count(|event| matches!(event, Event::Accepted { .. }));
-        let faults = count(|event| matches!(event, Event::Struck { .. }));
+        let faults = count(|event| matches!(event, Event::Struck { .. } | Event::Silenced { .. }));
         format!(
             "{orders} orders answered, {issued} issued, {streams} streams whole, \
              {changes} changes accepted, {faults} faults"
--- a/crates/ebonystand/tests/soak/plan.rs
+++ b/crates/ebonystand/tests/soak/plan.rs
@@ -33,10 +33,18 @@
     pub(crate) vm: usize,
 }
 
+/// The connections to an upstream stay open and fall silent.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub(crate) struct Silence {
+    pub(crate) at: Duration,
+    pub(crate) upstream: usize,
+}
+
 /// What is done to a fleet in one run.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub(crate) struct Plan {
     pub(crate) seed: u64,
+    pub(crate) silences: Vec<Silence>,
     pub(crate) span: Duration,
     /// While one in so many turns is a VM's to run: each stands still in all others.
     pub(crate) starved: Option<u32>,
@@ -47,9 +55,13 @@
 impl Plan {
     /// VMs with a data folder; at most one of them is struck at a time.
     pub(crate) const MEMBERS: usize = 3;
+    /// Engines and registries before the VMs.
+    pub(crate) const UPSTREAMS: usize = 5;
     const LONGEST_MS: u64 = 2_500;
     /// Pause between two faults; they last longer, so that they overlap.
     const PAUSE_MS: u64 = 1_200;
+    /// Longest pause between two upstreams that fall silent.
+    const SILENCE_MS: u64 = 6_000;
 
     pub(crate) fn draw(seed: u64, size: &Size) -> Self {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
@@ -83,8 +95,19 @@
                 vm,
             });
         }
+        let mut silences = Vec::new();
+        let mut at = Duration::ZERO;
+        loop {
+            at += Duration::from_millis(rng.random_range(0..Self::SILENCE_MS));
+            if at >= size.span {
+                break;
+            }
+            let upstream = rng.random_range(0..Self::UPSTREAMS);
+            silences.push(Silence { at, upstream });
+        }
         Self {
             seed,
+            silences,
             span: size.span,
             starved: seed.is_multiple_of(2).then(|| rng.random_range(2..5)),
             steps,
--- a/crates/ebonystand/tests/soak/run.rs
+++ b/crates/ebonystand/tests/soak/run.rs
@@ -5,7 +5,8 @@
         fleet::{Fleet, FleetBuilder},
         history::History,
         operator,
-        plan::{Fault, Plan, Step},
+        plan::{Fault, Plan, Silence, Step},
+        stand_in::StandIn,
         vm::Addresses,
     },
     awc::Client,
@@ -20,6 +21,7 @@
         rc::Rc,
         time::{Duration, Instant},
     },
+    tokio::sync::mpsc::UnboundedSender,
 };
 
 const CALLERS: usize = 8;
@@ -110,9 +112,38 @@
     Running { stands: bool },
 }
 
+/// The upstreams before the VMs, each behind a relay.
+struct Upstreams {
+    registries: Vec<StandIn>,
+    /// Each message makes the open connections of one upstream silent.
+    silencers: Vec<UnboundedSender<()>>,
+}
+
+impl Upstreams {
+    fn relayed(&mut self, upstream: &StandIn) -> StandIn {
+        let (relay, silencer) = upstream.relayed();
+        self.silencers.push(silencer);
+        relay
+    }
+
+    fn engine(&mut self) -> StandIn {
+        self.relayed(&StandIn::engine(EngineOptions {
+            token: Duration::from_millis(30),
+            ..EngineOptions::default()
+        }))
+    }
+
+    fn registry(&mut self) -> StandIn {
+        let registry = StandIn::registry();
+        let relay = self.relayed(&registry);
+        self.registries.push(registry);
+        relay
+    }
+}
+
 /// Plays a plan with real processes, and tells what was seen.
 pub(crate) async fn run(plan: &Plan) -> History {
-    let mut fleet = fleet(plan).await;
+    let (mut fleet, upstreams) = fleet(plan).await;
     let regions = fleet.vms[0]
         .operate("GET", "/v1/operator/document", "")
         .await
@@ -137,39 +168,41 @@
         tasks.push(actix_rt::spawn(operator::change(Rc::clone(&world))));
     }
     tasks.push(actix_rt::spawn(operator::watch(Rc::clone(&world))));
-    strike(plan, &mut fleet, &world).await;
+    strike(plan, &mut fleet, &upstreams, &world).await;
     world.is_over.set(true);
     for task in tasks {
         task.await.unwrap();
     }
     settle(&fleet, &world).await;
-    count_runs(&fleet, &world).await;
+    count_runs(&upstreams, &world).await;
     world.history.replace(History::new())
 }
 
-async fn fleet(plan: &Plan) -> Fleet {
-    let engine = || EngineOptions {
-        token: Duration::from_millis(30),
-        ..EngineOptions::default()
+async fn fleet(plan: &Plan) -> (Fleet, Upstreams) {
+    let mut upstreams = Upstreams {
+        registries: Vec::new(),
+        silencers: Vec::new(),
     };
     let near = plan.vms.div_ceil(2).max(Plan::MEMBERS);
-    FleetBuilder::new()
+    let fleet = FleetBuilder::new()
         .region("utara", near)
-        .engine(engine())
-        .engine(engine())
-        .registry()
+        .engine_at(upstreams.engine())
+        .engine_at(upstreams.engine())
+        .registry_at(upstreams.registry())
         .region("selatan", plan.vms - near)
-        .engine(engine())
-        .registry()
+        .engine_at(upstreams.engine())
+        .registry_at(upstreams.registry())
         .members(Plan::MEMBERS)
         .start()
-        .await
+        .await;
+    (fleet, upstreams)
 }
 
 /// Carries out the plan's faults.
-async fn strike(plan: &Plan, fleet: &mut Fleet, world: &World) {
+async fn strike(plan: &Plan, fleet: &mut Fleet, upstreams: &Upstreams, world: &World) {
     let started = Instant::now();
     let mut steps: VecDeque<&Step> = plan.steps.iter().collect();
+    let mut silences: VecDeque<&Silence> = plan.silences.iter().collect();
     let mut states: Vec<State> = fleet
         .vms
         .iter()
@@ -179,6 +212,11 @@
         while let Some(step) = steps.pop_front_if(|step| step.at <= started.elapsed()) {
             begin(step, fleet, world, &mut states[step.vm]);
         }
+        while let Some(silence) = silences.pop_front_if(|silence| silence.at <= started.elapsed()) {
+            let upstream = silence.upstream;
+            upstreams.silencers[upstream].send(()).unwrap();
+            world.see(Event::Silenced { upstream });
+        }
         let turn = (started.elapsed().as_millis() / TURN.as_millis()) as usize;
         for (vm, state) in states.iter_mut().enumerate() {
             let stands = plan
@@ -284,9 +322,9 @@
     }
 }
 
-async fn count_runs(fleet: &Fleet, world: &World) {
+async fn count_runs(upstreams: &Upstreams, world: &World) {
     let mut runs: BTreeMap<Box<str>, u64> = BTreeMap::new();
-    for registry in &fleet.registries {
+    for registry in &upstreams.registries {
         for (body, times) in registry.seen().await.runs {
             *runs.entry(body).or_default() += times;
         }
