--- a/crates/ebonystand-core/tests/feed.rs
+++ b/crates/ebonystand-core/tests/feed.rs
@@ -330,8 +330,10 @@
 #[test]
 fn a_vm_that_starts_does_not_serve_before_it_has_what_the_leader_has() {
     let mut feed = Feed::new("a".into(), vec!["b".into()], Duration::ZERO, 1);
-    let mut document = Document::default();
-    document.version = 3;
+    let mut document = Document {
+        version: 3,
+        ..Document::default()
+    };
     let told = |version| FeedInput::Message {
         from: "b".into(),
         message: FeedMessage::Version {
@@ -349,3 +351,22 @@
     feed.step(20 * Feed::TICK, &document, told(9));
     assert!(feed.is_ready());
 }
+
+/// Guards against parts of a copy that come later than they are waited for, one after another, and
+/// are asked for so often that the link stays full.
+#[test]
+fn parts_that_take_longer_than_they_are_waited_for_are_taken() {
+    let mut feeds = Feeds::new(4, 3);
+    feeds.change(put_workspace("w0", 1));
+    for key in 0..4 * Document::PART_ENTRIES {
+        feeds.change(give_key(&format!("k{key:04}"), "w0"));
+    }
+    feeds.run(10 * SECOND);
+    feeds.links = vec![Link::new(0.03); 4];
+    feeds.restart(2);
+    let document = Box::new(feeds.vms[0].catalog.document().clone());
+    feeds.change(Change::Apply { document });
+    feeds.run(120 * SECOND);
+    let newest = feeds.version(0);
+    assert!((0..4).all(|vm| feeds.version(vm) == newest));
+}
