Tell the load at upstreams through relays in regions of over six VMs

By reading: each VM told all others of its region what it has under way, up to 200 a second, what engines keep, and pinged each of those links twice a second.

Now a VM reports to a relay of its zone, relays tell one another sums, and a VM gets the sum over its region without its own load. Only relays tell other regions. A relay that tells of no newer report for 350 ms is passed over. Regions of up to six VMs go on as before.

Live VMs are kept until they change; each request copied the records of all VMs, and each message looked at all links.

--- a/crates/ebonystand-core/src/gateway/entry_choice.rs
+++ b/crates/ebonystand-core/src/gateway/entry_choice.rs
@@ -19,10 +19,10 @@
     /// that are a home to the most routes. The nearest group alone is named, since callers pick from
     /// the list at random and would otherwise cross regions while a VM stands beside them.
     #[must_use]
-    pub fn pick(&self, vms: &[VmRecord]) -> Vec<SocketAddr> {
+    pub fn pick<'a>(&self, vms: impl IntoIterator<Item = &'a VmRecord>) -> Vec<SocketAddr> {
         let mut nearest = usize::MAX;
         let mut picked = Vec::new();
-        for vm in vms.iter().filter(|vm| vm.takes_callers) {
+        for vm in vms.into_iter().filter(|vm| vm.takes_callers) {
             let distance = self.distance(vm);
             if distance == usize::MAX {
                 continue;
--- a/crates/ebonystand-core/src/gateway/known_upstream.rs
+++ b/crates/ebonystand-core/src/gateway/known_upstream.rs
@@ -9,6 +9,7 @@
     /// Another server has its address: it is not there any more, whatever the list says.
     pub(crate) is_gone: bool,
     pub(crate) in_flight: u32,
+    pub(crate) key: UpstreamKey,
     pub(crate) listed: ListedUpstream,
     /// Time that a call of a plain service takes, smoothed.
     pub(crate) pace: Duration,
@@ -55,6 +56,7 @@
             gate: ColdGate::default(),
             is_gone: false,
             in_flight: 0,
+            key: UpstreamKey::from(&*listed.instance),
             listed,
             pace: Self::FIRST_PACE,
             prefixes: PrefixMemory::default(),
--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -28,14 +28,12 @@
     routing_fault::RoutingFault,
     split_part::SplitPart,
     turn_queue::TurnQueue,
-    under_way::UnderWay,
     unfit::Unfit,
     upstream_book::UpstreamBook,
 };
 
 use {
-    cold_gate::ColdGate, known_upstream::KnownUpstream, peer_loads::PeerLoads,
-    prefix_memory::PrefixMemory, window::Window,
+    cold_gate::ColdGate, known_upstream::KnownUpstream, prefix_memory::PrefixMemory, window::Window,
 };
 
 mod attempt_end;
@@ -55,7 +53,6 @@
 mod listed_upstream;
 mod mechanism;
 mod next_step;
-mod peer_loads;
 mod prefix_memory;
 mod prompt;
 mod quota;
@@ -66,7 +63,6 @@
 mod routing_fault;
 mod split_part;
 mod turn_queue;
-mod under_way;
 mod unfit;
 mod upstream_book;
 mod upstream_choice;
--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -9,7 +9,7 @@
 pub struct UpstreamBook {
     pub(super) here: RegionId,
     pub(super) caches: CacheDirectory,
-    peer_loads: PeerLoads,
+    exchange: LoadExchange,
     vms: RegionVms,
     pub(super) upstreams: BTreeMap<UpstreamId, KnownUpstream>,
     /// Predicted time to the first byte in other regions, with when it was told.
@@ -38,13 +38,13 @@
     /// Longest such time.
     const LONGEST_RETRY: Duration = Duration::from_secs(2);
 
-    /// Book of the VM `own` in region `here`.
+    /// Book of the VM `own` that stands at `place`.
     #[must_use]
-    pub fn new(own: VmId, here: RegionId, zones: BTreeMap<ZoneId, RegionId>) -> Self {
+    pub fn new(own: VmId, place: Place, zones: BTreeMap<ZoneId, RegionId>) -> Self {
         Self {
-            here,
+            here: place.region,
             caches: CacheDirectory::default(),
-            peer_loads: PeerLoads::default(),
+            exchange: LoadExchange::new(own.clone(), place.zone),
             vms: RegionVms::new(own),
             upstreams: BTreeMap::new(),
             away: FxHashMap::default(),
@@ -110,7 +110,7 @@
             return;
         };
         if let Some(waited) = waited {
-            let others = self.peer_loads.at(instance).unread;
+            let others = self.exchange.at(known.key).unread;
             known.measure_reading(known.window.used().max(unread) + others, waited);
             let target = aim * Self::BEGINS_PERMILLE / 1_000;
             known.window.observe(now, waited, target, unread, others);
@@ -142,16 +142,62 @@
         self.caches.take_for_others()
     }
 
-    /// What engines keep, to tell the VMs of the own region.
-    pub fn caches_for_region(&mut self) -> Vec<CachedPrefix> {
-        self.caches.take_for_region()
+    /// Takes what a VM of another region tells of what engines keep.
+    pub fn caches_told(&mut self, now: Duration, cached: &[CachedPrefix]) {
+        if self.uses(Mechanism::ToldCaches) {
+            self.caches.told(now, cached, CacheNews::Away);
+        }
     }
 
-    /// Takes what a VM tells of what engines keep; `from_away` if it is of another region.
-    pub fn caches_told(&mut self, now: Duration, cached: Vec<CachedPrefix>, from_away: bool) {
+    /// Takes what another VM of the region tells.
+    pub fn load_told(&mut self, now: Duration, from: &VmId, message: LoadMessage) {
+        let (cached, news) = match &message {
+            LoadMessage::Group { cached, .. } => (cached, CacheNews::Relayed),
+            LoadMessage::Region {
+                cached, pressures, ..
+            } => {
+                for told in pressures {
+                    let at = now.saturating_sub(Duration::from_millis(told.age_ms));
+                    let delay = Duration::from_millis(told.first_byte_ms);
+                    self.told_at(at, &told.region, told.service.clone(), delay);
+                }
+                (cached, CacheNews::Relayed)
+            }
+            LoadMessage::Report { cached, .. } => (cached, CacheNews::Reported),
+        };
         if self.uses(Mechanism::ToldCaches) {
-            self.caches.told(now, cached, from_away);
+            self.caches.told(now, cached, news);
+        }
+        if self.uses(Mechanism::PeerLoads) {
+            self.exchange.receive(now, from, message);
+        }
+    }
+
+    /// What the other VMs of the region are to be told now.
+    pub fn load_messages(&mut self, now: Duration) -> Vec<(VmId, LoadMessage)> {
+        self.caches.sweep(now);
+        let cached = self.caches.take_for_region();
+        let pressures = self.told_pressures(now);
+        let messages = self
+            .exchange
+            .tick(now, self.under_way(), cached, &pressures);
+        if !self.exchange.is_relay() {
+            // The relay tells the other regions.
+            self.caches.take_for_others();
         }
+        messages
+    }
+
+    /// Time until [`Self::load_messages`] is due again.
+    #[must_use]
+    pub fn tells_load_every(&self) -> Duration {
+        self.exchange.every()
+    }
+
+    /// Whether this VM tells other regions what it knows.
+    #[must_use]
+    pub fn is_relay(&self) -> bool {
+        self.exchange.is_relay()
     }
 
     /// Whether a request that waits may find room now: at an upstream of the own region, or in another
@@ -261,25 +307,16 @@
         }
     }
 
-    /// Takes over which VMs of the region live, and forgets what those told that have fallen silent.
-    pub fn set_vms(&mut self, now: Duration, live: impl IntoIterator<Item = VmId>) {
-        self.vms.set(live);
-        self.peer_loads.forget_silent(now);
-        self.caches.sweep(now);
-    }
-
-    /// Takes what another VM of the region has under way.
-    pub fn peer_told(&mut self, now: Duration, vm: VmId, under_way: Vec<(UpstreamId, UnderWay)>) {
-        if self.uses(Mechanism::PeerLoads) {
-            self.peer_loads.tell(now, vm, under_way);
-        }
+    /// Takes over which VMs of the region live.
+    pub fn set_vms(&mut self, vms: &[RegionVm]) {
+        self.vms.set(vms.iter().map(|vm| vm.vm.clone()));
+        self.exchange.set_vms(vms);
     }
 
-    /// What this VM has under way, for the others of the region.
-    #[must_use]
-    pub fn under_way(&self) -> Vec<(UpstreamId, UnderWay)> {
-        let all = self.upstreams.iter();
-        let all = all.map(|(instance, known)| (instance.clone(), known.under_way()));
+    /// What this VM has under way.
+    fn under_way(&self) -> UpstreamLoads {
+        let all = self.upstreams.values();
+        let all = all.map(|known| (known.key, known.under_way()));
         all.filter(|(_, under_way)| !under_way.is_none()).collect()
     }
 
@@ -298,11 +335,38 @@
         pressures: Vec<(ServiceId, Duration)>,
     ) {
         for (service, predicted) in pressures {
-            self.away
-                .insert((region.clone(), service), (now, predicted));
+            self.told_at(now, region, service, predicted);
+        }
+    }
+
+    fn told_at(
+        &mut self,
+        at: Duration,
+        region: &RegionId,
+        service: ServiceId,
+        predicted: Duration,
+    ) {
+        let key = (region.clone(), service);
+        if self.away.get(&key).is_none_or(|(known, _)| *known <= at) {
+            self.away.insert(key, (at, predicted));
         }
     }
 
+    /// What other regions have told lately.
+    fn told_pressures(&self, now: Duration) -> Vec<ToldPressure> {
+        let told = self.away.iter();
+        let told = told.map(|((region, service), (at, predicted))| {
+            let age = now.saturating_sub(*at);
+            (age < Self::AWAY_LIFE).then(|| ToldPressure {
+                age_ms: age.as_millis() as u64,
+                first_byte_ms: predicted.as_millis() as u64,
+                region: region.clone(),
+                service: service.clone(),
+            })
+        });
+        told.flatten().collect()
+    }
+
     /// Treats the upstreams of a zone as cold: it has just come back from an evacuation, in which
     /// they may have become so.
     pub fn zone_is_back(&mut self, now: Duration, zone: &str) {
@@ -403,7 +467,7 @@
 
     /// What the other VMs of the region have under way at an upstream.
     pub(super) fn others(&self, known: &KnownUpstream) -> UnderWay {
-        self.peer_loads.at(&known.listed.instance)
+        self.exchange.at(known.key)
     }
 
     pub(super) fn region(&self, known: &KnownUpstream) -> Option<&RegionId> {
--- a/crates/ebonystand-core/src/lib.rs
+++ b/crates/ebonystand-core/src/lib.rs
@@ -112,6 +112,8 @@
     lease_terms::LeaseTerms,
     link::Link,
     link_budget::LinkBudget,
+    liveness::Liveness,
+    load_exchange::*,
     load_report::LoadReport,
     log_budget::{LogBudget, LogKind},
     log_entry::LogEntry,
@@ -251,6 +253,8 @@
 mod link;
 mod link_budget;
 mod link_budgets;
+mod liveness;
+mod load_exchange;
 mod load_report;
 mod log_budget;
 mod log_entry;
--- a/crates/ebonystand-core/src/prefix_cache/cache_directory.rs
+++ b/crates/ebonystand-core/src/prefix_cache/cache_directory.rs
@@ -118,14 +118,15 @@
         std::mem::take(&mut self.for_region)
     }
 
-    /// Takes what another VM tells; `from_away` if it is of another region, and the own region is to be
-    /// told in turn.
-    pub fn told(&mut self, now: Duration, cached: Vec<CachedPrefix>, from_away: bool) {
+    /// Takes what another VM tells, and passes it on to those that it has not reached.
+    pub fn told(&mut self, now: Duration, cached: &[CachedPrefix], news: CacheNews) {
         for cached in cached {
-            if let Some(holder) = self.holder(now, &cached) {
+            if let Some(holder) = self.holder(now, cached) {
                 holder.told = Some(now);
-                if from_away {
-                    Self::tell(&mut self.for_region, &cached);
+                match news {
+                    CacheNews::Away => Self::tell(&mut self.for_region, cached),
+                    CacheNews::Relayed => {}
+                    CacheNews::Reported => Self::tell(&mut self.for_others, cached),
                 }
             }
         }
--- a/crates/ebonystand-core/src/prefix_cache/mod.rs
+++ b/crates/ebonystand-core/src/prefix_cache/mod.rs
@@ -8,6 +8,7 @@
 
 pub use {
     cache_directory::{CacheDirectory, Export},
+    cache_news::CacheNews,
     cache_source::CacheSource,
     cached_prefix::CachedPrefix,
     engine_terms::EngineTerms,
@@ -15,6 +16,7 @@
 };
 
 mod cache_directory;
+mod cache_news;
 mod cache_source;
 mod cached_prefix;
 mod engine_terms;
--- a/crates/ebonystand-core/src/vm_membership.rs
+++ b/crates/ebonystand-core/src/vm_membership.rs
@@ -143,6 +143,19 @@
             .filter(move |entry| self.is_reachable(now, &entry.record.region))
     }
 
+    /// What [`Self::live`] derives its VMs from; it yields the same ones while this is equal.
+    #[must_use]
+    pub fn liveness(&self, now: Duration) -> Liveness {
+        let regions = self.view.table.regions();
+        Liveness {
+            hears_nobody: self.hears_nobody(now),
+            reachable: regions
+                .map(|region| self.is_reachable(now, region))
+                .collect(),
+            revision: self.view.table.revision(),
+        }
+    }
+
     /// This VM's record.
     #[must_use]
     pub fn own(&self) -> &VmRecord {
--- a/crates/ebonystand-core/tests/gateway/caches.rs
+++ b/crates/ebonystand-core/tests/gateway/caches.rs
@@ -11,6 +11,17 @@
     ]
 }
 
+/// What a book tells the VMs of its region of engines' caches.
+fn news(book: &mut UpstreamBook, now: Duration) -> Vec<(VmId, Vec<CachedPrefix>)> {
+    let messages = book.load_messages(now).into_iter();
+    let news = messages.map(|(vm, message)| match message {
+        LoadMessage::Group { cached, .. }
+        | LoadMessage::Region { cached, .. }
+        | LoadMessage::Report { cached, .. } => (vm, cached),
+    });
+    news.collect()
+}
+
 fn keep(book: &mut UpstreamBook, now: Duration, sets: &Sets, instance: &str, prompt: &Prompt) {
     let prefixes = SharedPrefix::of(prompt);
     book.keeps(now, &instance.into(), &prefixes, sets.homes.as_ref());
@@ -137,7 +148,7 @@
     all[2].cold_for = ms(3_000);
     book.list(ms(10), all);
 })]
-#[case::long_unused(|book: &mut UpstreamBook| book.set_vms(ms(40_000), ["vm".into()]))]
+#[case::long_unused(|book: &mut UpstreamBook| drop(book.load_messages(ms(40_000))))]
 fn an_engine_that_lost_what_it_kept_is_no_source(#[case] loses: fn(&mut UpstreamBook)) {
     let sets = Sets::default();
     let mut book = book(two_regions());
@@ -202,15 +213,24 @@
     let away = first.caches_for_others();
     // Each of the prompt's two shared beginnings.
     assert_eq!(away.len(), 2);
-    assert_eq!(first.caches_for_region(), away);
-    second.caches_told(ms(60), away, true);
+    for (book, region) in [
+        (&mut first, ["vm1", "vm4"]),
+        (&mut second, ["vm2", "vm3"]),
+        (&mut third, ["vm2", "vm3"]),
+    ] {
+        book.set_vms(&region_vms(region.map(str::to_owned)));
+    }
+    assert_eq!(news(&mut first, ms(50)), [("vm4".into(), away.clone())]);
+    second.caches_told(ms(60), &away);
     assert_eq!(second.caches_for_others(), []);
-    let region = second.caches_for_region();
-    third.caches_told(ms(160), region, false);
-    assert_eq!(
-        (third.caches_for_region(), third.caches_for_others()),
-        (vec![], vec![])
-    );
+    let messages = second.load_messages(ms(150));
+    let [(to, message)] = messages.as_slice() else {
+        panic!("one VM is told: {messages:?}");
+    };
+    assert_eq!(&**to, "vm3");
+    third.load_told(ms(160), &"vm2".into(), message.clone());
+    assert_eq!(news(&mut third, ms(160)), []);
+    assert_eq!(third.caches_for_others(), []);
     assert!(import(&third, ms(161), &sets, &prompt).1.is_some());
     keep(&mut first, ms(6_000), &sets, "v1", &prompt);
     assert_eq!(first.caches_for_others().len(), 2);
--- a/crates/ebonystand-core/tests/gateway/main.rs
+++ b/crates/ebonystand-core/tests/gateway/main.rs
@@ -104,6 +104,17 @@
     }
 }
 
+/// Live VMs of zone `a-1`.
+pub(crate) fn region_vms(vms: impl IntoIterator<Item = String>) -> Vec<RegionVm> {
+    let vms = vms.into_iter();
+    let vms = vms.map(|vm| RegionVm {
+        stays: true,
+        vm: vm.into(),
+        zone: "a-1".into(),
+    });
+    vms.collect()
+}
+
 /// Book of a VM in region `a`; zone `a-1` stands in region `a`, `b-1` in region `b`.
 pub(crate) fn book(upstreams: Vec<ListedUpstream>) -> UpstreamBook {
     book_of("vm", upstreams)
@@ -112,7 +123,11 @@
 pub(crate) fn book_of(vm: &str, upstreams: Vec<ListedUpstream>) -> UpstreamBook {
     let zones = [("a-1", "a"), ("a-2", "a"), ("b-1", "b")];
     let zones = zones.map(|(zone, region)| (zone.into(), region.into()));
-    let mut book = UpstreamBook::new(vm.into(), "a".into(), BTreeMap::from(zones));
+    let place = Place {
+        region: "a".into(),
+        zone: "a-1".into(),
+    };
+    let mut book = UpstreamBook::new(vm.into(), place, BTreeMap::from(zones));
     book.list(ms(0), upstreams);
     book
 }
--- a/crates/ebonystand-core/tests/gateway/upstreams.rs
+++ b/crates/ebonystand-core/tests/gateway/upstreams.rs
@@ -22,6 +22,15 @@
     Some(instance)
 }
 
+/// Another VM of the region tells the book what it has under way.
+fn tell(book: &mut UpstreamBook, now: Duration, vm: &str, upstream: &str, under_way: UnderWay) {
+    let message = LoadMessage::Group {
+        cached: Vec::new(),
+        under_way: vec![(upstream.into(), under_way)],
+    };
+    book.load_told(now, &vm.into(), message);
+}
+
 #[rstest]
 #[case::evacuated(|sets: &mut Sets, _: &mut Vec<ListedUpstream>| sets.evacuated = set(&["a-1"]), Some("u3"))]
 #[case::leaving(|_: &mut Sets, all: &mut Vec<ListedUpstream>| {
@@ -102,11 +111,10 @@
     let mut cold = listed("u1", "a-1", 1);
     cold.cold_for = ms(9_000);
     let mut sent = Vec::new();
-    let live = (0..vms).map(|vm| VmId::from(format!("vm{vm}")));
-    let live = live.collect::<Vec<_>>();
+    let live = region_vms((0..vms).map(|vm| format!("vm{vm}")));
     for vm in 0..vms {
         let mut book = book_of(&format!("vm{vm}"), vec![cold.clone()]);
-        book.set_vms(ms(0), live.clone());
+        book.set_vms(&live);
         for at in (0..8_000).step_by(7) {
             let now = ms(at + u64::from(vm) * 3);
             let sends = send(&mut book, now, &sets.query(None));
@@ -287,11 +295,10 @@
         unread: 20_000,
     };
     for vm in 0..9 {
-        let under_way = vec![(first.as_str().into(), under_way)];
-        book.peer_told(ms(0), format!("vm{vm}").into(), under_way);
+        tell(&mut book, ms(0), &format!("vm{vm}"), &first, under_way);
     }
     assert_ne!(chosen(&book, ms(10)), Some(first.clone()));
-    book.set_vms(ms(2_000), ["vm".into()]);
+    book.load_messages(ms(2_000));
     assert_eq!(chosen(&book, ms(2_000)), Some(first));
 }
 
@@ -338,7 +345,7 @@
         requests: 3,
         unread: 40_000,
     };
-    book.peer_told(ms(0), "vm1".into(), vec![("u1".into(), under_way)]);
+    tell(&mut book, ms(0), "vm1", "u1", under_way);
     let away = |book: &UpstreamBook, now| {
         let choice = book.choose(now, &sets.query(Some(&crowd)));
         matches!(choice, Choice::Away { .. })
--- a/crates/ebonystand-wire/src/lib.rs
+++ b/crates/ebonystand-wire/src/lib.rs
@@ -9,8 +9,8 @@
     bytes::{Buf, BufMut, BytesMut},
     ebonystand_core::{
         AllowanceMessage, CachedPrefix, Command, CommandOutcome, FeedMessage, Incarnation,
-        ListedUpstream, MemberId, Prompt, QuarantineMessage, RegionId, ReplicaMessage, ServiceId,
-        UnderWay, UpstreamId, Version, VmId, WorkspaceId,
+        ListedUpstream, LoadMessage, MemberId, Prompt, QuarantineMessage, RegionId, ReplicaMessage,
+        ServiceId, Version, VmId, WorkspaceId,
     },
     hmac::{Hmac, KeyInit, Mac},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
--- a/crates/ebonystand-wire/src/peer_message.rs
+++ b/crates/ebonystand-wire/src/peer_message.rs
@@ -5,13 +5,8 @@
 pub enum PeerMessage {
     /// About allowances.
     Allowance(AllowanceMessage),
-    /// What engines keep of prompts, as the sender has seen or, of another region, was told.
-    Cached {
-        /// What they keep since the last message.
-        cached: Vec<CachedPrefix>,
-        /// Region of the sender.
-        region: RegionId,
-    },
+    /// What engines keep of prompts, news since the last message, for a VM of another region.
+    Cached(Vec<CachedPrefix>),
     /// Asks whether the sender has the newest configuration.
     Confirm {
         /// When it was asked on the sender's clock, in microseconds; the answer carries it back.
@@ -31,6 +26,8 @@
     Feed(Box<FeedMessage>),
     /// Opens a connection.
     Hello(Hello),
+    /// About the load at upstreams of the region that sender and recipient stand in.
+    Load(LoadMessage),
     /// Shows that the connection is alive in this direction; answered by a byte.
     Ping,
     /// The list of upstreams as a VM of the same region has read it.
@@ -72,6 +69,4 @@
         /// The message.
         message: ReplicaMessage,
     },
-    /// What the sender has under way at upstreams of its region; those without any are left out.
-    UnderWay(Vec<(UpstreamId, UnderWay)>),
 }
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -1,15 +1,15 @@
 use super::*;
 use {
     ebonystand_core::{
-        AttemptEnd, CachedPrefix, Confirmation, Preset, RetryBudget, Retryable, RouteTable,
-        UpstreamBook, VmEntry,
+        AttemptEnd, Confirmation, Place, Preset, RegionVm, RelayPlan, RetryBudget, Retryable,
+        RouteTable, UpstreamBook, VmEntry,
     },
     list_controller::ListController,
     membership_controller::MembershipController,
     node::Node,
     rand::{RngExt as _, SeedableRng as _},
     rand_pcg::Pcg64Mcg,
-    std::collections::BTreeSet,
+    std::collections::{BTreeMap, BTreeSet},
     turns::Turns,
 };
 
@@ -43,18 +43,13 @@
     const CONFIRM_EVERY: Duration = Duration::from_millis(500);
     /// Time between two tellings of this region's load to VMs of other regions.
     const PRESSURE_EVERY: Duration = Duration::from_millis(250);
-    /// VMs of other regions that are told each time.
+    /// Relays of other regions that are told each time.
     const PRESSURE_FAN_OUT: usize = 6;
     /// Part of the share of retries that VMs take. The rest is for the retries that each VM may make
     /// however few requests it has.
     const RETRIES_PERMILLE: u64 = 850;
     /// VMs that a new leader tells of itself.
     const TOLD_OF_LEADER: usize = 256;
-    /// Time between two tellings of what this VM has under way: short against the time that a prompt
-    /// takes to be read.
-    const UNDER_WAY_EVERY: Duration = Duration::from_millis(100);
-    /// The same for each VM of a large region, so that none sends or takes more than 200 a second.
-    const UNDER_WAY_EACH: Duration = Duration::from_millis(5);
     /// A VM that did not answer a forwarded request gets no other one for so long.
     const SUSPECT_FOR: Duration = Duration::from_secs(2);
 
@@ -67,7 +62,11 @@
         let gateway = &settings.gateway;
         let mut zones = gateway.zones.clone();
         zones.insert(settings.zone.clone(), settings.region.clone());
-        let book = UpstreamBook::new(settings.vm.clone(), settings.region.clone(), zones);
+        let place = Place {
+            region: settings.region.clone(),
+            zone: settings.zone.clone(),
+        };
+        let book = UpstreamBook::new(settings.vm.clone(), place, zones);
         if !gateway.without.is_empty() {
             let without = gateway.without.iter().map(ToString::to_string);
             let without = without.collect::<Vec<_>>().join(" ");
@@ -232,7 +231,7 @@
             match leader {
                 Some(leader) => Self::ask(&node, now, &leader),
                 None => {
-                    for entry in node.membership.live(now) {
+                    for entry in node.membership.live(now).iter() {
                         if entry.record.holds_log {
                             Self::ask(&node, now, &entry.record.vm);
                         }
@@ -250,8 +249,8 @@
         }
     }
 
-    /// Tells other regions what requests have to expect here, and all VMs whether callers may be
-    /// sent here, until the task is dropped.
+    /// Tells other regions what requests have to expect here, if this VM relays, and all VMs whether
+    /// callers may be sent here, until the task is dropped.
     pub(crate) async fn run_pressure(node: Rc<Node>) {
         let this = &node.gateway;
         actix_rt::spawn(Turns::run(Rc::clone(&node)));
@@ -259,44 +258,34 @@
             actix_rt::time::sleep(Self::PRESSURE_EVERY).await;
             let takes_callers = this.takes_callers(&node);
             MembershipController::set_takes_callers(&node, takes_callers);
-            if node.settings.gateway.forwards.is_some() {
+            let is_relay = this.book.borrow().is_relay();
+            if is_relay && node.settings.gateway.forwards.is_some() {
                 Self::tell_pressure(&node);
                 Self::tell_cached_away(&node);
             }
         }
     }
 
-    /// Tells the VMs of the region again and again what this one has under way, until the task is
-    /// dropped.
-    pub(crate) async fn run_under_way(node: Rc<Node>) {
+    /// Tells the VMs of the region again and again what this one knows of the load at upstreams, until
+    /// the task is dropped.
+    pub(crate) async fn run_load(node: Rc<Node>) {
         let this = &node.gateway;
-        let mut told_some = false;
+        let mut known = Rc::default();
         loop {
-            let live = node.membership.live(node.clock.now()).into_iter();
-            // Those that do not take callers yet may the next moment: of VMs that start together each would
-            // otherwise hold itself for alone, and send a cold upstream all that it bears.
-            let of_region = live.filter(|entry| {
-                let record = &entry.record;
-                let serves = record.takes_callers || record.forwards.is_some();
-                record.region == node.settings.region && serves
-            });
-            let vms = of_region.map(|entry| entry.record.vm).collect::<Vec<_>>();
-            let count = u32::try_from(vms.len()).unwrap_or(u32::MAX);
-            let (under_way, cached) = {
-                let mut book = this.book.borrow_mut();
-                book.set_vms(node.clock.now(), vms.iter().cloned());
-                (book.under_way(), book.caches_for_region())
-            };
-            // Once more when nothing is left, or the others would go by the last word.
-            let tells = told_some || !under_way.is_empty();
-            told_some = !under_way.is_empty();
-            for vm in vms.iter().filter(|vm| **vm != node.settings.vm) {
-                if tells {
-                    node.send(vm, PeerMessage::UnderWay(under_way.clone()));
-                }
-                Self::tell_cached(&node, vm, &cached);
+            let now = node.clock.now();
+            let live = node.membership.live(now);
+            if !Rc::ptr_eq(&live, &known) {
+                let vms = live
+                    .iter()
+                    .filter_map(|entry| of_region(entry, &node.settings.region));
+                this.book.borrow_mut().set_vms(&vms.collect::<Vec<_>>());
+                known = live;
+            }
+            let messages = this.book.borrow_mut().load_messages(now);
+            for (vm, message) in messages {
+                node.send(&vm, PeerMessage::Load(message));
             }
-            let every = Self::UNDER_WAY_EVERY.max(Self::UNDER_WAY_EACH * count);
+            let every = this.book.borrow().tells_load_every();
             actix_rt::time::sleep(every.mul_f64(this.jitter())).await;
         }
     }
@@ -311,8 +300,10 @@
     /// asking; their number is bounded for the sake of large fleets.
     pub(crate) fn tell_leading(node: &Rc<Node>) {
         let version = node.document().version;
-        let live = node.membership.live(node.clock.now()).into_iter();
-        let others = live.filter(|entry| entry.record.vm != node.settings.vm);
+        let live = node.membership.live(node.clock.now());
+        let others = live
+            .iter()
+            .filter(|entry| entry.record.vm != node.settings.vm);
         for entry in others.take(Self::TOLD_OF_LEADER) {
             let message = PeerMessage::Confirmed {
                 asked_us: 0,
@@ -343,12 +334,12 @@
         let now = node.clock.now();
         let suspects = self.suspects.borrow();
         let is_sound = |vm: &VmId| suspects.get(vm).is_none_or(|until| now >= *until);
-        let live = node.membership.live(now).into_iter();
-        let live = live.filter_map(|VmEntry { record, .. }| {
+        let live = node.membership.live(now);
+        let live = live.iter().filter_map(|VmEntry { record, .. }| {
             let address = record.forwards?;
             let usable = record.takes_callers && is_sound(&record.vm);
             let is_away = record.region != node.settings.region;
-            let forwarder = (record.vm, record.region, address);
+            let forwarder = (record.vm.clone(), record.region.clone(), address);
             (usable && is_away).then_some((record.leaving, forwarder))
         });
         let live = live.collect::<Vec<_>>();
@@ -361,31 +352,36 @@
         usable.map(|(_, forwarder)| forwarder.clone()).collect()
     }
 
-    fn tell_cached(node: &Rc<Node>, vm: &VmId, cached: &[CachedPrefix]) {
-        if cached.is_empty() {
-            return;
-        }
-        let message = PeerMessage::Cached {
-            cached: cached.to_vec(),
-            region: node.settings.region.clone(),
-        };
-        node.send(vm, message);
-    }
-
-    /// Tells one VM of each other region what engines keep; it tells the others there.
+    /// Tells one relay of each other region what engines keep; it tells the others there.
     fn tell_cached_away(node: &Rc<Node>) {
         let this = &node.gateway;
         let cached = this.book.borrow_mut().caches_for_others();
         if cached.is_empty() {
             return;
         }
-        for region in this.reachable(node) {
-            if let Some((vm, _)) = this.forwarder(node, &region) {
-                Self::tell_cached(node, &vm, &cached);
-            }
+        for relays in this.relays_away(node).into_values() {
+            let index = this.rng.borrow_mut().random_range(0..relays.len());
+            node.send(&relays[index], PeerMessage::Cached(cached.clone()));
         }
     }
 
+    /// Relays of each other region that has some.
+    fn relays_away(&self, node: &Node) -> BTreeMap<RegionId, Vec<VmId>> {
+        let live = node.membership.live(node.clock.now());
+        let others = live.iter().filter(|entry| entry.record.takes_callers);
+        let mut regions = BTreeMap::<&RegionId, Vec<RegionVm>>::new();
+        for entry in others.filter(|entry| entry.record.region != node.settings.region) {
+            let region = &entry.record.region;
+            let vms = regions.entry(region).or_default();
+            vms.extend(of_region(entry, region));
+        }
+        let relays = regions.into_iter().map(|(region, vms)| {
+            let relays = RelayPlan::new(&vms).relays().cloned().collect::<Vec<_>>();
+            (region.clone(), relays)
+        });
+        relays.filter(|(_, relays)| !relays.is_empty()).collect()
+    }
+
     fn tell_pressure(node: &Rc<Node>) {
         let this = &node.gateway;
         let now = node.clock.now();
@@ -403,12 +399,16 @@
         let first_byte_ms = first_byte_ms
             .map(|(service, delay)| (service, delay.as_millis() as u64))
             .collect::<Vec<_>>();
-        let mut others = this.forwarders(node);
+        let mut others = this
+            .relays_away(node)
+            .into_values()
+            .flatten()
+            .collect::<Vec<_>>();
         while others.len() > Self::PRESSURE_FAN_OUT {
             let index = this.rng.borrow_mut().random_range(0..others.len());
             others.swap_remove(index);
         }
-        for (vm, ..) in others {
+        for vm in others {
             let message = PeerMessage::Pressure {
                 first_byte_ms: first_byte_ms.clone(),
                 region: node.settings.region.clone(),
@@ -417,3 +417,17 @@
         }
     }
 }
+
+/// The VM of an entry, if it stands in `region` and serves requests.
+///
+/// Those that do not take callers yet may the next moment: of VMs that start together each would otherwise
+/// hold itself for alone, and send a cold upstream all that it bears.
+fn of_region(entry: &VmEntry, region: &str) -> Option<RegionVm> {
+    let record = &entry.record;
+    let serves = record.takes_callers || record.forwards.is_some();
+    (*record.region == *region && serves).then(|| RegionVm {
+        stays: !record.leaving,
+        vm: record.vm.clone(),
+        zone: record.zone.clone(),
+    })
+}
--- a/crates/ebonystand/src/gateway/gateway_handle.rs
+++ b/crates/ebonystand/src/gateway/gateway_handle.rs
@@ -23,13 +23,12 @@
         let now = self.node.clock.now();
         let table = self.node.gateway.table();
         let homes = table.homes_of_host(host);
-        let live = self.node.membership.live(now).into_iter();
-        let vms = live.map(|entry| entry.record).collect::<Vec<_>>();
+        let live = self.node.membership.live(now);
         let choice = EntryChoice {
             caller,
             homes: &homes,
         };
-        choice.pick(&vms)
+        choice.pick(live.iter().map(|entry| &entry.record))
     }
 
     /// Stops or allows the sending of requests to the upstreams of a zone; returns once that is
--- a/crates/ebonystand/src/gateway/list_controller.rs
+++ b/crates/ebonystand/src/gateway/list_controller.rs
@@ -92,11 +92,11 @@
 
     /// Live VMs of the region that could read the list.
     fn readers(node: &Node) -> Vec<VmId> {
-        let live = node.membership.live(node.clock.now()).into_iter();
-        let readers = live.map(|entry| entry.record).filter(|record| {
+        let live = node.membership.live(node.clock.now());
+        let readers = live.iter().map(|entry| &entry.record).filter(|record| {
             record.region == node.settings.region && record.forwards.is_some() && !record.leaving
         });
-        readers.map(|record| record.vm).collect()
+        readers.map(|record| record.vm.clone()).collect()
     }
 
     /// Reads the list of upstreams again and again until the task is dropped, for all VMs of the
--- a/crates/ebonystand/src/membership_controller.rs
+++ b/crates/ebonystand/src/membership_controller.rs
@@ -1,7 +1,7 @@
 use super::*;
 use {
     ebonystand_core::{
-        FeedInput, MembershipMessage, MembershipOutput, VmEntry, VmMembership, VmRecord,
+        FeedInput, Liveness, MembershipMessage, MembershipOutput, VmEntry, VmMembership, VmRecord,
     },
     node::Node,
     state_controller::StateController,
@@ -11,6 +11,8 @@
 
 /// Holds what is known of the other VMs, and exchanges it with them in datagrams.
 pub(crate) struct MembershipController {
+    /// The live VMs with what they were derived from.
+    live: RefCell<Option<(Liveness, Rc<[VmEntry]>)>>,
     membership: RefCell<VmMembership>,
     socket: UdpSocket,
 }
@@ -37,8 +39,19 @@
         Self::take(node, outputs);
     }
 
-    pub(crate) fn live(&self, now: Duration) -> Vec<VmEntry> {
-        self.membership.borrow().live(now).cloned().collect()
+    /// Live VMs; the same allocation until one comes, goes or changes.
+    pub(crate) fn live(&self, now: Duration) -> Rc<[VmEntry]> {
+        let membership = self.membership.borrow();
+        let liveness = membership.liveness(now);
+        let mut known = self.live.borrow_mut();
+        match &*known {
+            Some((since, live)) if *since == liveness => Rc::clone(live),
+            _ => {
+                let live = membership.live(now).cloned().collect::<Rc<[_]>>();
+                *known = Some((liveness, Rc::clone(&live)));
+                live
+            }
+        }
     }
 
     /// Live VMs of the region, this one included.
@@ -57,6 +70,7 @@
         socket: UdpSocket,
     ) -> Self {
         Self {
+            live: RefCell::default(),
             membership: RefCell::new(VmMembership::new(own, seeds, now, seed)),
             socket,
         }
@@ -154,6 +168,7 @@
             return;
         }
         log::info!(live:? = now_live; "live VMs changed");
+        node.peers.prune();
         node.quarantine
             .set_live(now, now_live.keys().cloned().collect());
         node.routes.share_links(node.vms_of_region());
@@ -163,13 +178,16 @@
             }
         }
         *known = now_live;
-        let others = live.into_iter().filter(|entry| entry.record.vm != own.vm);
+        let others = live.iter().filter(|entry| entry.record.vm != own.vm);
         let (near, far): (Vec<_>, Vec<_>) =
             others.partition(|entry| entry.record.region == own.region);
-        let vms = |entries: Vec<VmEntry>| entries.into_iter().map(|entry| entry.record.vm);
+        let vms = |entries: Vec<&VmEntry>| {
+            let vms = entries.into_iter().map(|entry| entry.record.vm.clone());
+            vms.collect::<Vec<_>>()
+        };
         let input = FeedInput::Peers {
-            far: vms(far).collect(),
-            near: vms(near).collect(),
+            far: vms(far),
+            near: vms(near),
         };
         StateController::step(node, input);
     }
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -250,11 +250,14 @@
                 self.gateway.list.heard(self, from, digest, upstreams);
             }
             PeerMessage::ListWanted => self.gateway.list.send(self, from),
-            PeerMessage::Cached { cached, region } => {
-                let from_away = region != self.settings.region;
+            PeerMessage::Cached(cached) => {
+                let now = self.clock.now();
+                self.gateway.book.borrow_mut().caches_told(now, &cached);
+            }
+            PeerMessage::Load(message) => {
                 let now = self.clock.now();
                 let mut book = self.gateway.book.borrow_mut();
-                book.caches_told(now, cached, from_away);
+                book.load_told(now, from, message);
             }
             PeerMessage::Pressure {
                 first_byte_ms,
@@ -266,11 +269,6 @@
                 let mut book = self.gateway.book.borrow_mut();
                 book.told(now, &region, pressures.collect());
             }
-            PeerMessage::UnderWay(under_way) => {
-                let now = self.clock.now();
-                let mut book = self.gateway.book.borrow_mut();
-                book.peer_told(now, from.clone(), under_way);
-            }
             PeerMessage::Allowance(message) => AllowanceController::receive(self, from, message),
             PeerMessage::Feed(message) => {
                 let input = ebonystand_core::FeedInput::Message {
--- a/crates/ebonystand/src/peers.rs
+++ b/crates/ebonystand/src/peers.rs
@@ -15,11 +15,18 @@
         }
     }
 
+    /// Forgets links that have ended.
+    pub(crate) fn prune(&self) {
+        self.links.borrow_mut().retain(|_, link| link.open());
+    }
+
     /// Sends a message, or drops it if the VM does not keep up: each protocol between VMs
     /// tolerates a lost message.
     pub(crate) fn send(&self, node: &Node, to: SocketAddr, message: PeerMessage) {
         let mut links = self.links.borrow_mut();
-        links.retain(|_, link| link.open());
+        if links.get(&to).is_some_and(|link| !link.open()) {
+            links.remove(&to);
+        }
         let link = links.entry(to).or_insert_with(|| {
             let hello = Hello {
                 incarnation: node.incarnation,
--- a/crates/ebonystand/src/serve.rs
+++ b/crates/ebonystand/src/serve.rs
@@ -203,7 +203,7 @@
         actix_rt::spawn(GatewayController::run_confirm(Rc::clone(node)));
         actix_rt::spawn(ListController::run(Rc::clone(node)));
         actix_rt::spawn(GatewayController::run_pressure(Rc::clone(node)));
-        actix_rt::spawn(GatewayController::run_under_way(Rc::clone(node)));
+        actix_rt::spawn(GatewayController::run_load(Rc::clone(node)));
     }
     actix_rt::spawn(MembershipController::run(Rc::clone(node)));
     actix_rt::spawn(MembershipController::run_refresh(Rc::clone(node)));
