Look each holder of a shared part up once a choice

Holders are now found once a choice, and a region once a listing.

The choice itself is the same; its tests did not change.

--- a/crates/ebonystand-core/src/gateway/known_upstream.rs
+++ b/crates/ebonystand-core/src/gateway/known_upstream.rs
@@ -14,6 +14,8 @@
     /// Time that a call of a plain service takes, smoothed.
     pub(crate) pace: Duration,
     pub(crate) prefixes: PrefixMemory,
+    /// Region of its zone; `None` if the zone is not known.
+    pub(crate) region: Option<RegionId>,
     pub(crate) report: Option<(Duration, ReportedSlots)>,
     /// Requests sent since the last report.
     pub(crate) sent_since: u32,
@@ -50,7 +52,11 @@
     /// Window of a VM that has sent an engine nothing yet, in prompt tokens: some usual prompts.
     const FIRST_TOKENS: u64 = 12_000;
 
-    pub(crate) fn new(listed: ListedUpstream, cold_until: Duration) -> Self {
+    pub(crate) fn new(
+        listed: ListedUpstream,
+        region: Option<RegionId>,
+        cold_until: Duration,
+    ) -> Self {
         Self {
             cold_until,
             gate: ColdGate::default(),
@@ -60,6 +66,7 @@
             listed,
             pace: Self::FIRST_PACE,
             prefixes: PrefixMemory::default(),
+            region,
             report: None,
             sent_since: 0,
             speed: Self::FIRST_SPEED,
--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -207,7 +207,7 @@
         let mut upstreams = self.upstreams.values();
         let here = upstreams.any(|known| {
             *known.listed.service == *service
-                && self.region(known) == Some(&self.here)
+                && self.is_here(known)
                 && !known.listed.leaving
                 && self.fits(now, known, is_engine, work)
         });
@@ -224,14 +224,15 @@
         let is_first = self.upstreams.is_empty();
         for upstream in listed {
             let instance = upstream.instance.clone();
+            let region = self.zones.get(&upstream.zone).cloned();
             let known = match self.upstreams.remove(&instance) {
                 Some(known) if known.listed.address == upstream.address => {
                     if now >= known.cold_until && !upstream.cold_for.is_zero() {
                         self.caches.forget(&instance);
                     }
-                    Self::relisted(now, known, upstream)
+                    Self::relisted(now, known, upstream, region)
                 }
-                _ => Self::appeared(now, upstream, is_first),
+                _ => Self::appeared(now, upstream, region, is_first),
             };
             next.insert(instance, known);
         }
@@ -377,13 +378,18 @@
         }
     }
 
-    fn appeared(now: Duration, upstream: ListedUpstream, is_first: bool) -> KnownUpstream {
+    fn appeared(
+        now: Duration,
+        upstream: ListedUpstream,
+        region: Option<RegionId>,
+        is_first: bool,
+    ) -> KnownUpstream {
         let lag = match is_first {
             true => Duration::ZERO,
             false => Self::NEW_IS_COLD,
         };
         let cold_until = now + upstream.cold_for.max(lag);
-        KnownUpstream::new(upstream, cold_until)
+        KnownUpstream::new(upstream, region, cold_until)
     }
 
     pub(super) fn is_candidate(
@@ -402,10 +408,9 @@
         query: &ChoiceQuery,
         known: &KnownUpstream,
     ) -> bool {
-        let is_here = self.region(known) == Some(&self.here);
         let is_warm = now >= known.cold_until || query.cold.per_s <= 0.0;
         let is_open = is_warm || self.opens(known).is_some_and(|at| now >= at);
-        is_here
+        self.is_here(known)
             && query.allows(&self.here)
             && self.is_usable(query, known)
             && is_open
@@ -430,7 +435,7 @@
         let opens = self
             .upstreams
             .values()
-            .filter(|known| self.region(known) == Some(&self.here) && self.is_usable(query, known));
+            .filter(|known| self.is_here(known) && self.is_usable(query, known));
         let opens = opens.map(|known| {
             let gate = if now < known.cold_until {
                 let opens = self.opens(known).unwrap_or(known.cold_until);
@@ -470,14 +475,16 @@
         self.exchange.at(known.key)
     }
 
-    pub(super) fn region(&self, known: &KnownUpstream) -> Option<&RegionId> {
-        self.zones.get(&known.listed.zone)
+    /// Whether an upstream stands in the own region.
+    pub(super) fn is_here(&self, known: &KnownUpstream) -> bool {
+        known.region.as_ref() == Some(&self.here)
     }
 
     fn relisted(
         now: Duration,
         mut known: KnownUpstream,
         upstream: ListedUpstream,
+        region: Option<RegionId>,
     ) -> KnownUpstream {
         if !upstream.cold_for.is_zero() {
             if now >= known.cold_until {
@@ -486,6 +493,7 @@
             known.cold_until = known.cold_until.max(now + upstream.cold_for);
         }
         known.listed = upstream;
+        known.region = region;
         known
     }
 
@@ -502,7 +510,7 @@
             let is_closed = self.opens(known).is_none_or(|at| now < at);
             let is_cold = now < known.cold_until && is_closed;
             let count = match () {
-                () if self.region(known) != Some(&self.here) => &mut unfit.elsewhere,
+                () if !self.is_here(known) => &mut unfit.elsewhere,
                 () if known.listed.leaving => &mut unfit.leaving,
                 () if query.evacuated.contains(&known.listed.zone) => &mut unfit.evacuated,
                 () if query.excluded.contains(&known.listed.instance) => &mut unfit.excluded,
--- a/crates/ebonystand-core/src/gateway/upstream_choice.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_choice.rs
@@ -8,7 +8,7 @@
     cost: Duration,
     /// Predicted time to the first byte.
     delay: Duration,
-    import: Option<CacheSource>,
+    import: Option<(&'a KnownUpstream, Tokens)>,
     is_full: bool,
     known: &'a KnownUpstream,
     /// Tokens that it has to read.
@@ -17,11 +17,25 @@
 
 /// A prompt, and which VMs agree to have its shared parts read where.
 struct Placed<'a> {
-    owner: Option<UpstreamId>,
-    prefixes: Vec<SharedPrefix>,
+    owner: Option<UpstreamKey>,
+    prefixes: Vec<Kept<'a>>,
     prompt: &'a Prompt,
 }
 
+/// A shared beginning of a prompt, and the engines that keep it.
+struct Kept<'a> {
+    holders: Vec<Holder<'a>>,
+    prefix: SharedPrefix,
+}
+
+/// An engine that keeps a beginning.
+struct Holder<'a> {
+    homes: Option<&'a BTreeSet<RegionId>>,
+    known: &'a KnownUpstream,
+    may_export: bool,
+    used: Duration,
+}
+
 impl UpstreamBook {
     /// Delay to assume of another region that has told nothing.
     const AWAY_UNKNOWN: Duration = Duration::from_millis(300);
@@ -97,7 +111,9 @@
             // request either, to refuse would be worse.
             candidates = self.candidates(query, |known| self.is_open(now, query, known));
         }
-        let placed = query.prompt.map(|prompt| self.placed(prompt, &candidates));
+        let placed = query
+            .prompt
+            .map(|prompt| self.placed(now, query, prompt, &candidates));
         let weighed = candidates.iter().map(|known| match &placed {
             Some(placed) => self.weigh_prompt(now, query, known, placed),
             None => self.weigh_call(now, known),
@@ -118,7 +134,11 @@
         Choice::Here {
             address: best.known.listed.address,
             candidates: u32::try_from(candidates.len()).unwrap_or(u32::MAX),
-            import: best.import,
+            import: best.import.map(|(source, tokens)| CacheSource {
+                address: source.listed.address,
+                instance: source.listed.instance.clone(),
+                tokens,
+            }),
             instance: best.known.listed.instance.clone(),
             is_sound,
             predicted: best.delay,
@@ -153,7 +173,7 @@
         regions.filter(|region| {
             let mut upstreams = self.upstreams.values();
             upstreams
-                .any(|known| self.region(known) == Some(*region) && self.is_usable(query, known))
+                .any(|known| known.region.as_ref() == Some(*region) && self.is_usable(query, known))
         })
     }
 
@@ -181,85 +201,97 @@
     /// newer one, or may still be reading it for another request, and would then read it again. Shared
     /// tokens read again on the worst of six days: 2.0 and 1.5 million without, 1.2, 1.3 and 1.1 with it
     /// (a play each).
-    fn import(
+    fn import<'a>(
         &self,
-        now: Duration,
         query: &ChoiceQuery,
         known: &KnownUpstream,
-        placed: &Placed,
+        placed: &Placed<'a>,
         kept: Tokens,
-    ) -> Option<(CacheSource, Duration)> {
+    ) -> Option<(&'a KnownUpstream, Tokens, Duration)> {
         let terms = query.engine.filter(|_| self.uses(Mechanism::Imports))?;
-        let (source, tokens) = placed.prefixes.iter().find_map(|prefix| {
-            let source = self.export(now, query, known, prefix.id)?;
-            Some((source, prefix.tokens.saturating_sub(kept)))
+        let (source, tokens) = placed.prefixes.iter().find_map(|part| {
+            let source = Self::export(known, &part.holders)?;
+            Some((source, part.prefix.tokens.saturating_sub(kept)))
         })?;
         let same_zone = source.listed.zone == known.listed.zone;
         let takes = match tokens {
             0 => Duration::ZERO,
             _ => terms.import_time(tokens, same_zone)?,
         };
-        let source = CacheSource {
-            address: source.listed.address,
-            instance: source.listed.instance.clone(),
-            tokens,
-        };
         let within = match self.uses(Mechanism::ShortImports) {
             true => Self::IMPORTED_WITHIN,
             false => Duration::ZERO,
         };
         let is_worth_it = tokens == 0 || takes < known.reading(tokens).max(within);
-        is_worth_it.then_some((source, takes))
+        is_worth_it.then_some((source, tokens, takes))
     }
 
     /// The engine, other than `known`, that exports a beginning: the one nearest to it, and of equally near
     /// ones that with the newest use, which is the least likely to have dropped it. What was read for
     /// requests with homes leaves its region for those homes only.
-    fn export(
-        &self,
-        now: Duration,
-        query: &ChoiceQuery,
-        known: &KnownUpstream,
-        prefix: PrefixId,
-    ) -> Option<&KnownUpstream> {
-        let holders = self.caches.holders(now, prefix);
-        let to = self.region(known);
-        let sources = holders.filter_map(|export| {
-            let source = self.upstreams.get(export.instance)?;
-            let stays = self.region(source) == to;
-            let may_leave = |homes: &BTreeSet<RegionId>| to.is_some_and(|to| homes.contains(to));
-            let may_export = source.listed.instance != known.listed.instance
-                && (stays || export.homes.is_none_or(may_leave))
-                && self.may_export(now, query, source);
-            may_export.then_some((source, export.used))
+    fn export<'a>(known: &KnownUpstream, holders: &[Holder<'a>]) -> Option<&'a KnownUpstream> {
+        let to = known.region.as_ref();
+        let may_leave = |homes: &BTreeSet<RegionId>| to.is_some_and(|to| homes.contains(to));
+        let sources = holders.iter().filter(|holder| {
+            let stays = holder.known.region.as_ref() == to;
+            holder.may_export
+                && holder.known.key != known.key
+                && (stays || holder.homes.is_none_or(may_leave))
         });
-        let best = sources.max_by_key(|(source, used)| {
-            let same_zone = source.listed.zone == known.listed.zone;
-            let same_region = self.region(source) == self.region(known);
-            (same_zone, same_region, *used)
+        let best = sources.max_by_key(|holder| {
+            let same_zone = holder.known.listed.zone == known.listed.zone;
+            let same_region = holder.known.region.as_ref() == to;
+            (same_zone, same_region, holder.used)
         });
-        best.map(|(source, _)| source)
+        best.map(|holder| holder.known)
     }
 
     /// Whether engines may import from this one. One that is leaving or evacuated may go on handing out
     /// what it keeps: it does no work for it, and the others then need not read it again.
-    fn may_export(&self, now: Duration, query: &ChoiceQuery, known: &KnownUpstream) -> bool {
-        let region = self.region(known);
+    fn may_export(now: Duration, query: &ChoiceQuery, known: &KnownUpstream) -> bool {
+        let region = known.region.as_ref();
         *known.listed.service == *query.service
             && !known.is_gone
             && now >= known.suspect_until
             && region.is_some_and(|region| query.allows(region))
     }
 
-    fn placed<'a>(&self, prompt: &'a Prompt, candidates: &[&KnownUpstream]) -> Placed<'a> {
+    fn placed<'a>(
+        &'a self,
+        now: Duration,
+        query: &ChoiceQuery,
+        prompt: &'a Prompt,
+        candidates: &[&KnownUpstream],
+    ) -> Placed<'a> {
         let shared = prompt.shared().filter(|_| self.uses(Mechanism::Owner));
         let owner = shared.and_then(|shared| {
-            let names = candidates.iter().map(|known| &known.listed.instance);
-            Rendezvous::new(shared).owner(names).cloned()
+            let rendezvous = Rendezvous::new(shared);
+            let owner = candidates
+                .iter()
+                .max_by_key(|known| rendezvous.weight(&known.listed.instance));
+            owner.map(|known| known.key)
+        });
+        let holder = |export: Export<'a>| {
+            let known = self.upstreams.get(export.instance)?;
+            Some(Holder {
+                homes: export.homes,
+                known,
+                may_export: Self::may_export(now, query, known),
+                used: export.used,
+            })
+        };
+        let prefixes = SharedPrefix::of(prompt).into_iter();
+        let prefixes = prefixes.map(|prefix| Kept {
+            holders: self
+                .caches
+                .holders(now, prefix.id)
+                .filter_map(holder)
+                .collect(),
+            prefix,
         });
         Placed {
             owner,
-            prefixes: SharedPrefix::of(prompt),
+            prefixes: prefixes.collect(),
             prompt,
         }
     }
@@ -290,24 +322,20 @@
         now: Duration,
         query: &ChoiceQuery,
         known: &'a KnownUpstream,
-        placed: &Placed,
+        placed: &Placed<'a>,
     ) -> Weighed<'a> {
         let others = self.others(known);
         let prompt = placed.prompt;
-        let instance = &known.listed.instance;
-        let told = placed.prefixes.iter();
-        let told = told
-            .filter(|prefix| self.caches.keeps(now, prefix.id, instance))
-            .map(|prefix| prefix.tokens);
-        let kept = known.prefixes.kept(prompt).max(told.max().unwrap_or(0));
-        let (import, import_time) = self
-            .import(now, query, known, placed, kept)
-            .map_or((None, Duration::ZERO), |(source, takes)| {
-                (Some(source), takes)
-            });
-        let imported = import.as_ref().map_or(0, |source| source.tokens);
+        let keeps = |part: &&Kept| part.holders.iter().any(|h| h.known.key == known.key);
+        let told = placed.prefixes.iter().filter(keeps);
+        let told = told.map(|part| part.prefix.tokens).max().unwrap_or(0);
+        let kept = known.prefixes.kept(prompt).max(told);
+        let import = self.import(query, known, placed, kept);
+        let import_time = import.map_or(Duration::ZERO, |(.., takes)| takes);
+        let import = import.map(|(source, tokens, _)| (source, tokens));
+        let imported = import.map_or(0, |(_, tokens)| tokens);
         let unread = prompt.input.saturating_sub(kept + imported);
-        let is_owner = placed.owner.as_ref() == Some(instance);
+        let is_owner = placed.owner == Some(known.key);
         // What the owner reads of the shared parts is kept for all that come after, and read once.
         let lasting = match is_owner {
             true => prompt.shared_tokens().saturating_sub(kept + imported),
