Name all VMs of a large region to callers, those of their zone first

By reading: a list names 64 VMs at most, and those were the first by name. In a region of 98 the other 34 had no callers, and the first had half as many again. Callers also crossed zones beside VMs of their own.

Lists that cannot name all VMs now name those of the caller's zone, if there are 32 or more, or a random part. A zone's list stays the same, since callers close connections to VMs that a new one leaves out. Regions of up to 64 VMs are named as before.

--- a/crates/ebonystand-core/tests/gateway/directory.rs
+++ b/crates/ebonystand-core/tests/gateway/directory.rs
@@ -22,14 +22,19 @@
 }
 
 fn ports(vms: &[VmRecord], homes: &[&[&str]]) -> Vec<u16> {
+    ports_for("a-1", 7, vms, homes)
+}
+
+fn ports_for(zone: &str, draw: u64, vms: &[VmRecord], homes: &[&[&str]]) -> Vec<u16> {
     let caller = Place {
         region: "a".into(),
-        zone: "a-1".into(),
+        zone: zone.into(),
     };
     let homes = homes.iter().map(|homes| set(homes)).collect::<Vec<_>>();
     let homes = homes.iter().collect::<Vec<_>>();
     let choice = EntryChoice {
         caller: &caller,
+        draw,
         homes: &homes,
     };
     choice.pick(vms).iter().map(SocketAddr::port).collect()
@@ -65,6 +70,56 @@
     assert_eq!(ports(&vms, &[]).len(), EntryChoice::LONGEST);
 }
 
+/// A list named the first 64 VMs of a region by name: the others had no callers, and these had theirs.
+#[rstest]
+#[case::zones_of_a_region(&[49, 49])]
+#[case::one_large_zone(&[98])]
+#[case::most_of_a_zone_is_down(&[10, 90])]
+fn callers_spread_over_all_vms_of_a_large_region(#[case] zones: &[u16]) {
+    let mut vms = Vec::new();
+    for (zone, count) in (1..).zip(zones) {
+        for _ in 0..*count {
+            let name = (vms.len() + 1).to_string();
+            let zone = format!("a-{zone}").into();
+            vms.push(VmRecord {
+                zone,
+                ..vm(&name, "a", true, false)
+            });
+        }
+    }
+    let mut named = BTreeMap::<u16, u32>::new();
+    for draw in 0..600 {
+        // Callers stand where VMs are planned: as many in each zone.
+        let zone = format!("a-{}", draw % zones.len() as u64 + 1);
+        let ports = ports_for(&zone, draw, &vms, &[]);
+        for port in &ports {
+            // A caller takes each VM that is named as often.
+            *named.entry(*port).or_default() += 6_400 / ports.len() as u32;
+        }
+    }
+    assert_eq!(named.len(), vms.len());
+    let mean = named.values().sum::<u32>() / vms.len() as u32;
+    let most = named.values().max().copied().unwrap_or(0);
+    assert!(most < mean * 3 / 2, "{most}, mean {mean}");
+}
+
+/// Callers close connections to VMs that a new list does not name.
+#[test]
+fn a_zone_with_enough_vms_is_named_the_same_each_time() {
+    let vms = (1..=98).map(|name| VmRecord {
+        zone: format!("a-{}", name % 2 + 1).into(),
+        ..vm(&name.to_string(), "a", true, false)
+    });
+    let vms = vms.collect::<Vec<_>>();
+    let sorted = |draw| {
+        let mut ports = ports_for("a-1", draw, &vms, &[]);
+        ports.sort_unstable();
+        ports
+    };
+    assert_eq!(sorted(1).len(), 49);
+    assert_eq!(sorted(1), sorted(2));
+}
+
 /// Three VMs of a region; the first by name reads the list for all. It goes silent, and the others
 /// read for themselves until they hear of it again.
 #[test]
--- a/crates/ebonystand/src/gateway/gateway_handle.rs
+++ b/crates/ebonystand/src/gateway/gateway_handle.rs
@@ -26,6 +26,7 @@
         let live = self.node.membership.live(now);
         let choice = EntryChoice {
             caller,
+            draw: self.node.gateway.draw(),
             homes: &homes,
         };
         choice.pick(live.iter().map(|entry| &entry.record))
--- a/crates/ebonystand/src/membership_controller.rs
+++ b/crates/ebonystand/src/membership_controller.rs
@@ -167,7 +167,12 @@
         if now_live == *known {
             return;
         }
-        log::info!(live:? = now_live; "live VMs changed");
+        let come = now_live.iter().filter(|(vm, at)| known.get(*vm) != Some(*at));
+        let gone = known.keys().filter(|vm| !now_live.contains_key(*vm));
+        log::info!(
+            live = now_live.len(), come:? = come.collect::<Vec<_>>(), gone:? = gone.collect::<Vec<_>>();
+            "live VMs changed"
+        );
         node.peers.prune();
         node.quarantine
             .set_live(now, now_live.keys().cloned().collect());
