Pass the list of upstreams on through the region's relays

The VM that reads the list sent it to each VM of its region: 98 copies of some 5 KB each time an upstream is cold or changes, and 98 short messages a second otherwise, over a link of 10 Mbit/s. It now sends it to the relays, and each of those to the VMs that report to it. A VM that lacks a list asks the relay that named it; one that hears nothing for three turns reads for itself, as before.

A test of nine real processes in a region: one reads, all learn of an upstream that comes and one that leaves.

--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -194,6 +194,17 @@
         self.exchange.every()
     }
 
+    /// The relays of the region.
+    pub fn relays(&self) -> impl Iterator<Item = VmId> {
+        self.exchange.relays().cloned()
+    }
+
+    /// VMs that report to this one.
+    #[must_use]
+    pub fn reporters(&self) -> BTreeSet<VmId> {
+        self.exchange.reporters().cloned().collect()
+    }
+
     /// Whether this VM tells other regions what it knows.
     #[must_use]
     pub fn is_relay(&self) -> bool {
--- a/crates/ebonystand-core/src/load_exchange/load_exchange.rs
+++ b/crates/ebonystand-core/src/load_exchange/load_exchange.rs
@@ -150,6 +150,16 @@
         }
     }
 
+    /// The VMs that relay, this one included if it does.
+    pub fn relays(&self) -> impl Iterator<Item = &VmId> {
+        self.plan.relays()
+    }
+
+    /// VMs that report to this one.
+    pub fn reporters(&self) -> impl Iterator<Item = &VmId> {
+        self.reporters.keys()
+    }
+
     /// Takes over which VMs of the region live.
     pub fn set_vms(&mut self, vms: &[RegionVm]) {
         let plan = RelayPlan::new(vms);
--- a/crates/ebonystand/src/gateway/list_controller.rs
+++ b/crates/ebonystand/src/gateway/list_controller.rs
@@ -2,6 +2,7 @@
 use {
     ebonystand_core::{ListReader, ListedUpstream, UpstreamKind},
     node::Node,
+    std::collections::BTreeSet,
     xxhash_rust::xxh3::xxh3_64,
 };
 
@@ -27,7 +28,8 @@
         self.listed.borrow().is_some()
     }
 
-    /// Takes over the list that another VM of the region has read, or asks for it.
+    /// Takes over the list that another VM of the region has read, or asks for it, and passes it on to
+    /// the VMs that report to this one.
     pub(crate) fn heard(
         &self,
         node: &Rc<Node>,
@@ -49,9 +51,10 @@
                     upstreams = upstreams.len();
                     "list of upstreams heard"
                 );
-                self.put(node, upstreams);
+                let is_new = self.put(node, upstreams);
+                self.share(node, is_new, &node.gateway.book.borrow().reporters());
             }
-            None if is_known => {}
+            None if is_known => self.share(node, false, &node.gateway.book.borrow().reporters()),
             None => node.send(from, PeerMessage::ListWanted),
         }
     }
@@ -75,8 +78,8 @@
         before.is_none_or(|(before, _)| before != digest)
     }
 
-    /// Passes the list on within the region, whole if it is new.
-    fn share(&self, node: &Node, is_new: bool, peers: &[VmId]) {
+    /// Passes the list on to VMs of the region, whole if it is new.
+    fn share(&self, node: &Node, is_new: bool, peers: &BTreeSet<VmId>) {
         let listed = self.listed.borrow();
         let Some((digest, upstreams)) = &*listed else {
             return;
@@ -125,7 +128,9 @@
                     }
                     failing = false;
                     let is_new = this.put(&node, listed);
-                    this.share(&node, is_new, &readers);
+                    let mut peers = node.gateway.book.borrow().reporters();
+                    peers.extend(node.gateway.book.borrow().relays());
+                    this.share(&node, is_new, &peers);
                 }
                 Some(Err(error)) => {
                     if !failing {
--- a/crates/ebonystand/src/membership_controller.rs
+++ b/crates/ebonystand/src/membership_controller.rs
@@ -167,7 +167,9 @@
         if now_live == *known {
             return;
         }
-        let come = now_live.iter().filter(|(vm, at)| known.get(*vm) != Some(*at));
+        let come = now_live
+            .iter()
+            .filter(|(vm, at)| known.get(*vm) != Some(*at));
         let gone = known.keys().filter(|vm| !now_live.contains_key(*vm));
         log::info!(
             live = now_live.len(), come:? = come.collect::<Vec<_>>(), gone:? = gone.collect::<Vec<_>>();
--- a/crates/ebonystand/tests/integration/routes.rs
+++ b/crates/ebonystand/tests/integration/routes.rs
@@ -21,10 +21,11 @@
 
 const HOST: &str = "shop.example";
 
-/// Regions with their upstreams; one VM in each.
+/// Regions with their upstreams, and the VMs of each.
 struct Setting {
     regions: Vec<(&'static str, Vec<Scripted>)>,
     start_takes_ms: u64,
+    vms: usize,
     withdrawn_within_ms: u64,
 }
 
@@ -48,6 +49,7 @@
         Self {
             regions,
             start_takes_ms: 2_500,
+            vms: 1,
             withdrawn_within_ms: 0,
         }
     }
@@ -64,7 +66,7 @@
             "zones": zones,
         }));
         for (region, _) in &self.regions {
-            builder = builder.region(region, 1);
+            builder = builder.region(region, self.vms);
         }
         let regions = self.regions;
         let builder = builder.document(|document| {
@@ -658,3 +660,50 @@
         .any(|seen| seen.header("x-ebonystand-import-from") == Some(&*source));
     assert!(!from_itself);
 }
+
+/// Nine VMs of a region: more than tell one another everything. Whichever relay the list of upstreams goes through,
+/// each VM serves, one reads the list, and all learn that an upstream has come in the place of another.
+#[actix_rt::test]
+async fn a_list_of_upstreams_reaches_all_vms_of_a_region_with_relays() {
+    let (first, second) = (Scripted::start(echo), Scripted::start(echo));
+    let fleet = Setting {
+        vms: 9,
+        ..Setting::new(vec![("a", vec![first])])
+    };
+    let fleet = fleet.start().await;
+    put(&fleet, routing(1)).await;
+    for vm in &fleet.vms {
+        served(vm, "/look/first").await;
+    }
+    let document = fleet.vms[0].operate("GET", "/v1/operator/document", "");
+    let version = document.await.json::<ebonystand_core::Document>().version;
+    let change = Change::PutUpstream {
+        id: "added".into(),
+        upstream: upstream("a", &second),
+    };
+    let version = fleet.change(version, change).await;
+    let change = Change::SetUpstreamLeaving {
+        id: "a-0".into(),
+        leaving: true,
+    };
+    fleet.change(version, change).await;
+    for vm in &fleet.vms {
+        for n in 0.. {
+            assert!(n < 2_000, "the upstream is not known: {}", vm.log());
+            call(vm, "GET", "/look/", &format!("{}-{n}", vm.name), "").await;
+            let seen = second.seen();
+            let is_known = |seen: &Received| seen.request().starts_with(&vm.name);
+            if seen.iter().any(is_known) {
+                break;
+            }
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+    let reads = |vm: &&Vm| {
+        let log = vm.log();
+        let mut lines = log.lines().rev();
+        let last = lines.find(|line| line.contains("reader of the list of upstreams"));
+        last.is_some_and(|line| line.contains("true"))
+    };
+    assert_eq!(fleet.vms.iter().filter(reads).count(), 1);
+}
