Keep which VMs take forwarded requests until the live VMs change

For each request, and again each time it looked for room, an entry VM copied the names and addresses of all VMs of other regions. They are now derived once from the list of live VMs. The account of what engines keep compared names with all engines that keep a part; parts that all prompts share are kept by all of them, so it compares hashes first.

--- a/crates/ebonystand-core/src/prefix_cache/cache_directory.rs
+++ b/crates/ebonystand-core/src/prefix_cache/cache_directory.rs
@@ -32,6 +32,7 @@
     /// Regions that may keep what it keeps; `None` if all may.
     homes: Option<BTreeSet<RegionId>>,
     instance: UpstreamId,
+    key: UpstreamKey,
     /// When the other VMs were told of it last; none if they never were.
     told: Option<Duration>,
     /// When a request with this beginning was last known to have begun there.
@@ -140,12 +141,14 @@
             return None;
         }
         let holders = self.holders.entry(cached.prefix).or_default();
+        let key = UpstreamKey::from(&*cached.instance);
         let mut known = holders.iter();
-        let known = known.position(|known| known.instance == cached.instance);
+        let known = known.position(|known| known.key == key && known.instance == cached.instance);
         let index = known.unwrap_or_else(|| {
             holders.push(Holder {
                 homes: cached.homes.clone(),
                 instance: cached.instance.clone(),
+                key,
                 told: None,
                 used: now,
             });
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -4,6 +4,7 @@
         AttemptEnd, Confirmation, Place, Preset, RegionVm, RelayPlan, RetryBudget, Retryable,
         RouteTable, UpstreamBook, VmEntry,
     },
+    forwarders::Forwarders,
     list_controller::ListController,
     membership_controller::MembershipController,
     node::Node,
@@ -21,6 +22,7 @@
     /// Whether a program embeds the daemon and has all callers served by routes.
     pub(crate) embedded: bool,
     evacuated: RefCell<BTreeSet<ZoneId>>,
+    forwarders: RefCell<Rc<Forwarders>>,
     leader: RefCell<Option<VmId>>,
     leader_changed: tokio::sync::Notify,
     pub(crate) list: ListController,
@@ -78,6 +80,7 @@
             embedded: dialect.is_some(),
             dialect: dialect.unwrap_or_else(|| Rc::new(native_dialect::NativeDialect)),
             evacuated: RefCell::default(),
+            forwarders: RefCell::default(),
             leader: RefCell::default(),
             leader_changed: tokio::sync::Notify::new(),
             list: ListController::new(source, gateway.list_every),
@@ -153,15 +156,13 @@
 
     /// A VM of a region that takes forwarded requests.
     pub(crate) fn forwarder(&self, node: &Node, region: &str) -> Option<(VmId, SocketAddr)> {
-        let live = self.forwarders(node);
-        let live = live.into_iter().filter(|(_, of, _)| **of == *region);
-        let live = live.collect::<Vec<_>>();
-        if live.is_empty() {
+        let forwarders = self.forwarders(node);
+        let sound = forwarders.of(region, |vm| self.is_sound(node.clock.now(), vm));
+        if sound.is_empty() {
             return None;
         }
-        let index = self.rng.borrow_mut().random_range(0..live.len());
-        let (vm, _, address) = live.into_iter().nth(index)?;
-        Some((vm, address))
+        let index = self.rng.borrow_mut().random_range(0..sound.len());
+        Some(sound[index].clone())
     }
 
     /// Whether there are routes to serve by.
@@ -211,8 +212,13 @@
 
     /// Other regions with a VM that takes forwarded requests.
     pub(crate) fn reachable(&self, node: &Node) -> BTreeSet<RegionId> {
-        let forwarders = self.forwarders(node).into_iter();
-        forwarders.map(|(_, region, _)| region).collect()
+        let now = node.clock.now();
+        let forwarders = self.forwarders(node);
+        let reachable = forwarders.regions().filter(|region| {
+            let is_sound = |vm: &VmId| self.is_sound(now, vm);
+            forwarders.has_any(region, is_sound)
+        });
+        reachable.cloned().collect()
     }
 
     /// Asks the leader again and again whether the configuration is the newest, until the task is
@@ -319,6 +325,12 @@
         Rc::clone(&self.table.borrow())
     }
 
+    /// Whether a VM has not lately left a forwarded request without an answer.
+    fn is_sound(&self, now: Duration, vm: &VmId) -> bool {
+        let suspects = self.suspects.borrow();
+        suspects.get(vm).is_none_or(|until| now >= *until)
+    }
+
     fn ask(node: &Rc<Node>, now: Duration, vm: &VmId) {
         let asked_us = now.as_micros() as u64;
         if *vm == node.settings.vm {
@@ -329,27 +341,14 @@
         node.send(vm, PeerMessage::Confirm { asked_us });
     }
 
-    /// VMs of other regions that take forwarded requests, with their regions.
-    fn forwarders(&self, node: &Node) -> Vec<(VmId, RegionId, SocketAddr)> {
-        let now = node.clock.now();
-        let suspects = self.suspects.borrow();
-        let is_sound = |vm: &VmId| suspects.get(vm).is_none_or(|until| now >= *until);
-        let live = node.membership.live(now);
-        let live = live.iter().filter_map(|VmEntry { record, .. }| {
-            let address = record.forwards?;
-            let usable = record.takes_callers && is_sound(&record.vm);
-            let is_away = record.region != node.settings.region;
-            let forwarder = (record.vm.clone(), record.region.clone(), address);
-            (usable && is_away).then_some((record.leaving, forwarder))
-        });
-        let live = live.collect::<Vec<_>>();
-        let stays = |region: &RegionId| {
-            let mut others = live.iter();
-            others.any(|(leaving, (_, of, _))| !leaving && of == region)
-        };
-        let usable = live.iter();
-        let usable = usable.filter(|(leaving, (_, region, _))| !leaving || !stays(region));
-        usable.map(|(_, forwarder)| forwarder.clone()).collect()
+    /// VMs of other regions that take forwarded requests, kept until the live VMs change.
+    fn forwarders(&self, node: &Node) -> Rc<Forwarders> {
+        let live = node.membership.live(node.clock.now());
+        let mut known = self.forwarders.borrow_mut();
+        if !known.is_of(&live) {
+            *known = Rc::new(Forwarders::new(live, &node.settings.region));
+        }
+        Rc::clone(&known)
     }
 
     /// Tells one relay of each other region what engines keep; it tells the others there.
--- a/crates/ebonystand/src/gateway/mod.rs
+++ b/crates/ebonystand/src/gateway/mod.rs
@@ -37,6 +37,7 @@
 mod extension;
 mod fetch;
 mod forward;
+mod forwarders;
 mod gateway_handle;
 mod headers;
 mod list_controller;
