Let a VM without waiting requests sleep

Tasks that look after waiting requests, queued ones and quarantined ones woke a VM 80 times a second with nothing to look at, more often than requests do at 8 a second on a VM. They now wait until there is something.

--- a/crates/ebonystand/src/gateway/turns.rs
+++ b/crates/ebonystand/src/gateway/turns.rs
@@ -8,6 +8,7 @@
 /// Requests that wait until an upstream has room, by service.
 #[derive(Default)]
 pub(crate) struct Turns {
+    entered: tokio::sync::Notify,
     next: Cell<u64>,
     queues: RefCell<FxHashMap<Box<str>, TurnQueue>>,
     waiting: RefCell<FxHashMap<u64, Waiting>>,
@@ -78,9 +79,13 @@
         }
     }
 
-    /// Looks again and again until the task is dropped.
+    /// Looks again and again, while requests wait, until the task is dropped.
     pub(crate) async fn run(node: Rc<Node>) {
+        let this = &node.gateway.turns;
         loop {
+            if this.waiting.borrow().is_empty() {
+                this.entered.notified().await;
+            }
             actix_rt::time::sleep(Self::TICK).await;
             Self::advance(&node);
         }
@@ -104,6 +109,7 @@
         self.waiting
             .borrow_mut()
             .insert(number, Waiting { is_engine, tx });
+        self.entered.notify_one();
         Some((number, rx))
     }
 }
--- a/crates/ebonystand/src/quarantine_controller.rs
+++ b/crates/ebonystand/src/quarantine_controller.rs
@@ -11,6 +11,7 @@
 /// Holds the quarantine, and the requests that wait for its answers.
 pub(crate) struct QuarantineController {
     asking: RefCell<FxHashMap<RunId, oneshot::Sender<RunPermit>>>,
+    busy: tokio::sync::Notify,
     quarantine: RefCell<Quarantine>,
 }
 
@@ -61,6 +62,7 @@
     pub(crate) fn new(vm: VmId, first_run: RunId) -> Self {
         Self {
             asking: RefCell::default(),
+            busy: tokio::sync::Notify::new(),
             quarantine: RefCell::new(Quarantine::new(vm, first_run)),
         }
     }
@@ -84,18 +86,20 @@
 
     /// Lets time pass until the task is dropped.
     pub(crate) async fn run(node: Rc<Node>) {
+        let this = &node.quarantine;
         loop {
-            actix_rt::time::sleep(Self::TICK).await;
-            let this = &node.quarantine;
-            if this.quarantine.borrow().is_busy() {
-                let step = this.quarantine.borrow_mut().tick(node.clock.now());
-                this.take(&node, step);
+            if !this.quarantine.borrow().is_busy() {
+                this.busy.notified().await;
             }
+            actix_rt::time::sleep(Self::TICK).await;
+            let step = this.quarantine.borrow_mut().tick(node.clock.now());
+            this.take(&node, step);
         }
     }
 
     pub(crate) fn set_live(&self, now: Duration, live: BTreeSet<VmId>) {
         self.quarantine.borrow_mut().set_live(now, live);
+        self.wake();
     }
 
     fn begun(verdict: QuarantineVerdict, run: RunId) -> Result<RunId, Refusal> {
@@ -121,10 +125,19 @@
         for send in step.sends {
             node.send(&send.to, PeerMessage::Quarantine(send.message));
         }
+        self.wake();
     }
 
     fn try_begin(&self, node: &Node, run: RunId, fingerprint: Fingerprint) -> QuarantineVerdict {
         let now = node.clock.now();
-        self.quarantine.borrow_mut().begin(now, run, fingerprint)
+        let verdict = self.quarantine.borrow_mut().begin(now, run, fingerprint);
+        self.wake();
+        verdict
+    }
+
+    fn wake(&self) {
+        if self.quarantine.borrow().is_busy() {
+            self.busy.notify_one();
+        }
     }
 }
--- a/crates/ebonystand/src/queue_controller.rs
+++ b/crates/ebonystand/src/queue_controller.rs
@@ -8,6 +8,7 @@
 pub(crate) struct QueueController {
     next: Cell<u64>,
     queue: RefCell<FairQueue>,
+    queued: tokio::sync::Notify,
     waiting: RefCell<FxHashMap<u64, oneshot::Sender<Result<Slot, Refusal>>>>,
 }
 
@@ -59,6 +60,7 @@
         }
         let (tx, rx) = oneshot::channel();
         this.waiting.borrow_mut().insert(id, tx);
+        this.queued.notify_one();
         let _place = Place {
             id,
             node,
@@ -75,6 +77,7 @@
         Self {
             next: Cell::new(0),
             queue: RefCell::new(FairQueue::new(slots, Self::CAPACITY)),
+            queued: tokio::sync::Notify::new(),
             waiting: RefCell::default(),
         }
     }
@@ -85,9 +88,12 @@
 
     /// Sheds what waits past its deadline until the task is dropped.
     pub(crate) async fn run(node: Rc<Node>) {
+        let this = &node.queue;
         loop {
+            if this.waiting.borrow().is_empty() {
+                this.queued.notified().await;
+            }
             actix_rt::time::sleep(Self::TICK).await;
-            let this = &node.queue;
             let expired = this.queue.borrow_mut().expire(node.clock.now());
             for entry in expired {
                 let message = "the deadline passed while the request waited";
