Go by what is observed of engines and configured of regions in the choice

The choice assumed 50 tokens a millisecond of another region's engines, 130 ms there and back, and 60 ms for each request that waits for a slot. It now goes by the speed of the region's own engines, the delay of the settings (60 ms one way unless set) and the time that requests take.

--- a/crates/ebonystand-core/src/gateway/known_upstream.rs
+++ b/crates/ebonystand-core/src/gateway/known_upstream.rs
@@ -11,7 +11,7 @@
     pub(crate) in_flight: u32,
     pub(crate) key: UpstreamKey,
     pub(crate) listed: ListedUpstream,
-    /// Time that a call of a plain service takes, smoothed.
+    /// Time that a request takes, smoothed.
     pub(crate) pace: Duration,
     pub(crate) prefixes: PrefixMemory,
     /// Region of its zone; `None` if the zone is not known.
@@ -34,7 +34,7 @@
 impl KnownUpstream {
     /// Speed assumed of an engine that has not been measured, in prompt tokens a millisecond; low,
     /// so that the first requests spread.
-    const FIRST_SPEED: f64 = 50.0;
+    pub(crate) const FIRST_SPEED: f64 = 50.0;
     /// Time assumed of a call that has not been measured.
     const FIRST_PACE: Duration = Duration::from_millis(40);
     /// Calls of a plain service under way for each slot: one that runs and one that follows.
@@ -95,11 +95,11 @@
 
     /// Time to the first byte of an engine that must read `unread` tokens.
     pub(crate) fn engine_delay(&self, now: Duration, unread: Tokens, others: UnderWay) -> Duration {
-        /// Time that each request beyond the slots waits for one to become free.
-        const PER_WAITING: Duration = Duration::from_millis(60);
         let work = self.window.used() + others.unread + unread;
-        let waiting = (self.occupied(now, others) + 1).saturating_sub(self.listed.slots.max(1));
-        self.reading(work) + PER_WAITING * waiting
+        let slots = self.listed.slots.max(1);
+        let waiting = (self.occupied(now, others) + 1).saturating_sub(slots);
+        // One of the slots becomes free each time that part of a request's time has passed.
+        self.reading(work) + self.pace / slots * waiting
     }
 
     /// Time in which the engine reads so many prompt tokens.
--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -14,6 +14,8 @@
     pub(super) upstreams: BTreeMap<UpstreamId, KnownUpstream>,
     /// Predicted time to the first byte in other regions, with when it was told.
     pub(super) away: FxHashMap<(RegionId, ServiceId), (Duration, Duration)>,
+    /// Network time of a request that is sent away and of its first byte, there and back.
+    pub(super) away_trip: Duration,
     /// Mechanisms that an experiment leaves out.
     without: BTreeSet<Mechanism>,
     zones: BTreeMap<ZoneId, RegionId>,
@@ -24,6 +26,8 @@
     pub(super) const AWAY_LIFE: Duration = Duration::from_secs(2);
     /// Delay told to other regions beyond the predicted one while no upstream has room.
     pub(super) const FULL: Duration = Duration::from_millis(1_000);
+    /// Delay between regions, one way, unless the settings say otherwise.
+    pub const REGION_DELAY: Duration = Duration::from_millis(60);
     /// Part of its aim, in permille, within which an answer is to begin at its upstream. The rest is
     /// for the way there and back and for waiting before. A prompt's own reading is part of it: at 350 the
     /// windows narrowed for long prompts that nothing had kept waiting, and requests were refused beside
@@ -48,11 +52,19 @@
             vms: RegionVms::new(own),
             upstreams: BTreeMap::new(),
             away: FxHashMap::default(),
+            away_trip: 2 * Self::REGION_DELAY,
             without: BTreeSet::new(),
             zones,
         }
     }
 
+    /// Goes by another delay between regions, one way.
+    #[must_use]
+    pub fn with_region_delay(mut self, delay: Duration) -> Self {
+        self.away_trip = 2 * delay;
+        self
+    }
+
     /// Leaves mechanisms out, for an experiment.
     #[must_use]
     pub fn without(mut self, mechanisms: BTreeSet<Mechanism>) -> Self {
--- a/crates/ebonystand-core/src/gateway/upstream_choice.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_choice.rs
@@ -39,8 +39,6 @@
 impl UpstreamBook {
     /// Delay to assume of another region that has told nothing.
     const AWAY_UNKNOWN: Duration = Duration::from_millis(300);
-    /// Network time of a request that is sent away and of its first byte, there and back.
-    const AWAY_TRIP: Duration = Duration::from_millis(130);
     /// Part of its aim, in permille, up to which a request stays in its region. Sending away costs
     /// bytes between regions, which are scarce, and a cold prefix.
     const STAYS_PERMILLE: u32 = 300;
@@ -97,7 +95,7 @@
     /// They tell of room again within a fraction of its aim. Refused at once, callers of a zone that is
     /// evacuated at its peak came back, all together, to find the others' callers ahead of them again.
     fn full_away(&self, query: &ChoiceQuery) -> Option<Choice> {
-        let predicted = Self::AWAY_TRIP + Self::FULL;
+        let predicted = self.away_trip + Self::FULL;
         let serves =
             self.uses(Mechanism::ForwardedWait) && self.regions_away(query).next().is_some();
         serves.then_some(Choice::Full { predicted })
@@ -158,9 +156,13 @@
     }
 
     fn choose_away(&self, now: Duration, query: &ChoiceQuery) -> Option<(RegionId, Duration)> {
+        let reading = query.prompt.map_or(Duration::ZERO, |prompt| {
+            let ms = prompt.input as f64 / self.mean_speed(query.service);
+            Duration::from_secs_f64(ms / 1_000.0)
+        });
         let regions = self.regions_away(query);
         let delays = regions.filter_map(|region| {
-            let delay = self.delay_away(now, region, query)?;
+            let delay = self.delay_away(now, region, query.service)? + reading;
             Some((region.clone(), delay))
         });
         delays.min_by_key(|(_, delay)| *delay)
@@ -177,21 +179,28 @@
         })
     }
 
-    /// Predicted time to the first byte in another region; `None` while that has no room.
-    fn delay_away(
-        &self,
-        now: Duration,
-        region: &RegionId,
-        query: &ChoiceQuery,
-    ) -> Option<Duration> {
-        let key = (region.clone(), ServiceId::from(query.service));
+    /// Predicted time to the first byte in another region, without a prompt's own reading; `None` while that
+    /// has no room.
+    fn delay_away(&self, now: Duration, region: &RegionId, service: &str) -> Option<Duration> {
+        let key = (region.clone(), ServiceId::from(service));
         let told = self.away.get(&key);
         let told = told.filter(|(at, _)| now.saturating_sub(*at) < Self::AWAY_LIFE);
-        let reading = query.prompt.map_or(Duration::ZERO, |prompt| {
-            Duration::from_millis(prompt.input / 50)
-        });
         let told = told.map_or(Self::AWAY_UNKNOWN, |(_, delay)| *delay);
-        (told < Self::FULL).then_some(Self::AWAY_TRIP + reading + told)
+        (told < Self::FULL).then_some(self.away_trip + told)
+    }
+
+    /// Prompt tokens that an engine reads in a millisecond, by those of the own region: engines of another
+    /// one are not measured here.
+    fn mean_speed(&self, service: &str) -> f64 {
+        let all = self.upstreams.values();
+        let here = all.filter(|known| *known.listed.service == *service && self.is_here(known));
+        let (sum, count) = here.fold((0.0, 0.0), |(sum, count), known| {
+            (sum + known.speed, count + 1.0)
+        });
+        match count > 0.0 {
+            true => sum / count,
+            false => KnownUpstream::FIRST_SPEED,
+        }
     }
 
     /// The engine from which `known`, which keeps the first `kept` tokens of the prompt, imports what
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -68,7 +68,8 @@
             region: settings.region.clone(),
             zone: settings.zone.clone(),
         };
-        let book = UpstreamBook::new(settings.vm.clone(), place, zones);
+        let book = UpstreamBook::new(settings.vm.clone(), place, zones)
+            .with_region_delay(gateway.region_delay);
         if !gateway.without.is_empty() {
             let without = gateway.without.iter().map(ToString::to_string);
             let without = without.collect::<Vec<_>>().join(" ");
--- a/crates/ebonystand/src/gateway/settings.rs
+++ b/crates/ebonystand/src/gateway/settings.rs
@@ -1,6 +1,6 @@
 use super::*;
 use {
-    ebonystand_core::Mechanism,
+    ebonystand_core::{Mechanism, UpstreamBook},
     settings_reader::SettingsReader,
     std::collections::{BTreeMap, BTreeSet},
 };
@@ -49,7 +49,12 @@
             confirmed_for: withdrawn_within * Self::CONFIRMED_PERMILLE / 1_000,
             forwards: reader.optional("forwards", None),
             list_every: millis(reader.ranged("list_every_ms", 1_000, 50, 600_000)),
-            region_delay: millis(reader.ranged("region_delay_ms", 60, 0, 10_000)),
+            region_delay: millis(reader.ranged(
+                "region_delay_ms",
+                UpstreamBook::REGION_DELAY.as_millis() as u64,
+                0,
+                10_000,
+            )),
             quota_overage_permille: permille(reader.optional("quota_overage", 0.0)),
             quota_slack: reader.ranged("quota_slack", 0, 0, u64::MAX),
             quota_window: millis(reader.ranged("quota_window_ms", 0, 0, 600_000)),
