--- a/crates/ebonystand-core/src/gateway/list_reader.rs
+++ b/crates/ebonystand-core/src/gateway/list_reader.rs
@@ -4,14 +4,19 @@
 ///
 /// Reading costs its server, whose rate is for the whole fleet. So the first VM of a region by name
 /// reads it and passes it on; one that hears nothing of it for some turns reads it itself, whatever
-/// the reason: the reader may be frozen, cut off or without a way to the list.
+/// the reason: the reader may be frozen, cut off or without a way to the list. VMs that start together
+/// take a moment to meet, in which each is the first that it knows of.
 #[derive(Clone, Debug)]
 pub struct ListReader {
     every: Duration,
-    heard: Option<Duration>,
+    /// When it was last passed on to this VM, or when this VM started.
+    heard: Duration,
+    started: Duration,
 }
 
 impl ListReader {
+    /// Time from the start of a VM until it knows others of its region.
+    pub const MEETS_WITHIN: Duration = Duration::from_millis(500);
     /// Turns without a word after which a VM reads the list itself.
     const SILENT_TURNS: u32 = 3;
 
@@ -19,21 +24,23 @@
     #[must_use]
     pub fn reads(&self, now: Duration, own: &VmId, others: &[VmId]) -> bool {
         let is_first = others.iter().all(|other| own <= other);
-        let silence = self.every * Self::SILENT_TURNS;
-        let hears = self
-            .heard
-            .is_some_and(|heard| now.saturating_sub(heard) < silence);
-        is_first || !hears
+        let has_met = now >= self.started + Self::MEETS_WITHIN;
+        let is_silent = now.saturating_sub(self.heard) >= self.every * Self::SILENT_TURNS;
+        is_first && has_met || is_silent
     }
 
     /// Notes that a VM that reads the list has passed it on.
     pub fn heard(&mut self, now: Duration) {
-        self.heard = Some(now);
+        self.heard = now;
     }
 
-    /// A VM that has heard nothing yet; the list is read every `every`.
+    /// A VM that starts and has heard nothing yet; the list is read every `every`.
     #[must_use]
-    pub fn new(every: Duration) -> Self {
-        Self { every, heard: None }
+    pub fn new(every: Duration, now: Duration) -> Self {
+        Self {
+            every,
+            heard: now,
+            started: now,
+        }
     }
 }
--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -104,7 +104,7 @@
             AttemptEnd::Unreachable => {
                 known.failed(now);
                 known.prefixes.clear();
-                self.caches.forget(instance);
+                self.caches.forget(&FxHashSet::from_iter([known.key]));
             }
         }
     }
@@ -244,6 +244,7 @@
     /// Takes over the list. An upstream that is not on it any more is forgotten.
     pub fn list(&mut self, now: Duration, listed: Vec<ListedUpstream>) {
         let mut next = BTreeMap::new();
+        let mut emptied = FxHashSet::default();
         let is_first = self.upstreams.is_empty();
         for upstream in listed {
             let instance = upstream.instance.clone();
@@ -251,7 +252,7 @@
             let known = match self.upstreams.remove(&instance) {
                 Some(known) if known.listed.address == upstream.address => {
                     if now >= known.cold_until && !upstream.cold_for.is_zero() {
-                        self.caches.forget(&instance);
+                        emptied.insert(known.key);
                     }
                     Self::relisted(now, known, upstream, region)
                 }
@@ -259,9 +260,8 @@
             };
             next.insert(instance, known);
         }
-        for instance in self.upstreams.keys() {
-            self.caches.forget(instance);
-        }
+        emptied.extend(self.upstreams.values().map(|known| known.key));
+        self.caches.forget(&emptied);
         self.upstreams = next;
     }
 
--- a/crates/ebonystand-core/src/lib.rs
+++ b/crates/ebonystand-core/src/lib.rs
@@ -40,7 +40,7 @@
     route_refusal::RouteRefusal,
     run_ask::RunAsk,
     run_report::RunReport,
-    rustc_hash::FxHashMap,
+    rustc_hash::{FxHashMap, FxHashSet},
     seed_addresses::SeedAddresses,
     serde::{Deserialize, Serialize},
     slack_entry::SlackEntry,
--- a/crates/ebonystand-core/src/prefix_cache/cache_directory.rs
+++ b/crates/ebonystand-core/src/prefix_cache/cache_directory.rs
@@ -66,10 +66,14 @@
         Self::tell(&mut self.for_region, cached);
     }
 
-    /// Forgets all that an engine keeps: it is gone, or has become cold.
-    pub fn forget(&mut self, instance: &str) {
+    /// Forgets all that engines keep: they are gone, or have become cold. All are forgotten in one pass over
+    /// what is known, since a zone's engines become cold together.
+    pub fn forget(&mut self, instances: &FxHashSet<UpstreamKey>) {
+        if instances.is_empty() {
+            return;
+        }
         self.holders.retain(|_, holders| {
-            holders.retain(|holder| *holder.instance != *instance);
+            holders.retain(|holder| !instances.contains(&holder.key));
             !holders.is_empty()
         });
     }
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -59,6 +59,7 @@
         settings: &Settings,
         dialect: Option<Rc<dyn Dialect>>,
         source: Option<Rc<dyn UpstreamSource>>,
+        now: Duration,
         seed: u64,
     ) -> Self {
         let gateway = &settings.gateway;
@@ -84,7 +85,7 @@
             forwarders: RefCell::default(),
             leader: RefCell::default(),
             leader_changed: tokio::sync::Notify::new(),
-            list: ListController::new(source, gateway.list_every),
+            list: ListController::new(source, gateway.list_every, now),
             pool: ConnectionPool::default(),
             retries: RefCell::default(),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
--- a/crates/ebonystand/src/gateway/list_controller.rs
+++ b/crates/ebonystand/src/gateway/list_controller.rs
@@ -15,10 +15,14 @@
 }
 
 impl ListController {
-    pub(crate) fn new(source: Option<Rc<dyn UpstreamSource>>, every: Duration) -> Self {
+    pub(crate) fn new(
+        source: Option<Rc<dyn UpstreamSource>>,
+        every: Duration,
+        now: Duration,
+    ) -> Self {
         Self {
             listed: RefCell::default(),
-            reader: RefCell::new(ListReader::new(every)),
+            reader: RefCell::new(ListReader::new(every, now)),
             source,
         }
     }
@@ -108,6 +112,8 @@
         let this = &node.gateway.list;
         let every = node.settings.gateway.list_every;
         let (mut failing, mut reading) = (false, false);
+        // The first to be met has the list soonest if it does not sleep a turn before.
+        actix_rt::time::sleep(ListReader::MEETS_WITHIN).await;
         loop {
             let readers = Self::readers(&node);
             let now = node.clock.now();
--- a/crates/ebonystand/src/serve.rs
+++ b/crates/ebonystand/src/serve.rs
@@ -60,6 +60,7 @@
         &settings,
         extension.dialect,
         extension.source,
+        clock.now(),
         getrandom::u64().context(error::Random)?,
     );
     let node = Node::new(
