Shorten what VMs tell one another of engines' caches to 13 bytes a word

A relay passes each word on to a dozen VMs. At 760 requests a second in a region, each with two shared parts, up to 1,800 words a second are estimated with those of other regions; with an engine's name, the homes and the part spelt out for each (some 26 bytes compressed) a relay's link of 10 Mbit/s would be more than half full. Engines are named by hash, and homes once for all words that have them. A test holds 1,000 words under 13,100 bytes.

--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -12,6 +12,7 @@
     exchange: LoadExchange,
     vms: RegionVms,
     pub(super) upstreams: BTreeMap<UpstreamId, KnownUpstream>,
+    pub(super) by_key: FxHashMap<UpstreamKey, UpstreamId>,
     /// Predicted time to the first byte in other regions, with when it was told.
     pub(super) away: FxHashMap<(RegionId, ServiceId), (Duration, Duration)>,
     /// Network time of a request that is sent away and of its first byte, there and back.
@@ -51,6 +52,7 @@
             exchange: LoadExchange::new(own.clone(), place.zone),
             vms: RegionVms::new(own),
             upstreams: BTreeMap::new(),
+            by_key: FxHashMap::default(),
             away: FxHashMap::default(),
             away_trip: 2 * Self::REGION_DELAY,
             without: BTreeSet::new(),
@@ -142,7 +144,7 @@
         for prefix in prefixes {
             let cached = CachedPrefix {
                 homes: homes.cloned(),
-                instance: instance.clone(),
+                instance: UpstreamKey::from(&**instance),
                 prefix: prefix.id,
             };
             self.caches.begun(now, &cached);
@@ -259,6 +261,10 @@
         emptied.extend(self.upstreams.values().map(|known| known.key));
         self.caches.forget(&emptied);
         self.upstreams = next;
+        let known = self.upstreams.iter();
+        self.by_key = known
+            .map(|(instance, known)| (known.key, instance.clone()))
+            .collect();
     }
 
     /// Upstreams that are known, by name.
--- a/crates/ebonystand-core/src/gateway/upstream_choice.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_choice.rs
@@ -281,7 +281,7 @@
             owner.map(|known| known.key)
         });
         let holder = |export: Export<'a>| {
-            let known = self.upstreams.get(export.instance)?;
+            let known = self.upstreams.get(self.by_key.get(&export.instance)?)?;
             Some(Holder {
                 homes: export.homes,
                 known,
--- a/crates/ebonystand-core/src/load_exchange/load_message.rs
+++ b/crates/ebonystand-core/src/load_exchange/load_message.rs
@@ -6,6 +6,7 @@
     /// From a relay to another: the load of the VMs that report to it and its own.
     Group {
         /// What engines keep, news of these VMs.
+        #[serde(with = "crate::prefix_cache::cached_news")]
         cached: Vec<CachedPrefix>,
         /// Sum of their loads.
         under_way: UpstreamLoads,
@@ -13,6 +14,7 @@
     /// From a relay to a VM that reports to it: the load of the whole region.
     Region {
         /// What engines keep, news of the other VMs.
+        #[serde(with = "crate::prefix_cache::cached_news")]
         cached: Vec<CachedPrefix>,
         /// Number of the recipient's report that the sum includes.
         included: u32,
@@ -24,6 +26,7 @@
     /// From a VM to its relay: its own load.
     Report {
         /// What engines keep, news of this VM.
+        #[serde(with = "crate::prefix_cache::cached_news")]
         cached: Vec<CachedPrefix>,
         /// Grows with each report.
         number: u32,
--- a/crates/ebonystand-core/src/prefix_cache/cache_directory.rs
+++ b/crates/ebonystand-core/src/prefix_cache/cache_directory.rs
@@ -21,7 +21,7 @@
     /// Regions that may keep the beginning; `None` if all may.
     pub homes: Option<&'a BTreeSet<RegionId>>,
     /// The engine.
-    pub instance: &'a UpstreamId,
+    pub instance: UpstreamKey,
     /// When the beginning was last used there.
     pub used: Duration,
 }
@@ -31,8 +31,7 @@
 struct Holder {
     /// Regions that may keep what it keeps; `None` if all may.
     homes: Option<BTreeSet<RegionId>>,
-    instance: UpstreamId,
-    key: UpstreamKey,
+    instance: UpstreamKey,
     /// When the other VMs were told of it last; none if they never were.
     told: Option<Duration>,
     /// When a request with this beginning was last known to have begun there.
@@ -76,7 +75,7 @@
             return;
         }
         self.holders.retain(|_, holders| {
-            holders.retain(|holder| !instances.contains(&holder.key));
+            holders.retain(|holder| !instances.contains(&holder.instance));
             !holders.is_empty()
         });
     }
@@ -91,7 +90,7 @@
         let live = holders.filter(move |holder| Self::is_live(now, holder));
         live.map(|holder| Export {
             homes: holder.homes.as_ref(),
-            instance: &holder.instance,
+            instance: holder.instance,
             used: holder.used,
         })
     }
@@ -99,8 +98,9 @@
     /// Whether an engine keeps a beginning.
     #[must_use]
     pub fn keeps(&self, now: Duration, prefix: PrefixId, instance: &str) -> bool {
+        let instance = UpstreamKey::from(instance);
         let mut holders = self.holders(now, prefix);
-        holders.any(|export| **export.instance == *instance)
+        holders.any(|export| export.instance == instance)
     }
 
     /// Forgets what has not been used for long.
@@ -162,14 +162,12 @@
             return None;
         }
         let holders = self.holders.entry(cached.prefix).or_default();
-        let key = UpstreamKey::from(&*cached.instance);
         let mut known = holders.iter();
-        let known = known.position(|known| known.key == key && known.instance == cached.instance);
+        let known = known.position(|known| known.instance == cached.instance);
         let index = known.unwrap_or_else(|| {
             holders.push(Holder {
                 homes: cached.homes.clone(),
-                instance: cached.instance.clone(),
-                key,
+                instance: cached.instance,
                 told: None,
                 used: now,
             });
--- a/crates/ebonystand-core/src/prefix_cache/cached_prefix.rs
+++ b/crates/ebonystand-core/src/prefix_cache/cached_prefix.rs
@@ -6,7 +6,7 @@
     /// Regions that may keep it; `None` if all may.
     pub homes: Option<BTreeSet<RegionId>>,
     /// The engine.
-    pub instance: UpstreamId,
+    pub instance: UpstreamKey,
     /// The beginning.
     pub prefix: PrefixId,
 }
--- a/crates/ebonystand-core/src/prefix_cache/mod.rs
+++ b/crates/ebonystand-core/src/prefix_cache/mod.rs
@@ -18,6 +18,7 @@
 mod cache_directory;
 mod cache_news;
 mod cache_source;
+pub mod cached_news;
 mod cached_prefix;
 mod engine_terms;
 mod shared_prefix;
--- a/crates/ebonystand-core/tests/gateway/caches.rs
+++ b/crates/ebonystand-core/tests/gateway/caches.rs
@@ -236,6 +236,35 @@
     assert_eq!(first.caches_for_others().len(), 2);
 }
 
+/// Relays send each word on to a dozen VMs over links of 10 Mbit/s. With names and homes spelt out for each, those of
+/// 2,000 words a second would be full.
+#[test]
+fn a_word_of_what_is_kept_is_short() {
+    let cached = (0..1_000_u64).map(|n| CachedPrefix {
+        homes: (n % 2 == 0).then(|| set(&["utara", "tengah"])),
+        instance: (&*format!("i-{n}")).into(),
+        prefix: n.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+    });
+    let cached = cached.collect::<Vec<_>>();
+    let message = LoadMessage::Report {
+        cached: cached.clone(),
+        number: 1,
+        under_way: Vec::new(),
+    };
+    let bytes = postcard::to_stdvec(&message).expect("it encodes");
+    assert!(bytes.len() <= 13_100, "{} bytes", bytes.len());
+    let LoadMessage::Report { cached: read, .. } =
+        postcard::from_bytes(&bytes).expect("it decodes")
+    else {
+        panic!("another message");
+    };
+    let sorted = |mut cached: Vec<CachedPrefix>| {
+        cached.sort_by_key(|cached| cached.prefix);
+        cached
+    };
+    assert_eq!(sorted(read), sorted(cached));
+}
+
 /// All VMs of a region use a new part at the same moment and tell their relay of it before they hear of one another. Passed
 /// on as they come, one word would take as many places in each message as there are VMs.
 #[test]
--- a/crates/ebonystand-wire/src/peer_message.rs
+++ b/crates/ebonystand-wire/src/peer_message.rs
@@ -6,7 +6,7 @@
     /// About allowances.
     Allowance(AllowanceMessage),
     /// What engines keep of prompts, news since the last message, for a VM of another region.
-    Cached(Vec<CachedPrefix>),
+    Cached(#[serde(with = "ebonystand_core::cached_news")] Vec<CachedPrefix>),
     /// Asks whether the sender has the newest configuration.
     Confirm {
         /// When it was asked on the sender's clock, in microseconds; the answer carries it back.
