--- a/crates/ebonystand-wire/src/error.rs
+++ b/crates/ebonystand-wire/src/error.rs
@@ -25,9 +25,12 @@
         /// What the codec says.
         source: postcard::Error,
     },
-    /// The payload is in no form of this version.
-    #[snafu(display("message is in an unknown form"))]
-    Form,
+    /// The payload is in no form of this build.
+    #[snafu(display("message is in form {form:?}, of another build of the daemon"))]
+    Form {
+        /// The byte that names the form; none if there is not even that.
+        form: Option<u8>,
+    },
     /// The fleet's secret is too short to protect anything.
     #[snafu(display("secret has {len} bytes; at least {} are needed", Secret::MIN_LEN))]
     SecretLength {
--- a/crates/ebonystand-wire/src/payload.rs
+++ b/crates/ebonystand-wire/src/payload.rs
@@ -2,18 +2,21 @@
 
 /// Bytes of a message as a frame carries them: a byte that names the form, then the message.
 ///
+/// The byte is another one in each build whose messages differ, so that a VM of another build is refused by
+/// name and not misread.
+///
 /// Names and addresses recur in the messages that are large, such as lists of upstreams and copies
 /// of the configuration. Compressed, a list of 150 upstreams takes less than half of its bytes.
 #[derive(Debug)]
 pub(crate) struct Payload;
 
 impl Payload {
-    const COMPRESSED: u8 = 1;
+    const COMPRESSED: u8 = 3;
     /// Messages of fewer bytes are not worth the work.
     const COMPRESSED_FROM: usize = 256;
     /// Bytes that name the form.
     pub(crate) const FORM: usize = 1;
-    const PLAIN: u8 = 0;
+    const PLAIN: u8 = 2;
 
     pub(crate) fn decode(payload: &[u8]) -> Result<PeerMessage> {
         match payload {
@@ -32,7 +35,9 @@
                     .map_err(|source| Error::Decompress { source })?;
                 Self::read(&message)
             }
-            _ => Err(Error::Form),
+            _ => Err(Error::Form {
+                form: payload.first().copied(),
+            }),
         }
     }
 
--- a/crates/ebonystand-wire/tests/frames.rs
+++ b/crates/ebonystand-wire/tests/frames.rs
@@ -3,12 +3,17 @@
 use {
     bytes::BytesMut,
     ebonystand_core::ListedUpstream,
-    ebonystand_wire::{FrameReader, FrameWriter, Hello, Nonce, PeerMessage, Secret},
+    ebonystand_wire::{Error, FrameReader, FrameWriter, Hello, Nonce, PeerMessage, Secret},
+    hmac::{Hmac, KeyInit, Mac},
+    rstest::rstest,
+    sha2::Sha256,
     std::time::Duration,
 };
 
+const SECRET: &[u8] = b"0123456789abcdef0123456789abcdef";
+
 fn secret() -> Secret {
-    Secret::new(b"0123456789abcdef0123456789abcdef").expect("a secret")
+    Secret::new(SECRET).expect("a secret")
 }
 
 fn nonce() -> Nonce {
@@ -84,3 +89,25 @@
         assert!(reader.next_message().is_err(), "byte {at}");
     }
 }
+
+/// A VM of an earlier build tells in its own forms, under the same secret. Its messages stand at other numbers and
+/// must not be taken for those of this build.
+#[rstest]
+#[case(0)]
+#[case(1)]
+fn a_frame_of_an_earlier_build_is_refused_by_its_form(#[case] form: u8) {
+    let payload = [form, 6];
+    let mac = Hmac::<Sha256>::new_from_slice(SECRET).expect("a secret");
+    let mac = mac.chain_update([7; Nonce::LEN]);
+    let mac = mac.chain_update(0_u64.to_be_bytes()).chain_update(payload);
+    let mut reader = FrameReader::new(secret(), nonce());
+    let buf = reader.buf();
+    buf.extend_from_slice(&(payload.len() as u32).to_be_bytes());
+    buf.extend_from_slice(&payload);
+    buf.extend_from_slice(&mac.finalize().into_bytes());
+    let read = reader.next_message();
+    assert!(
+        matches!(read, Err(Error::Form { form: Some(found) }) if found == form),
+        "{read:?}"
+    );
+}
