Let a VM that starts meet the others before it reads the list of upstreams

A VM now reads once it has met no further VM for 300 ms, after 500 ms at least, or when it hears nothing of the list for three turns. The test plays 300 VMs that go on meeting for three seconds: none reads before that, one does afterwards.

--- a/crates/ebonystand-core/src/gateway/list_reader.rs
+++ b/crates/ebonystand-core/src/gateway/list_reader.rs
@@ -11,22 +11,40 @@
     every: Duration,
     /// When it was last passed on to this VM, or when this VM started.
     heard: Duration,
+    /// VMs of the region that are known, and since when there are so many.
+    known: (usize, Duration),
     started: Duration,
 }
 
 impl ListReader {
-    /// Time from the start of a VM until it knows others of its region.
+    /// Least time from the start of a VM until it knows others of its region.
     pub const MEETS_WITHIN: Duration = Duration::from_millis(500);
+    /// A VM that starts has met all others once it has met no further one for so long.
+    const MEETS_NOBODY_FOR: Duration = Duration::from_millis(300);
     /// Turns without a word after which a VM reads the list itself.
     const SILENT_TURNS: u32 = 3;
 
+    /// Whether this VM has met the others of its region, of which `others` are live, so that it knows who
+    /// is the first.
+    pub fn has_met(&mut self, now: Duration, others: &[VmId]) -> bool {
+        if others.len() > self.known.0 {
+            self.known = (others.len(), now);
+        }
+        let (_, since) = self.known;
+        now >= self.started + Self::MEETS_WITHIN && now >= since + Self::MEETS_NOBODY_FOR
+    }
+
     /// Whether this VM reads the list now. `others` are the live VMs of its region that could.
     #[must_use]
     pub fn reads(&self, now: Duration, own: &VmId, others: &[VmId]) -> bool {
         let is_first = others.iter().all(|other| own <= other);
-        let has_met = now >= self.started + Self::MEETS_WITHIN;
-        let is_silent = now.saturating_sub(self.heard) >= self.every * Self::SILENT_TURNS;
-        is_first && has_met || is_silent
+        is_first || self.is_silent(now)
+    }
+
+    /// Whether nothing was heard of the list for long, so that nobody is waited for.
+    #[must_use]
+    pub fn is_silent(&self, now: Duration) -> bool {
+        now.saturating_sub(self.heard) >= self.every * Self::SILENT_TURNS
     }
 
     /// Notes that a VM that reads the list has passed it on.
@@ -40,6 +58,7 @@
         Self {
             every,
             heard: now,
+            known: (0, now),
             started: now,
         }
     }
--- a/crates/ebonystand-core/tests/gateway/directory.rs
+++ b/crates/ebonystand-core/tests/gateway/directory.rs
@@ -143,17 +143,36 @@
     assert_eq!(reads(&readers, 6_200), "12");
 }
 
-/// Three hundred VMs start together, and each has met nobody yet. Were each to read the list, its server, whose rate
+/// Three hundred VMs start together, and each has met few yet. Were each to read the list, its server, whose rate
 /// is for the whole fleet, would be asked for it hundreds of times.
 #[test]
 fn vms_that_start_together_do_not_all_read_the_list() {
     let vm = |vm: usize| VmId::from(format!("{vm:03}"));
-    let reader = ListReader::new(ms(1_000), ms(0));
-    for own in 0..300 {
-        assert!(!reader.reads(ms(100), &vm(own), &[vm(own)]));
+    let mut readers = vec![ListReader::new(ms(1_000), ms(0)); 300];
+    // Each meets a further one every 50 ms for three seconds, as small VMs that start together do.
+    let met = |own: usize, at: u64| {
+        let met = (at / 50).min(60) as usize;
+        let others = (0..300).filter(move |other| *other == own || (own + other) % 61 < met);
+        others.map(vm).collect::<Vec<_>>()
+    };
+    let mut reading = BTreeSet::new();
+    for at in (0..2_900).step_by(50) {
+        for (own, reader) in readers.iter_mut().enumerate() {
+            let others = met(own, at);
+            if reader.has_met(ms(at), &others) && reader.reads(ms(at), &vm(own), &others) {
+                reading.insert(own);
+            }
+        }
     }
+    assert_eq!(reading, BTreeSet::new(), "who is first is not known yet");
     let all = (0..300).map(vm).collect::<Vec<_>>();
-    let reading = all.iter().filter(|own| reader.reads(ms(600), own, &all));
-    assert_eq!(reading.count(), 1);
-    assert!(reader.reads(ms(600), &vm(7), &[vm(7)]), "it is alone");
+    for (own, reader) in readers.iter_mut().enumerate() {
+        assert!(!reader.has_met(ms(2_900), &all));
+        assert!(reader.has_met(ms(3_200), &all));
+        reader.heard(ms(2_900));
+        assert_eq!(reader.reads(ms(3_200), &vm(own), &all), own == 0);
+    }
+    let mut alone = ListReader::new(ms(1_000), ms(0));
+    assert!(!alone.has_met(ms(0), &[vm(7)]));
+    assert!(alone.has_met(ms(500), &[vm(7)]) && alone.reads(ms(500), &vm(7), &[vm(7)]));
 }
--- a/crates/ebonystand/src/gateway/list_controller.rs
+++ b/crates/ebonystand/src/gateway/list_controller.rs
@@ -97,6 +97,21 @@
         }
     }
 
+    /// Waits until this VM, which has just started, knows who of the region reads the list.
+    async fn meet(node: &Rc<Node>) {
+        const LOOK: Duration = Duration::from_millis(50);
+        let this = &node.gateway.list;
+        loop {
+            let now = node.clock.now();
+            let readers = Self::readers(node);
+            let has_met = this.reader.borrow_mut().has_met(now, &readers);
+            if has_met || this.reader.borrow().is_silent(now) || this.is_known() {
+                return;
+            }
+            actix_rt::time::sleep(LOOK).await;
+        }
+    }
+
     /// Live VMs of the region that could read the list.
     fn readers(node: &Node) -> Vec<VmId> {
         let live = node.membership.live(node.clock.now());
@@ -112,8 +127,7 @@
         let this = &node.gateway.list;
         let every = node.settings.gateway.list_every;
         let (mut failing, mut reading) = (false, false);
-        // The first to be met has the list soonest if it does not sleep a turn before.
-        actix_rt::time::sleep(ListReader::MEETS_WITHIN).await;
+        Self::meet(&node).await;
         loop {
             let readers = Self::readers(&node);
             let now = node.clock.now();
