--- a/crates/ebonystand-core/src/load_exchange/mod.rs
+++ b/crates/ebonystand-core/src/load_exchange/mod.rs
@@ -7,10 +7,10 @@
 use super::*;
 
 pub use {
-    load_exchange::LoadExchange,
     load_message::LoadMessage,
     region_vm::RegionVm,
     relay_plan::RelayPlan,
+    state::LoadExchange,
     told_pressure::ToldPressure,
     under_way::UnderWay,
     upstream_key::{UpstreamKey, UpstreamLoads},
@@ -18,13 +18,12 @@
 
 use {peer_loads::PeerLoads, report_log::ReportLog};
 
-#[allow(clippy::module_inception)]
-mod load_exchange;
 mod load_message;
 mod peer_loads;
 mod region_vm;
 mod relay_plan;
 mod report_log;
+mod state;
 mod told_pressure;
 mod under_way;
 mod upstream_key;
--- a/crates/ebonystand-core/tests/load_exchange.rs
+++ b/crates/ebonystand-core/tests/load_exchange.rs
@@ -233,8 +233,8 @@
     assert_eq!(known.collect::<Vec<_>>(), vec![others; count]);
 }
 
-/// A relay ends or is frozen, its VMs turn to another one before they are noticed to be blind, and what the gone one had
-/// under way is forgotten.
+/// A relay ends or is frozen. The VMs that report to it would know nothing of the others for as long as that takes to be
+/// noticed.
 #[rstest]
 #[case::ended(true)]
 #[case::frozen(false)]
@@ -311,7 +311,7 @@
     assert!(plan.relays().all(|relay| **relay >= *name(20)));
 }
 
-/// Ten VMs before idle upstreams, none with a request: a region of a few VMs says nothing then.
+/// No VM of a small region has a request under way.
 #[test]
 fn idle_vms_of_a_small_region_tell_nothing() {
     let mut region = Region::new(4);
