--- a/crates/ebonystand-core/src/load_exchange/mod.rs
+++ b/crates/ebonystand-core/src/load_exchange/mod.rs
@@ -1,8 +1,8 @@
 //! What the VMs of a region tell one another of the load at its upstreams, and through which of them.
 //!
 //! In a small region each VM tells all others. In a larger one a few VMs of each zone relay: the others
-//! report to one of them and get the sum over the region back, so that what a VM sends and receives does
-//! not grow with the region.
+//! report to one of them and get the sum over the region back, so that the messages of a VM hardly
+//! grow with the region.
 
 use super::*;
 
