Let the holder of a region grant the tokens of each request

Cause: each VM borrowed a part of rate, burst and tokens by its own demand of two seconds, in leases from up to three holders. At 25 VMs a region a part is smaller than a draft, tokens lay on VMs that had no use for them, and an ask that could not be met waited for leases to be called back, one round at a time, for longer than the request could wait.

Change: a VM claims the tokens of each request from the holder of its region, which grants them whole or says when it will have them. Only holders borrow from one another, by the demand of their regions. A granted token keeps its place in the holder's bucket until the grant has ended, so that the bound holds for every window as before. A claim that the rate serves within 50 ms waits; one that it would take longer waits for the other holders, and lets those behind it pass; others go to the holders of the other regions. Refusals tell the time at which the rate has served those refused before.

Tests: matrix has three steps more (claim, grant, refund). a_late_lease_ends_with_its_ask now has two holders, since only those borrow, and checks the whole part held instead of an answer. In a_refund_does_not_exceed_what_a_full_bucket_holds the first request lasts 6.9 s instead of 3.9: its point is the spending of a full bucket before the refund, and the bucket fills later than it did, since capacity stays where unsettled reservations are.

--- a/crates/ebonystand-core/benches/allowance.rs
+++ b/crates/ebonystand-core/benches/allowance.rs
@@ -67,7 +67,7 @@
             let Admission::Granted(reservation) = black_box(admission) else {
                 panic!("the part is large enough");
             };
-            allowance.settle(now, &reservation, 300);
+            allowance.settle(now, reservation, 300);
         };
         (0..workspaces).for_each(|_| admit());
         let (plans, shares) = (planned - before, memory() - planned);
--- a/crates/ebonystand-core/src/allowance/allowance_action.rs
+++ b/crates/ebonystand-core/src/allowance/allowance_action.rs
@@ -9,11 +9,31 @@
         ask: AskId,
         /// Micro-tokens a second that the asker's callers want.
         demand: MicroTokens,
-        /// Micro-tokens that requests wait for; 0 asks for stock.
+        /// Micro-tokens that claims wait for; 0 asks for stock.
         need: MicroTokens,
         /// Micro-tokens that the asker can hold without more capacity.
         room: MicroTokens,
     },
+    /// Wants tokens for one request.
+    Claim {
+        /// Names this claim.
+        claim: AskId,
+        /// Whether this holder is the first that is asked for the request.
+        first: bool,
+        /// Micro-tokens.
+        need: MicroTokens,
+    },
+    /// Answers a claim.
+    Grant {
+        /// The claim.
+        claim: AskId,
+        /// Names the grant.
+        grant: LeaseId,
+        /// When the holder will have enough, if it has not.
+        retry_after: Duration,
+        /// Micro-tokens, to be spent within [`LeaseTerms::GRANT`] of the claim; all or none.
+        tokens: MicroTokens,
+    },
     /// Answers an ask; empty if there is nothing to lend.
     Lend {
         /// The ask.
@@ -35,6 +55,8 @@
         /// Micro-tokens that the lender can hold without more capacity.
         room: MicroTokens,
     },
+    /// Gives back tokens of a grant that were not spent.
+    Refund(GrantRefund),
     /// Wants leases to last longer.
     Renew {
         /// When, on the asker's clock.
--- a/crates/ebonystand-core/src/allowance/allowance_configure.rs
+++ b/crates/ebonystand-core/src/allowance/allowance_configure.rs
@@ -76,12 +76,12 @@
         let Some((share, plan)) = self.shares.get_mut(id).zip(self.plans.get(id)) else {
             return;
         };
-        share.expire(now);
+        share.expire(now, &mut self.cx);
         share.whole = plan.whole;
         share.route = self.fleet.route(id, &plan.residency);
         let part = plan.part(now, self.ready);
         share.lender.set_part(now, part, &mut share.bucket);
-        share.pursue(now, &mut self.cx);
+        share.serve_claims(now, &mut self.cx);
         let change = plan.part_changes(now, self.ready);
         Self::set_timer(&mut self.timers, share, now, change);
     }
--- a/crates/ebonystand-core/src/allowance/allowance_cx.rs
+++ b/crates/ebonystand-core/src/allowance/allowance_cx.rs
@@ -64,8 +64,8 @@
         LeaseTerms::ANSWER + self.reach * 2
     }
 
-    /// Longest time that a request waits: one round with the own lender, one with the others.
+    /// Longest time that a request waits: one round with the own holder, one with the others.
     pub(crate) fn ticket_wait(&self) -> Duration {
-        LeaseTerms::RECALL * 2 + LeaseTerms::ANSWER * 5 + self.reach * 6
+        (LeaseTerms::ANSWER + LeaseTerms::CLAIM) * 2 + self.reach * 2
     }
 }
--- a/crates/ebonystand-core/src/allowance/allowance_fleet.rs
+++ b/crates/ebonystand-core/src/allowance/allowance_fleet.rs
@@ -55,17 +55,17 @@
 
     /// Whom to ask for a workspace's allowance.
     pub(crate) fn route(&self, id: &WorkspaceId, residency: &[u16]) -> AllowanceRoute {
-        let recall = LeaseTerms::ANSWER * 2 + self.reach() * 2;
         let mut route = AllowanceRoute::default();
         for place in residency.iter().map(|place| usize::from(*place)) {
             let Some(holder) = self.holder(place, id) else {
                 continue;
             };
             let region = &self.regions[place].0;
+            let answer = LeaseTerms::ANSWER + LeaseTerms::CLAIM;
             if *region == self.region {
-                route.own = Some(holder.clone());
+                route.own = Some((holder.clone(), answer));
             } else {
-                let answer = recall + self.delay(region) * 2;
+                let answer = answer + self.delay(region) * 2;
                 route.others.push((holder.clone(), answer));
             }
         }
--- a/crates/ebonystand-core/src/allowance/allowance_lender.rs
+++ b/crates/ebonystand-core/src/allowance/allowance_lender.rs
@@ -12,11 +12,12 @@
     lent_total: AllowancePart,
     part: AllowancePart,
     recall: Option<Recall>,
-    recall_after: Duration,
-    waiting: VecDeque<WaitingAsk>,
 }
 
 impl AllowanceLender {
+    /// Least part of the own one that is worth a lease: demand that varies would give rise to many.
+    const LEAST: MicroTokens = 16;
+
     /// Puts the part in force. What is lent beyond a smaller part comes back with the leases' end.
     pub(crate) fn set_part(
         &mut self,
@@ -35,7 +36,7 @@
 
     /// Whether there is anything to remember.
     pub(crate) fn is_idle(&self) -> bool {
-        self.lent.is_empty() && self.waiting.is_empty()
+        self.lent.is_empty()
     }
 
     /// Takes back what has ended, without its tokens: they may have been spent.
@@ -58,49 +59,24 @@
     pub(crate) fn takes_ask(
         &mut self,
         now: Duration,
-        ask: &WaitingAsk,
+        from: &VmId,
+        ask: AskId,
         demand: MicroTokens,
     ) -> bool {
-        if let Some(borrower) = self.borrowers.get_mut(&ask.from) {
+        if let Some(borrower) = self.borrowers.get_mut(from) {
             borrower.demand = demand;
             borrower.heard = now;
-            return borrower.takes(ask.ask);
+            return borrower.takes(ask);
         }
         let borrower = Borrower {
             demand,
             heard: now,
-            newest: ask.ask,
+            newest: ask,
         };
-        self.borrowers.insert(ask.from.clone(), borrower);
+        self.borrowers.insert(from.clone(), borrower);
         true
     }
 
-    /// Queues an ask.
-    pub(crate) fn wait(&mut self, ask: WaitingAsk) {
-        self.waiting.push_back(ask);
-    }
-
-    /// Whether an ask of `vm` waits.
-    pub(crate) fn has_waiting(&self, vm: &VmId) -> bool {
-        self.waiting.iter().any(|ask| ask.from == *vm)
-    }
-
-    /// The ask whose turn it is; `None` while a recall is under way.
-    pub(crate) fn front(&self) -> Option<&WaitingAsk> {
-        self.waiting.front()
-    }
-
-    /// Removes the ask whose turn it is.
-    pub(crate) fn pop_front(&mut self) -> Option<WaitingAsk> {
-        self.waiting.pop_front()
-    }
-
-    /// Tokens that can be lent for an ask now.
-    pub(crate) fn lendable(&self, ask: &WaitingAsk, bucket: &TokenBucket) -> MicroTokens {
-        let capacity = self.free.capacity.saturating_add(ask.room);
-        bucket.level().min(capacity)
-    }
-
     /// Whether leases that were called back may still come.
     pub(crate) fn is_recalling(&mut self, now: Duration) -> bool {
         let done = |recall: &Recall| recall.unanswered.is_empty() || recall.until <= now;
@@ -110,18 +86,17 @@
         self.recall.is_some()
     }
 
+    /// Tokens that can be lent now to a VM that has `room`.
+    pub(crate) fn lendable(&self, room: MicroTokens, bucket: &TokenBucket) -> MicroTokens {
+        bucket.level().min(self.free.capacity.saturating_add(room))
+    }
+
     /// Whether someone other than `vm` has leases.
     pub(crate) fn lends_beside(&self, vm: &VmId) -> bool {
         self.lent.values().any(|lease| lease.to != *vm)
     }
 
-    /// Whether a recall must wait, so that a workspace far above its rate does not make its VMs
-    /// send leases to and fro without end.
-    pub(crate) fn recall_is_early(&self, now: Duration) -> bool {
-        now < self.recall_after
-    }
-
-    /// Calls back the leases of all but `vm` for the asks that wait; what to send to whom.
+    /// Calls back the leases of all but `vm`; what to send to whom.
     pub(crate) fn start_recall(
         &mut self,
         now: Duration,
@@ -134,19 +109,13 @@
         let unanswered: BTreeSet<VmId> = others.map(|lease| lease.to.clone()).collect();
         let recall = cx.next();
         let total = self.total_demand(now, own_demand);
-        let room = (bucket.part().capacity - bucket.level()) / unanswered.len().max(1) as u64;
+        let room = bucket.room() / unanswered.len().max(1) as u64;
         let action = |to: &VmId| {
-            // Half more than fair, or the noise of the demand would keep leases moving.
-            let fair = self.share(self.demand_of(now, to), total);
-            let keep = fair.plus(fair.half());
+            let keep = self.kept(now, to, total);
             AllowanceAction::Recall { keep, recall, room }
         };
         let recalls = unanswered.iter().map(|to| (to.clone(), action(to)));
         let recalls = recalls.collect();
-        for ask in &mut self.waiting {
-            ask.recalled = true;
-        }
-        self.recall_after = now + LeaseTerms::RECALL;
         self.recall = Some(Recall {
             id: recall,
             until: now + cx.recall_wait(),
@@ -155,11 +124,28 @@
         recalls
     }
 
-    /// Lends to the asker: what its requests need, and its share by demand of the rest.
+    /// Calls back what a VM whose demand has fallen has beyond its share.
+    pub(crate) fn recall_excess(
+        &self,
+        now: Duration,
+        vm: &VmId,
+        own_demand: MicroTokens,
+        cx: &mut AllowanceCx,
+    ) -> Option<AllowanceAction> {
+        let keep = self.kept(now, vm, self.total_demand(now, own_demand));
+        (self.lent_to(vm).rate > keep.rate).then(|| AllowanceAction::Recall {
+            keep,
+            recall: cx.next(),
+            room: 0,
+        })
+    }
+
+    /// Lends to the asker its share by demand, and the tokens that claims need.
     pub(crate) fn lend(
         &mut self,
         now: Duration,
-        ask: &WaitingAsk,
+        to: &VmId,
+        (need, room): (MicroTokens, MicroTokens),
         own_demand: MicroTokens,
         bucket: &mut TokenBucket,
         cx: &mut AllowanceCx,
@@ -168,7 +154,7 @@
             incarnation: cx.incarnation,
             sequence: cx.next(),
         };
-        let (part, tokens) = self.offer(now, ask, own_demand, bucket);
+        let (part, tokens) = self.offer(now, to, (need, room), own_demand, bucket);
         // Debited before it is sent: a lost message loses tokens, it never doubles them.
         bucket.take(now, part, tokens);
         if part == AllowancePart::ZERO {
@@ -180,7 +166,7 @@
             ends: now + LeaseTerms::HOLD,
             part,
             returned: 0,
-            to: ask.from.clone(),
+            to: to.clone(),
         };
         self.lent.insert(id.sequence, lease);
         (id, part, tokens)
@@ -255,8 +241,7 @@
     pub(crate) fn deadline(&self) -> Option<Duration> {
         let ends = self.lent.values().map(|lease| lease.ends).min();
         let recall = self.recall.as_ref().map(|recall| recall.until);
-        let early = (recall.is_none() && !self.waiting.is_empty()).then_some(self.recall_after);
-        [ends, recall, early].into_iter().flatten().min()
+        [ends, recall].into_iter().flatten().min()
     }
 
     fn lease_of(&mut self, vm: &VmId, id: LeaseId, cx: &AllowanceCx) -> Option<&mut LentLease> {
@@ -278,28 +263,43 @@
     fn offer(
         &self,
         now: Duration,
-        ask: &WaitingAsk,
+        to: &VmId,
+        (need, room): (MicroTokens, MicroTokens),
         own_demand: MicroTokens,
         bucket: &TokenBucket,
     ) -> (AllowancePart, MicroTokens) {
         let total = self.total_demand(now, own_demand);
-        let demand = self.demand_of(now, &ask.from);
-        let has = self.lent_to(&ask.from);
+        let demand = self.demand_of(now, to);
+        let has = self.lent_to(to);
         let mut more = self.share(demand, total).minus(has).min(self.free);
+        if more.rate < self.part.rate / Self::LEAST {
+            more = AllowancePart::ZERO;
+        }
         if bucket.level() >= bucket.part().capacity / 4 * 3 {
             // A full bucket loses its rate, so all goes that the own callers do not want.
             more = more.max(self.free.minus(self.share(own_demand, total)));
         }
-        let stock = scale(bucket.level(), demand, total).min(more.capacity + ask.room);
-        let tokens = ask.need.max(stock).min(self.lendable(ask, bucket));
+        let stock = scale(bucket.level(), demand, total).min(more.capacity + room);
+        let tokens = stock.max(need).min(self.lendable(room, bucket));
         // What stays must still hold the tokens that stay.
-        let spare = bucket.part().capacity - (bucket.level() - tokens);
+        let spare = bucket.room() + tokens;
         let capacity = more
             .capacity
-            .max(tokens.saturating_sub(ask.room))
-            .min(spare);
+            .max(tokens.saturating_sub(room))
+            .min(spare)
+            .min(self.free.capacity);
         let rate = more.rate;
-        (AllowancePart { capacity, rate }, tokens)
+        (
+            AllowancePart { capacity, rate },
+            tokens.min(capacity + room),
+        )
+    }
+
+    /// What a recall leaves with a VM: half more than fair, or the noise of the demand would keep
+    /// leases moving.
+    fn kept(&self, now: Duration, vm: &VmId, total: MicroTokens) -> AllowancePart {
+        let fair = self.share(self.demand_of(now, vm), total);
+        fair.plus(fair.half())
     }
 
     fn lent_to(&self, vm: &VmId) -> AllowancePart {
--- a/crates/ebonystand-core/src/allowance/allowance_route.rs
+++ b/crates/ebonystand-core/src/allowance/allowance_route.rs
@@ -5,6 +5,6 @@
 pub(crate) struct AllowanceRoute {
     /// Holders of the other regions, with the time their answer takes at most.
     pub(crate) others: Vec<(VmId, Duration)>,
-    /// Holder of the own region.
-    pub(crate) own: Option<VmId>,
+    /// Holder of the own region, with the same.
+    pub(crate) own: Option<(VmId, Duration)>,
 }
--- a/crates/ebonystand-core/src/allowance/allowance_share.rs
+++ b/crates/ebonystand-core/src/allowance/allowance_share.rs
@@ -6,15 +6,21 @@
     pub(crate) asks: Vec<OpenAsk>,
     pub(crate) borrowed: Vec<BorrowedLease>,
     pub(crate) bucket: TokenBucket,
+    /// Claims that wait for the rate to serve them.
+    pub(crate) claims: VecDeque<WaitingClaim>,
     pub(crate) demand: DemandMeter,
     /// When the first of the borrowed leases ends.
     pub(crate) first_expiry: Duration,
+    pub(crate) grants: GrantBook,
     pub(crate) lender: AllowanceLender,
+    pub(crate) open_claims: Vec<OpenClaim>,
+    /// Whether the holder of the own region has left a claim unanswered since its last answer.
+    pub(crate) own_is_silent: bool,
     /// Micro-tokens of reservations that are not settled.
     pub(crate) reserved: MicroTokens,
-    /// Before it, requests that the own rate will serve do not ask again.
-    pub(crate) rest_until: Duration,
-    pub(crate) round: AskRound,
+    /// Before it, the other holders are not asked again for what claims wait for.
+    pub(crate) gather_after: Duration,
+    pub(crate) returns: Returns,
     pub(crate) route: AllowanceRoute,
     pub(crate) stock_after: Duration,
     pub(crate) tickets: VecDeque<AllowanceTicket>,
@@ -38,12 +44,16 @@
             asks: Vec::new(),
             borrowed: Vec::new(),
             bucket: TokenBucket::new(now, cx.next()),
+            claims: VecDeque::new(),
             demand: DemandMeter::default(),
             first_expiry: Duration::MAX,
+            grants: GrantBook::default(),
             lender: AllowanceLender::default(),
+            open_claims: Vec::new(),
+            own_is_silent: false,
             reserved: 0,
-            rest_until: now,
-            round: AskRound::Idle,
+            gather_after: now,
+            returns: Returns::default(),
             route,
             stock_after: now,
             tickets: VecDeque::new(),
@@ -54,78 +64,23 @@
         }
     }
 
-    /// Admits a request, or lets it wait while others are asked.
-    pub(crate) fn admit(
-        &mut self,
-        now: Duration,
-        tokens: Tokens,
-        cx: &mut AllowanceCx,
-    ) -> Admission {
-        // A VM that was frozen past a lease's end must not spend it: the lender has it back.
-        self.expire(now);
-        self.bucket.advance(now);
-        self.used = now;
-        let need = tokens.saturating_mul(AllowancePart::SCALE);
-        self.demand.add(now, need);
-        if self.tickets.is_empty()
-            && let Some(reservation) = self.reserve(tokens, cx)
-        {
-            self.ask_for_stock(now, cx);
-            return Admission::Granted(reservation);
-        }
-        if need > self.whole.capacity {
-            let retry_after = Duration::MAX;
-            return Admission::Refused { retry_after };
-        }
-        let id = TicketId(cx.next());
-        self.tickets.push_back(AllowanceTicket {
-            deadline: now + cx.ticket_wait(),
-            id,
-            tokens,
-        });
-        self.pursue(now, cx);
-        self.answer_at_once(id, cx)
+    /// Whether this VM holds its region's part.
+    pub(crate) fn is_holder(&self, cx: &AllowanceCx) -> bool {
+        self.own_holder() == Some(&cx.vm)
     }
 
-    /// Goes on with what waits: admits, asks the own holder, then the others, then refuses.
-    pub(crate) fn pursue(&mut self, now: Duration, cx: &mut AllowanceCx) {
-        self.expire(now);
-        self.bucket.advance(now);
-        loop {
-            self.admit_waiting(cx);
-            self.refuse_late(now, cx);
-            let Some(last) = self.tickets.back() else {
-                self.round = AskRound::Idle;
-                return;
-            };
-            let last = last.id;
-            if self.is_waiting_for_answer(now, cx) {
-                return;
-            }
-            self.round = match self.round {
-                AskRound::Idle if now < self.rest_until => return,
-                AskRound::Idle => {
-                    self.ask_own(now, cx);
-                    AskRound::Own(last)
-                }
-                AskRound::Own(last) => {
-                    self.ask_others(now, self.missing(), cx);
-                    AskRound::Others(last)
-                }
-                AskRound::Others(last) => {
-                    self.refuse_asked(now, last, cx);
-                    AskRound::Idle
-                }
-            };
-        }
+    /// Holder of the own region's part.
+    pub(crate) fn own_holder(&self) -> Option<&VmId> {
+        self.route.own.as_ref().map(|(holder, _)| holder)
     }
 
     /// Drops what has ended.
-    pub(crate) fn expire(&mut self, now: Duration) {
+    pub(crate) fn expire(&mut self, now: Duration, cx: &mut AllowanceCx) {
         if self.first_expiry <= now {
             self.expire_borrowed(now);
         }
         self.lender.expire(now, &mut self.bucket);
+        self.grants.expire(now, &mut self.bucket, cx);
     }
 
     fn expire_borrowed(&mut self, now: Duration) {
@@ -149,30 +104,25 @@
     }
 
     /// Ends a reservation of which `used` tokens were used.
-    pub(crate) fn settle(&mut self, now: Duration, reservation: &Reservation, used: Tokens) {
-        self.expire(now);
+    pub(crate) fn settle(
+        &mut self,
+        now: Duration,
+        reservation: Reservation,
+        used: Tokens,
+        cx: &mut AllowanceCx,
+    ) {
+        self.expire(now, cx);
         let need = reservation.tokens.saturating_mul(AllowancePart::SCALE);
         let used = used.saturating_mul(AllowancePart::SCALE);
         self.reserved = self.reserved.saturating_sub(need);
         let unused = need.saturating_sub(used);
-        self.bucket.refund(now, reservation.mark, unused);
-    }
-
-    /// Gives up a waiting request.
-    pub(crate) fn cancel(&mut self, ticket: TicketId) {
-        self.tickets.retain(|waiting| waiting.id != ticket);
-    }
-
-    /// Refuses all that waits.
-    pub(crate) fn refuse_all(&mut self, retry_after: Duration, cx: &mut AllowanceCx) {
-        let refused = self
-            .tickets
-            .drain(..)
-            .map(|ticket| AllowanceOutput::Refused {
-                retry_after,
-                ticket: ticket.id,
-            });
-        cx.outputs.extend(refused);
+        match reservation.grant {
+            Some(grant) => {
+                let tokens = unused;
+                self.refund(now, HeldGrant { tokens, ..grant }, cx);
+            }
+            None => self.bucket.refund(now, reservation.mark, unused),
+        }
     }
 
     /// What operators see.
@@ -186,7 +136,7 @@
         }
     }
 
-    fn reserve(&mut self, tokens: Tokens, cx: &mut AllowanceCx) -> Option<Reservation> {
+    pub(crate) fn reserve(&mut self, tokens: Tokens, cx: &mut AllowanceCx) -> Option<Reservation> {
         let need = tokens.saturating_mul(AllowancePart::SCALE);
         let mark = cx.next();
         if !self.bucket.reserve(mark, need) {
@@ -194,69 +144,10 @@
         }
         self.reserved = self.reserved.saturating_add(need);
         Some(Reservation {
+            grant: None,
             mark,
             tokens,
             workspace: self.workspace.clone(),
         })
     }
-
-    pub(crate) fn admit_waiting(&mut self, cx: &mut AllowanceCx) {
-        while let Some(tokens) = self.tickets.front().map(|ticket| ticket.tokens)
-            && let Some(reservation) = self.reserve(tokens, cx)
-            && let Some(ticket) = self.tickets.pop_front()
-        {
-            cx.outputs.push(AllowanceOutput::Admitted {
-                reservation,
-                ticket: ticket.id,
-            });
-        }
-    }
-
-    /// Turns the answer to a request that need not wait after all into a direct one.
-    fn answer_at_once(&self, id: TicketId, cx: &mut AllowanceCx) -> Admission {
-        let place = cx.outputs.iter().position(|out| out.ticket() == Some(id));
-        match place.map(|place| cx.outputs.remove(place)) {
-            Some(AllowanceOutput::Admitted { reservation, .. }) => Admission::Granted(reservation),
-            Some(AllowanceOutput::Refused { retry_after, .. }) => {
-                Admission::Refused { retry_after }
-            }
-            _ => Admission::Waiting(id),
-        }
-    }
-
-    fn refuse_late(&mut self, now: Duration, cx: &mut AllowanceCx) {
-        while self
-            .tickets
-            .front()
-            .is_some_and(|ticket| ticket.deadline <= now)
-        {
-            self.refuse_front(cx);
-        }
-    }
-
-    /// Refuses those that the holders were asked for, unless the own rate will serve them in time.
-    fn refuse_asked(&mut self, now: Duration, last: TicketId, cx: &mut AllowanceCx) {
-        while let Some(ticket) = self.tickets.front()
-            && ticket.id <= last
-        {
-            let missing = ticket.need().saturating_sub(self.bucket.level());
-            if now + time_for(missing, self.whole.rate) < ticket.deadline {
-                self.rest_until = now + LeaseTerms::REST;
-                return;
-            }
-            self.refuse_front(cx);
-            self.admit_waiting(cx);
-        }
-    }
-
-    fn refuse_front(&mut self, cx: &mut AllowanceCx) {
-        let Some(ticket) = self.tickets.pop_front() else {
-            return;
-        };
-        let missing = ticket.need().saturating_sub(self.bucket.level());
-        cx.outputs.push(AllowanceOutput::Refused {
-            retry_after: time_for(missing, self.whole.rate),
-            ticket: ticket.id,
-        });
-    }
 }
--- a/crates/ebonystand-core/src/allowance/allowance_share_borrow.rs
+++ b/crates/ebonystand-core/src/allowance/allowance_share_borrow.rs
@@ -3,43 +3,10 @@
 use super::*;
 
 impl AllowanceShare {
-    /// Asks the holder of the own region for what the waiting requests need.
-    pub(crate) fn ask_own(&mut self, now: Duration, cx: &mut AllowanceCx) {
-        let Some(own) = self.route.own.clone() else {
-            return;
-        };
-        let need = self.missing();
-        if own != cx.vm {
-            self.send_ask(now, &own, need, LeaseTerms::ANSWER + cx.recall_wait(), cx);
-            return;
-        }
-        let ask = AskId {
-            incarnation: cx.incarnation,
-            sequence: cx.next(),
-        };
-        self.lender.wait(WaitingAsk {
-            ask,
-            from: own,
-            need,
-            recalled: false,
-            room: 0,
-        });
-        self.serve(now, cx);
-    }
-
-    /// Asks the holders of the other regions, all at once: one after the other would take the
-    /// delays of all links together.
-    pub(crate) fn ask_others(&mut self, now: Duration, need: MicroTokens, cx: &mut AllowanceCx) {
-        for (to, wait) in std::mem::take(&mut self.route.others) {
-            let awaited = if need == 0 { Duration::ZERO } else { wait };
-            self.send_ask(now, &to, need, awaited, cx);
-            self.route.others.push((to, wait));
-        }
-    }
-
-    /// Asks ahead when the stock runs low, so that the next requests need not wait.
+    /// Asks the other holders for a part of theirs when the own one does not meet the demand, so that
+    /// the next requests need not wait.
     pub(crate) fn ask_for_stock(&mut self, now: Duration, cx: &mut AllowanceCx) {
-        if now < self.stock_after {
+        if now < self.stock_after || !self.is_holder(cx) {
             return;
         }
         let part = self.bucket.part();
@@ -48,19 +15,11 @@
             return;
         }
         self.stock_after = now + LeaseTerms::STOCK;
-        if let Some(own) = self.route.own.clone().filter(|own| *own != cx.vm) {
-            self.send_ask(now, &own, 0, Duration::ZERO, cx);
-        }
-        if slow {
-            self.ask_others(now, 0, cx);
+        for (to, _) in self.route.others.clone() {
+            self.send_ask(now, &to, 0, now, cx);
         }
     }
 
-    /// Whether an answer that requests wait for is outstanding.
-    pub(crate) fn is_waiting_for_answer(&self, now: Duration, cx: &AllowanceCx) -> bool {
-        self.asks.iter().any(|ask| now < ask.awaited_until) || self.lender.has_waiting(&cx.vm)
-    }
-
     /// Takes a lease, if it answers an ask that is open.
     pub(crate) fn take_lease(
         &mut self,
@@ -87,11 +46,15 @@
             return;
         }
         self.bucket.put(now, part, tokens);
-        if part == AllowancePart::ZERO {
-            return;
+        if part != AllowancePart::ZERO {
+            self.note_lease(asked_at, from, lease, part);
         }
+        self.serve_claims(now, cx);
+    }
+
+    fn note_lease(&mut self, asked_at: Duration, from: &VmId, lease: LeaseId, part: AllowancePart) {
         self.borrowed.push(BorrowedLease {
-            expires,
+            expires: asked_at + LeaseTerms::LENGTH,
             id: lease,
             lender: from.clone(),
             part,
@@ -210,14 +173,10 @@
             .retain(|ask| now < ask.asked_at + LeaseTerms::LENGTH);
     }
 
-    pub(crate) fn missing(&self) -> MicroTokens {
-        let needed: MicroTokens = self.tickets.iter().map(AllowanceTicket::need).sum();
-        needed.saturating_sub(self.bucket.level())
-    }
-
     /// What can go back to `lender`, which has `room` for tokens without capacity: all beyond
     /// `keep`, and the tokens, but for what the kept rate fills in a short time. The room that
-    /// unsettled reservations may pay back into stays: without it their refunds would be lost.
+    /// unsettled reservations may pay back into stays: without it their refunds would be lost. So does
+    /// that of grants that may still be spent.
     fn surplus(
         &self,
         lender: &VmId,
@@ -229,13 +188,11 @@
         let keep = keep.min(has);
         let least = keep.accrual(LeaseTerms::KEPT).min(has.capacity);
         let level = self.bucket.level();
-        let slack = self.bucket.part().capacity - level;
+        let slack = self.bucket.part().capacity.saturating_sub(level);
+        let kept = self.reserved.saturating_add(self.bucket.locked());
         let tokens = level.min(has.capacity).min(has.capacity - least + room);
         let most = has.capacity - tokens.saturating_sub(room);
-        let capacity = keep
-            .capacity
-            .max(slack.min(self.reserved))
-            .clamp(least, most);
+        let capacity = keep.capacity.max(slack.min(kept)).clamp(least, most);
         let rate = keep.rate;
         (has.minus(AllowancePart { capacity, rate }), tokens)
     }
@@ -245,18 +202,18 @@
         !idle && self.borrowed.len() <= LeaseTerms::LEASES
     }
 
-    fn send_ask(
+    pub(crate) fn send_ask(
         &mut self,
         now: Duration,
         to: &VmId,
         need: MicroTokens,
-        wait: Duration,
+        awaited_until: Duration,
         cx: &mut AllowanceCx,
     ) {
         let sequence = cx.next();
         self.asks.push(OpenAsk {
             asked_at: now,
-            awaited_until: now + wait,
+            awaited_until,
             sequence,
             to: to.clone(),
         });
@@ -267,7 +224,7 @@
             },
             demand: self.demand.rate(now),
             need,
-            room: self.bucket.part().capacity - self.bucket.level(),
+            room: self.bucket.room(),
         };
         cx.send(to, &self.workspace, action);
     }
--- a/crates/ebonystand-core/src/allowance/allowance_share_lend.rs
+++ b/crates/ebonystand-core/src/allowance/allowance_share_lend.rs
@@ -17,17 +17,26 @@
                 demand,
                 need,
                 room,
+            } => self.take_ask(now, from, ask, demand, (need, room), cx),
+            AllowanceAction::Claim { claim, first, need } => {
+                self.take_claim(now, claim, from.clone(), first, need, cx);
+            }
+            AllowanceAction::Grant {
+                claim,
+                grant,
+                retry_after,
+                tokens,
             } => {
-                let from = from.clone();
-                let recalled = false;
-                let ask = WaitingAsk {
-                    ask,
-                    from,
-                    need,
-                    recalled,
-                    room,
+                let held = HeldGrant {
+                    grant,
+                    holder: from.clone(),
+                    tokens,
                 };
-                self.take_ask(now, ask, demand, cx);
+                self.take_grant(now, claim, retry_after, held, cx);
+            }
+            AllowanceAction::Refund(refund) => {
+                self.take_refund(now, refund, cx);
+                self.serve_claims(now, cx);
             }
             AllowanceAction::Lend {
                 ask,
@@ -54,50 +63,37 @@
         }
     }
 
-    /// Takes an ask; one for stock is answered at once.
-    pub(crate) fn take_ask(
+    fn take_ask(
         &mut self,
         now: Duration,
-        ask: WaitingAsk,
+        from: &VmId,
+        ask: AskId,
         demand: MicroTokens,
+        (need, room): (MicroTokens, MicroTokens),
         cx: &mut AllowanceCx,
     ) {
         self.used = now;
-        if !self.lender.takes_ask(now, &ask, demand) {
+        if !self.lender.takes_ask(now, from, ask, demand) {
             return;
         }
-        if ask.need == 0 {
-            self.lend(now, &ask, cx);
-            return;
-        }
-        self.lender.wait(ask);
-        self.serve(now, cx);
-    }
-
-    /// Answers the asks that wait, in their order. One that cannot be met has the leases of
-    /// others called back first: tokens that lie idle on another VM are not a reason to refuse.
-    pub(crate) fn serve(&mut self, now: Duration, cx: &mut AllowanceCx) {
         self.bucket.advance(now);
-        while !self.lender.is_recalling(now)
-            && let Some(front) = self.lender.front()
-        {
-            let short = self.is_short(front, cx);
-            let from = front.from.clone();
-            if short && !front.recalled && self.lender.lends_beside(&from) {
-                if !self.lender.recall_is_early(now) {
-                    self.recall(now, &from, cx);
-                }
-                return;
-            }
-            let Some(ask) = self.lender.pop_front() else {
-                return;
-            };
-            if ask.from != cx.vm {
-                self.lend(now, &ask, cx);
-            } else {
-                self.admit_waiting(cx);
-            }
+        if self.lender.lendable(room, &self.bucket) < need {
+            self.call_back(now, from, cx);
         }
+        let claimed: MicroTokens = self.claims.iter().map(|claim| claim.need).sum();
+        let need = need.min(self.bucket.level().saturating_sub(claimed));
+        let demand = self.demand.rate(now);
+        let bucket = &mut self.bucket;
+        let (lease, part, tokens) = self
+            .lender
+            .lend(now, from, (need, room), demand, bucket, cx);
+        let action = AllowanceAction::Lend {
+            ask,
+            lease,
+            part,
+            tokens,
+        };
+        cx.send(from, &self.workspace, action);
     }
 
     /// Takes leases back.
@@ -113,7 +109,7 @@
         self.lender
             .take_back(now, from, leases, &mut self.bucket, cx);
         self.lender.note_return(now, from, demand, recall);
-        self.serve(now, cx);
+        self.serve_claims(now, cx);
     }
 
     fn take_renewal(
@@ -132,30 +128,17 @@
         }
         let action = AllowanceAction::Renewed { asked_at, leases };
         cx.send(from, &self.workspace, action);
-    }
-
-    fn is_short(&self, ask: &WaitingAsk, cx: &AllowanceCx) -> bool {
-        if ask.from == cx.vm {
-            let need: MicroTokens = self.tickets.iter().map(AllowanceTicket::need).sum();
-            return self.bucket.level() < need;
+        let own = self.demand.rate(now);
+        if let Some(action) = self.lender.recall_excess(now, from, own, cx) {
+            cx.send(from, &self.workspace, action);
         }
-        self.lender.lendable(ask, &self.bucket) < ask.need
     }
 
-    fn lend(&mut self, now: Duration, ask: &WaitingAsk, cx: &mut AllowanceCx) {
-        let demand = self.demand.rate(now);
-        let bucket = &mut self.bucket;
-        let (lease, part, tokens) = self.lender.lend(now, ask, demand, bucket, cx);
-        let action = AllowanceAction::Lend {
-            ask: ask.ask,
-            lease,
-            part,
-            tokens,
-        };
-        cx.send(&ask.from, &self.workspace, action);
-    }
-
-    fn recall(&mut self, now: Duration, vm: &VmId, cx: &mut AllowanceCx) {
+    /// Calls back leases of all but `vm` beyond their share by demand, with their tokens.
+    pub(crate) fn call_back(&mut self, now: Duration, vm: &VmId, cx: &mut AllowanceCx) {
+        if !self.lender.lends_beside(vm) || self.lender.is_recalling(now) {
+            return;
+        }
         let demand = self.demand.rate(now);
         let recalls = self.lender.start_recall(now, vm, demand, &self.bucket, cx);
         for (to, action) in recalls {
--- a/crates/ebonystand-core/src/allowance/allowance_share_timer.rs
+++ b/crates/ebonystand-core/src/allowance/allowance_share_timer.rs
@@ -5,11 +5,12 @@
 impl AllowanceShare {
     /// Does what is due.
     pub(crate) fn tick(&mut self, now: Duration, cx: &mut AllowanceCx) {
-        self.expire(now);
+        self.expire(now, cx);
         self.forget_asks(now);
         self.renew(now, cx);
-        self.serve(now, cx);
+        self.serve_claims(now, cx);
         self.pursue(now, cx);
+        self.forget_claims(now);
     }
 
     /// Whether nothing is lost when it is dropped but the level of the own part.
@@ -17,7 +18,10 @@
         now.saturating_sub(self.used) >= LeaseTerms::IDLE
             && self.asks.is_empty()
             && self.borrowed.is_empty()
+            && self.claims.is_empty()
+            && self.grants.is_empty()
             && self.lender.is_idle()
+            && self.open_claims.is_empty()
             && self.reserved == 0
             && self.tickets.is_empty()
     }
@@ -35,23 +39,20 @@
             .into_iter()
             .flatten()
             .chain(self.lender.deadline())
+            .chain(self.grants.deadline())
+            .chain(self.claims_deadline(now))
             .chain(self.tickets_deadline(now))
             .min()
     }
 
     fn tickets_deadline(&self, now: Duration) -> Option<Duration> {
-        let front = self.tickets.front()?;
-        let filled = self.bucket.time_until(front.need()).map(|wait| now + wait);
-        let answers = self.asks.iter().map(|ask| ask.awaited_until).max();
-        let rest = Some(self.rest_until);
-        [
-            filled,
-            answers.filter(|at| *at > now),
-            rest.filter(|at| *at > now),
-        ]
-        .into_iter()
-        .flatten()
-        .chain([front.deadline])
-        .min()
+        let deadlines = self.tickets.iter().map(|ticket| ticket.deadline);
+        let answers = self.open_claims.iter().map(|claim| {
+            let forgotten = claim.asked_at + LeaseTerms::GRANT * 2;
+            Some(claim.awaited_until)
+                .filter(|at| *at > now)
+                .unwrap_or(forgotten)
+        });
+        deadlines.chain(answers).min()
     }
 }
--- a/crates/ebonystand-core/src/allowance/allowance_ticket.rs
+++ b/crates/ebonystand-core/src/allowance/allowance_ticket.rs
@@ -5,6 +5,9 @@
 pub(crate) struct AllowanceTicket {
     pub(crate) deadline: Duration,
     pub(crate) id: TicketId,
+    /// Shortest time after which a holder that was asked will have enough.
+    pub(crate) retry_after: Duration,
+    pub(crate) round: ClaimRound,
     pub(crate) tokens: Tokens,
 }
 
--- a/crates/ebonystand-core/src/allowance/mod.rs
+++ b/crates/ebonystand-core/src/allowance/mod.rs
@@ -9,13 +9,16 @@
     allowance_output::AllowanceOutput,
     allowance_part::{AllowancePart, MicroTokens},
     allowance_status::AllowanceStatus,
+    grant_refund::GrantRefund,
     state::Allowance,
 };
 
 pub(crate) use {
     allowance_cx::AllowanceCx, allowance_fleet::AllowanceFleet, allowance_lender::AllowanceLender,
     allowance_plan::AllowancePlan, allowance_route::AllowanceRoute,
-    allowance_share::AllowanceShare, allowance_ticket::AllowanceTicket,
+    allowance_share::AllowanceShare, allowance_ticket::AllowanceTicket, claim_round::ClaimRound,
+    grant_book::GrantBook, held_grant::HeldGrant, open_claim::OpenClaim, returns::Returns,
+    waiting_claim::WaitingClaim,
 };
 
 mod allowance_action;
@@ -31,8 +34,17 @@
 mod allowance_route;
 mod allowance_share;
 mod allowance_share_borrow;
+mod allowance_share_claim;
+mod allowance_share_grant;
 mod allowance_share_lend;
 mod allowance_share_timer;
 mod allowance_status;
 mod allowance_ticket;
+mod claim_round;
+mod grant_book;
+mod grant_refund;
+mod held_grant;
+mod open_claim;
+mod returns;
 mod state;
+mod waiting_claim;
--- a/crates/ebonystand-core/src/allowance/state.rs
+++ b/crates/ebonystand-core/src/allowance/state.rs
@@ -72,7 +72,6 @@
         let waits = |share: &&mut AllowanceShare| share.tickets.iter().any(|t| t.id == ticket);
         if let Some(share) = self.shares.values_mut().find(waits) {
             share.cancel(ticket);
-            share.pursue(now, &mut self.cx);
         }
         self.cx.take_outputs()
     }
@@ -96,7 +95,7 @@
         let mut shares: Vec<&mut AllowanceShare> = self.shares.values_mut().collect();
         shares.sort_by(|a, b| a.workspace.cmp(&b.workspace));
         for share in shares {
-            share.expire(now);
+            share.expire(now, &mut self.cx);
             share.refuse_all(Duration::from_secs(1), &mut self.cx);
             share.reserved = 0;
             share.give_all_back(now, &mut self.cx);
@@ -133,13 +132,13 @@
     pub fn settle(
         &mut self,
         now: Duration,
-        reservation: &Reservation,
+        reservation: Reservation,
         used: Tokens,
     ) -> Vec<AllowanceOutput> {
         self.notice(now);
         if let Some(share) = self.shares.get_mut(&reservation.workspace) {
-            share.settle(now, reservation, used);
-            share.pursue(now, &mut self.cx);
+            share.settle(now, reservation, used, &mut self.cx);
+            share.serve_claims(now, &mut self.cx);
             Self::set_timer(&mut self.timers, share, now, None);
         }
         self.cx.take_outputs()
@@ -174,7 +173,7 @@
         }
         self.ready = self.ready.max(now + LeaseTerms::THAW);
         for share in self.shares.values_mut() {
-            share.expire(now);
+            share.expire(now, &mut self.cx);
             let bucket = &mut share.bucket;
             share.lender.set_part(now, AllowancePart::ZERO, bucket);
             Self::set_timer(&mut self.timers, share, now, Some(self.ready));
@@ -236,16 +235,18 @@
     }
 
     fn receive_item(&mut self, now: Duration, from: &VmId, item: AllowanceItem) {
-        let asks = matches!(item.action, AllowanceAction::Ask { .. });
-        if asks {
+        let action = &item.action;
+        if matches!(
+            action,
+            AllowanceAction::Ask { .. } | AllowanceAction::Claim { .. }
+        ) {
             self.open(now, &item.workspace);
         }
         let Some(share) = self.shares.get_mut(&item.workspace) else {
             return;
         };
-        share.expire(now);
+        share.expire(now, &mut self.cx);
         share.take_action(now, from, item.action, &mut self.cx);
-        share.pursue(now, &mut self.cx);
         Self::set_timer(&mut self.timers, share, now, None);
     }
 
--- a/crates/ebonystand-core/src/lease_terms.rs
+++ b/crates/ebonystand-core/src/lease_terms.rs
@@ -17,20 +17,25 @@
     pub const HANDOVER: Duration = Duration::from_millis(
         2 * Self::ADOPTION.as_millis() as u64 + Self::HOLD.as_millis() as u64,
     );
+    /// Time from a claim, on the claimant's clock, for which what it was granted may be spent: two round
+    /// trips between regions.
+    pub const GRANT: Duration = Duration::from_millis(300);
+    /// Time from a grant, on the holder's clock, by which [`Self::GRANT`] has passed on any clock.
+    pub(crate) const GRANT_HOLD: Duration = Duration::from_millis(315);
     /// Time from lending, on the lender's clock, until it takes the lease as ended. The borrower
-    /// counts [`Self::LENGTH`] from its ask, which came first; the twentieth more outweighs clocks
-    /// that run apart by up to 5,000 ppm each.
+    /// counts [`Self::LENGTH`] from its ask, which came first, and what it grants of the lease may be
+    /// spent [`Self::GRANT`] longer; the rest outweighs clocks that run apart by up to 5,000 ppm each.
     pub const HOLD: Duration = Duration::from_millis(2_100);
     /// Time from an ask, on the borrower's clock, for which the lease may be used. A holder that starts
-    /// anew leaves its part unused for this time: 2 s and not 3 s, since after a start of all VMs every
+    /// anew leaves its part unused for [`Self::HOLD`]: 2 s and not 3 s, since after a start of all VMs every
     /// workspace waits for it, and not less, since renewals must outlast lost packets.
-    pub const LENGTH: Duration = Duration::from_millis(2_000);
+    pub const LENGTH: Duration = Duration::from_millis(1_750);
     /// Time in which a VM that was frozen adopts what it missed.
     pub const THAW: Duration = Duration::from_secs(9);
     /// Longest time between two calls of [`Allowance::tick`] on a VM that is not frozen.
     pub const HEARTBEAT: Duration = Duration::from_secs(1);
     /// Time from an ask to the renewal, so that one may be lost.
-    pub(crate) const RENEWED: Duration = Duration::from_secs(1);
+    pub(crate) const RENEWED: Duration = Duration::from_millis(500);
     /// Renewals of all workspaces happen at multiples of it, so that they share messages.
     pub const RENEWAL: Duration = Duration::from_millis(500);
     /// Time for an answer beyond the delay of the links.
@@ -50,6 +55,11 @@
     pub(crate) const STOCK: Duration = Duration::from_millis(100);
     /// Time between two recalls of a workspace's leases.
     pub(crate) const RECALL: Duration = Duration::from_millis(50);
-    /// Time before a request that its VM's own rate will serve asks other VMs again.
-    pub(crate) const REST: Duration = Duration::from_millis(20);
+    /// Longest time that a claim waits at a holder, so that a grant can be spent when it arrives.
+    pub(crate) const CLAIM: Duration = Duration::from_millis(200);
+    /// Longest time that a claim waits at a holder whose rate will serve it.
+    pub(crate) const QUEUE: Duration = Duration::from_millis(50);
+    /// Time for which a holder remembers a grant of which tokens may come back: the longest time
+    /// that a request waits for an upstream.
+    pub(crate) const REFUND: Duration = Duration::from_secs(15);
 }
--- a/crates/ebonystand-core/src/lib.rs
+++ b/crates/ebonystand-core/src/lib.rs
@@ -6,7 +6,6 @@
 //! inputs; it returns typed outputs. The daemon turns sockets, timers and files into inputs.
 
 use {
-    ask_round::AskRound,
     backlog::{Backlog, Waiting},
     borrowed_lease::BorrowedLease,
     borrower::Borrower,
@@ -61,7 +60,6 @@
     upstream_group::UpstreamGroup,
     upstream_state::UpstreamState,
     vm_table::VmTable,
-    waiting_ask::WaitingAsk,
     withdrawal_proposals::WithdrawalProposals,
     xxhash_rust::xxh3::{Xxh3, xxh3_64, xxh3_64_with_seed},
 };
@@ -197,7 +195,6 @@
 mod allowance;
 mod append_outcome;
 mod ask_id;
-mod ask_round;
 mod backlog;
 mod body_hash;
 mod borrowed_lease;
@@ -353,7 +350,6 @@
 mod vm_state;
 mod vm_status;
 mod vm_table;
-mod waiting_ask;
 mod withdrawal;
 mod withdrawal_proposals;
 mod withdrawal_status;
--- a/crates/ebonystand-core/src/open_ask.rs
+++ b/crates/ebonystand-core/src/open_ask.rs
@@ -4,7 +4,7 @@
 #[derive(Debug)]
 pub(crate) struct OpenAsk {
     pub(crate) asked_at: Duration,
-    /// Until when requests wait for the answer; an ask for stock has none wait.
+    /// Until when claims wait for the answer; an ask for stock has none wait.
     pub(crate) awaited_until: Duration,
     pub(crate) sequence: u64,
     pub(crate) to: VmId,
--- a/crates/ebonystand-core/src/token_bucket.rs
+++ b/crates/ebonystand-core/src/token_bucket.rs
@@ -5,6 +5,8 @@
 pub(crate) struct TokenBucket {
     at: Duration,
     level: MicroTokens,
+    /// Tokens that were granted and may still be spent; they keep their place.
+    locked: MicroTokens,
     part: AllowancePart,
     slack: SlackHistory,
 }
@@ -15,6 +17,7 @@
         Self {
             at: now,
             level: 0,
+            locked: 0,
             part: AllowancePart::ZERO,
             slack: SlackHistory::new(mark),
         }
@@ -30,6 +33,39 @@
         self.set_level(self.level.saturating_add(gained));
     }
 
+    /// Takes tokens for a grant that may be spent later.
+    pub(crate) fn lock(&mut self, tokens: MicroTokens) {
+        self.level = self.level.saturating_sub(tokens);
+        self.locked = self.locked.saturating_add(tokens);
+    }
+
+    /// Gives up the place of a grant's tokens, which can be spent no more.
+    pub(crate) fn unlock(&mut self, now: Duration, mark: u64, tokens: MicroTokens) {
+        self.settle_time(now);
+        self.locked = self.locked.saturating_sub(tokens);
+        self.slack.reserve(mark, self.room());
+    }
+
+    /// Takes back tokens of a grant that will not be spent.
+    pub(crate) fn take_unspent(&mut self, now: Duration, tokens: MicroTokens) {
+        self.advance(now);
+        self.locked = self.locked.saturating_sub(tokens);
+        self.set_level(self.level.saturating_add(tokens));
+    }
+
+    /// Tokens that can come in before it is full.
+    pub(crate) fn room(&self) -> MicroTokens {
+        self.part
+            .capacity
+            .saturating_sub(self.locked)
+            .saturating_sub(self.level)
+    }
+
+    /// Tokens that were granted and may still be spent.
+    pub(crate) fn locked(&self) -> MicroTokens {
+        self.locked
+    }
+
     /// Tokens held when last advanced.
     pub(crate) fn level(&self) -> MicroTokens {
         self.level
@@ -59,7 +95,7 @@
             return false;
         };
         self.level = rest;
-        self.slack.reserve(mark, self.part.capacity - rest);
+        self.slack.reserve(mark, self.room());
         true
     }
 
@@ -79,8 +115,8 @@
     }
 
     fn set_level(&mut self, level: MicroTokens) {
-        self.level = level.min(self.part.capacity);
-        self.slack.observe(self.part.capacity - self.level);
+        self.level = level.min(self.part.capacity.saturating_sub(self.locked));
+        self.slack.observe(self.room());
     }
 
     /// Ends the time that counts at the present rate.
--- a/crates/ebonystand-core/tests/allowance/fleet.rs
+++ b/crates/ebonystand-core/tests/allowance/fleet.rs
@@ -40,12 +40,16 @@
     pub bytes: BTreeMap<VmId, usize>,
     pub cut: BTreeSet<(VmId, VmId)>,
     pub document: Document,
+    /// One-way delay between regions.
+    far: Duration,
     /// VMs that have not adopted `document`, with when they do at the latest.
     lagging: BTreeMap<VmId, Duration>,
     flight: BTreeMap<(Duration, u64), (VmId, VmId, AllowanceMessage)>,
     pub nodes: BTreeMap<VmId, Node>,
     pub noise: Noise,
     pub now: Duration,
+    /// After this time a request is no longer waited for.
+    pub patience: Option<Duration>,
     pub requests: Vec<Request>,
     repairs: Vec<(Duration, Fault, VmId, VmId)>,
     pub rng: Option<Pcg64Mcg>,
@@ -69,8 +73,13 @@
 impl Fleet {
     /// Regions of `vms` VMs each, `vm-REGION-NUMBER`; the first of each holds the parts.
     pub fn new(document: &Document, vms: usize, seed: u64) -> Self {
+        let links = document
+            .regions
+            .values()
+            .flat_map(|region| region.links.values());
         let mut fleet = Self {
             document: document.clone(),
+            far: links.map(Link::delay).max().unwrap_or_default(),
             rng: Some(Pcg64Mcg::seed_from_u64(seed)),
             ..Self::default()
         };
@@ -334,12 +343,31 @@
         for (_, index, reservation) in ended {
             let used = self.requests[index].used;
             self.call(vm, |allowance, now| {
-                allowance.settle(now, &reservation, used)
+                allowance.settle(now, reservation, used)
             });
         }
+        self.give_up(vm);
         self.tick(vm);
     }
 
+    fn give_up(&mut self, vm: &str) {
+        let Some(patience) = self.patience else {
+            return;
+        };
+        let requests = &self.requests;
+        let now = self.now;
+        let node = self.nodes.get_mut(vm).expect("a VM of the fleet");
+        let late = |index: &usize| now >= requests[*index].arrived + patience;
+        let late = node.waiting.iter().filter(|(_, index)| late(index));
+        let late: Vec<TicketId> = late.map(|(ticket, _)| *ticket).collect();
+        for ticket in late {
+            let node = self.nodes.get_mut(vm).expect("a VM of the fleet");
+            if node.waiting.remove(&ticket).is_some() {
+                self.call(vm, |allowance, now| allowance.cancel(now, ticket));
+            }
+        }
+    }
+
     fn tick(&mut self, vm: &str) {
         self.call(vm, |allowance, now| match allowance.deadline() {
             Some(at) if at <= now => allowance.tick(now),
@@ -384,10 +412,11 @@
         let Some(home) = region(from).zip(region(to)) else {
             return;
         };
-        let delay = if home.0 == home.1 { 1 } else { 30 };
+        let near = Duration::from_millis(1);
+        let delay = if home.0 == home.1 { near } else { self.far };
         for copy in 0..1 + doubled + noise {
             let jitter = self.draw(self.noise.jitter_ms + 1) + late + copy * 40;
-            let at = self.now + Duration::from_millis(delay + jitter);
+            let at = self.now + delay + Duration::from_millis(jitter);
             let packet = (from.into(), to.clone(), message.clone());
             self.flight.insert((at, self.sequence), packet);
             self.sequence += 1;
--- a/crates/ebonystand-core/tests/allowance/lease.rs
+++ b/crates/ebonystand-core/tests/allowance/lease.rs
@@ -43,8 +43,8 @@
 #[test]
 fn a_refund_does_not_exceed_what_a_full_bucket_holds() {
     let mut fleet = small_fleet(100, 300);
-    take(&mut fleet, "vm-a-0", 290, 0, Duration::from_millis(3_900));
-    fleet.run(seconds(3));
+    take(&mut fleet, "vm-a-0", 290, 0, Duration::from_millis(6_900));
+    fleet.run(seconds(6));
     take(&mut fleet, "vm-a-0", 290, 290, seconds(1));
     take(&mut fleet, "vm-a-0", 290, 290, seconds(1));
     assert!(fleet.requests[1].admitted.is_some());
@@ -166,24 +166,31 @@
 fn a_late_lease_ends_with_its_ask() {
     let document = document();
     let at = Duration::from_millis;
-    let start = |vm: &str| {
-        let mut allowance = Allowance::new(vm.into(), 1, "a".into(), at(0));
+    let start = |region: &str| {
+        let vm = format!("vm-{region}-0");
+        let mut allowance = Allowance::new(vm.into(), 1, region.into(), at(0));
         allowance.configure(at(0), &document);
         allowance
     };
-    let (mut holder, mut borrower) = (start("vm-a-0"), start("vm-a-1"));
+    let (mut holder, mut borrower) = (start("a"), start("b"));
     (1..5).for_each(|second| drop((holder.tick(seconds(second)), borrower.tick(seconds(second)))));
-    let waits = borrower.admit(at(5_000), "w", 90);
+    let own = borrower.admit(at(5_000), "w", 660);
+    assert!(matches!(own, Admission::Granted(_)));
+    let waits = borrower.admit(at(5_000), "w", 700);
     assert!(matches!(waits, Admission::Waiting(_)));
-    let sent = |outputs: Vec<AllowanceOutput>| match outputs.into_iter().next() {
-        Some(AllowanceOutput::Send { message, .. }) => message,
-        other => panic!("{other:?}"),
+    let sent = |outputs: Vec<AllowanceOutput>| {
+        let to_other = outputs.into_iter().find_map(|output| match output {
+            AllowanceOutput::Send { message, to } if *to != *"vm-c-0" => Some(message),
+            _ => None,
+        });
+        to_other.expect("a message between the two")
     };
     let ask = sent(borrower.tick(at(5_000)));
-    let lend = sent(holder.receive(at(5_001), &"vm-a-1".into(), ask));
+    let lend = sent(holder.receive(at(5_001), &"vm-b-0".into(), ask));
     let end = at(5_000) + LeaseTerms::LENGTH;
+    let own = borrower.status()[0].held;
     borrower.receive(end - at(10), &"vm-a-0".into(), lend);
-    assert!(borrower.status()[0].held.rate > 0);
-    let late = borrower.admit(end + at(10), "w", 1);
-    assert!(matches!(late, Admission::Waiting(_)));
+    assert!(borrower.status()[0].held.rate > own.rate);
+    borrower.admit(end + at(10), "w", 1);
+    assert_eq!(borrower.status()[0].held, own);
 }
--- a/crates/ebonystand-core/tests/allowance/main.rs
+++ b/crates/ebonystand-core/tests/allowance/main.rs
@@ -19,6 +19,7 @@
 
 mod demand;
 mod fleet;
+mod hot;
 mod lease;
 mod matrix;
 mod observer;
--- a/crates/ebonystand-core/tests/allowance/matrix.rs
+++ b/crates/ebonystand-core/tests/allowance/matrix.rs
@@ -24,9 +24,12 @@
 pub enum Step {
     Any,
     Ask,
+    Claim,
     Configure,
+    Grant,
     Lend,
     Recall,
+    Refund,
     Renew,
     Renewed,
     Return,
@@ -37,6 +40,9 @@
     pub fn of(action: &AllowanceAction) -> Self {
         match action {
             AllowanceAction::Ask { .. } => Self::Ask,
+            AllowanceAction::Claim { .. } => Self::Claim,
+            AllowanceAction::Grant { .. } => Self::Grant,
+            AllowanceAction::Refund { .. } => Self::Refund,
             AllowanceAction::Lend { .. } => Self::Lend,
             AllowanceAction::Recall { .. } => Self::Recall,
             AllowanceAction::Renew { .. } => Self::Renew,
@@ -65,9 +71,12 @@
 fn a_fault_at_a_step(
     #[values(
         Step::Ask,
+        Step::Claim,
         Step::Configure,
+        Step::Grant,
         Step::Lend,
         Step::Recall,
+        Step::Refund,
         Step::Renew,
         Step::Renewed,
         Step::Return,
--- a/crates/ebonystand/src/allowance_controller.rs
+++ b/crates/ebonystand/src/allowance_controller.rs
@@ -188,7 +188,7 @@
             .allowance
             .allowance
             .borrow_mut()
-            .settle(now, &reservation, used);
+            .settle(now, reservation, used);
         node.allowance.changed.notify_one();
         AllowanceController::take(node, outputs);
     }
