Let a thawed holder use its part once its configuration is confirmed

A holder that had been frozen for over 3 s left its part unused for 9 s, since a configuration that it missed may have given the part away.

The daemon already asks the leader again and again whether its copy of the configuration is the newest. An answer to a question that was asked after the thaw shows that nothing was missed: the part is used from then on. One that was asked before the thaw counts for nothing, and the 9 s stay where no answer comes.

Test: a_thawed_holder_uses_its_part_once_the_configuration_is_confirmed; in the fleet's other tests VMs are now confirmed every 500 ms, so that the window tests cover it.

--- a/crates/ebonystand-core/src/allowance/state.rs
+++ b/crates/ebonystand-core/src/allowance/state.rs
@@ -19,9 +19,12 @@
     pub(crate) ready: Duration,
     /// When it was last called.
     pub(crate) seen: Duration,
+    started: Duration,
     /// Workspaces that were removed, with when a new one of that name starts afresh.
     pub(crate) removed: FxHashMap<WorkspaceId, Duration>,
     pub(crate) shares: FxHashMap<WorkspaceId, AllowanceShare>,
+    /// When it was noticed that the VM had been frozen, until the configuration is confirmed.
+    thawed: Option<Duration>,
     pub(crate) timers: BTreeSet<(Duration, WorkspaceId)>,
     pub(crate) version: Option<Version>,
 }
@@ -40,8 +43,10 @@
             plans: FxHashMap::default(),
             ready: now + LeaseTerms::HOLD,
             seen: now,
+            started: now,
             removed: FxHashMap::default(),
             shares: FxHashMap::default(),
+            thawed: None,
             timers: BTreeSet::new(),
             version: None,
         }
@@ -76,6 +81,21 @@
         self.cx.take_outputs()
     }
 
+    /// Notes that the configuration held here was the newest at `asked`. A VM that was frozen before
+    /// has missed nothing then, and uses its parts again.
+    pub fn confirm(&mut self, now: Duration, asked: Duration) -> Vec<AllowanceOutput> {
+        self.notice(now);
+        if self.thawed.take_if(|thawed| *thawed <= asked).is_none() {
+            return Vec::new();
+        }
+        self.ready = self.ready.min(now.max(self.started + LeaseTerms::HOLD));
+        let shares: Vec<WorkspaceId> = self.shares.keys().cloned().collect();
+        for workspace in shares {
+            self.tick_share(now, &workspace);
+        }
+        self.cx.take_outputs()
+    }
+
     /// When [`Self::tick`] has something to do.
     #[must_use]
     pub fn deadline(&self) -> Option<Duration> {
@@ -172,6 +192,7 @@
             return;
         }
         self.ready = self.ready.max(now + LeaseTerms::THAW);
+        self.thawed = Some(now);
         for share in self.shares.values_mut() {
             share.expire(now, &mut self.cx);
             let bucket = &mut share.bucket;
--- a/crates/ebonystand-core/tests/allowance/fleet.rs
+++ b/crates/ebonystand-core/tests/allowance/fleet.rs
@@ -21,6 +21,7 @@
     ppm: i64,
     region: RegionId,
     running: Vec<(Duration, usize, Reservation)>,
+    version: u64,
     waiting: BTreeMap<TicketId, usize>,
 }
 
@@ -101,6 +102,7 @@
             ppm: self.draw(1_001) as i64 - 500,
             region: region.clone(),
             running: Vec::new(),
+            version: 0,
             waiting: BTreeMap::new(),
         };
         self.nodes.insert(vm.clone(), node);
@@ -154,6 +156,7 @@
 
     pub fn configure(&mut self, vm: &str, document: &Document) {
         self.hit(Step::Configure, vm, vm);
+        self.nodes.get_mut(vm).expect("a VM of the fleet").version = document.version;
         self.call(vm, |allowance, now| allowance.configure(now, document));
     }
 
@@ -185,6 +188,7 @@
         let mut allowance = Allowance::new(vm.into(), node.incarnation, region, local);
         allowance.configure(local, &self.document);
         node.allowance = Some(allowance);
+        node.version = self.document.version;
     }
 
     pub fn cut(&mut self, from: &str, to: &str) {
@@ -347,9 +351,18 @@
             });
         }
         self.give_up(vm);
+        self.confirm(vm);
         self.tick(vm);
     }
 
+    /// The leader tells a VM that its configuration is the newest, if it is.
+    fn confirm(&mut self, vm: &str) {
+        let is_due = self.now.as_millis().is_multiple_of(500);
+        if is_due && self.nodes[vm].version == self.document.version {
+            self.call(vm, |allowance, now| allowance.confirm(now, now));
+        }
+    }
+
     fn give_up(&mut self, vm: &str) {
         let Some(patience) = self.patience else {
             return;
--- a/crates/ebonystand-core/tests/allowance/lease.rs
+++ b/crates/ebonystand-core/tests/allowance/lease.rs
@@ -145,6 +145,23 @@
     );
 }
 
+/// A holder was frozen, and no configuration was made meanwhile. Were its part left unused for longer
+/// than it takes to learn that, a third of the rate would be missing.
+#[test]
+fn a_thawed_holder_uses_its_part_once_the_configuration_is_confirmed() {
+    let mut fleet = small_fleet(300, 300);
+    fleet.freeze("vm-a-0", true);
+    fleet.run(seconds(4));
+    fleet.freeze("vm-a-0", false);
+    fleet.run(seconds(2));
+    take(&mut fleet, "vm-a-0", 290, 290, seconds(1));
+    assert!(fleet.requests[0].admitted.is_some());
+    assert_eq!(
+        check_windows(&fleet.requests, "w", &[bound(300, 300)]),
+        Ok(())
+    );
+}
+
 /// A holder spends its part and is left alone until its state is dropped. Its part must come back
 /// as empty as it was, filled by no more than the time since.
 #[test]
--- a/crates/ebonystand/src/allowance_controller.rs
+++ b/crates/ebonystand/src/allowance_controller.rs
@@ -53,6 +53,13 @@
         answer.map_err(|retry_after| Self::refusal(node, workspace, retry_after))
     }
 
+    /// Notes that the configuration held here was the newest at `asked`.
+    pub(crate) fn confirm(node: &Rc<Node>, asked: Duration) {
+        let now = node.clock.now();
+        let outputs = node.allowance.allowance.borrow_mut().confirm(now, asked);
+        Self::take(node, outputs);
+    }
+
     pub(crate) fn configure(node: &Rc<Node>, now: Duration, document: &Document) {
         let this = &node.allowance;
         let outputs = this.allowance.borrow_mut().configure(now, document);
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -1,5 +1,6 @@
 use super::*;
 use {
+    allowance_controller::AllowanceController,
     ebonystand_core::{
         AttemptEnd, Confirmation, Place, Preset, RegionVm, RelayPlan, RetryBudget, Retryable,
         RouteTable, UpstreamBook, VmEntry,
@@ -128,7 +129,7 @@
     /// Takes an answer to a question whether the configuration is the newest.
     pub(crate) fn confirm(
         &self,
-        node: &Node,
+        node: &Rc<Node>,
         from: &VmId,
         asked: Duration,
         leading: bool,
@@ -144,6 +145,9 @@
         }
         let own = node.document().version;
         self.confirmation.borrow_mut().answered(asked, version, own);
+        if own >= version {
+            AllowanceController::confirm(node, asked);
+        }
     }
 
     /// A random number.
