Put a claim that is not answered soon to the other holders too

A claim that the own holder has not answered within 40 ms goes to the others at the same time, and a holder that must leave its part unused says so at once. Only the holder that is asked first counts the request among its region's demand and gathers for it: with each of them doing so, requests for nearly the whole burst were never served, since each took the tokens from the rest.

Test: requests_go_to_the_other_holders_while_one_is_frozen_or_rests.

--- a/crates/ebonystand-core/src/allowance/allowance_fleet.rs
+++ b/crates/ebonystand-core/src/allowance/allowance_fleet.rs
@@ -61,11 +61,10 @@
                 continue;
             };
             let region = &self.regions[place].0;
-            let answer = LeaseTerms::ANSWER + LeaseTerms::CLAIM;
             if *region == self.region {
-                route.own = Some((holder.clone(), answer));
+                route.own = Some((holder.clone(), LeaseTerms::HEDGE));
             } else {
-                let answer = answer + self.delay(region) * 2;
+                let answer = LeaseTerms::ANSWER + LeaseTerms::CLAIM + self.delay(region) * 2;
                 route.others.push((holder.clone(), answer));
             }
         }
--- a/crates/ebonystand-core/src/allowance/allowance_lender.rs
+++ b/crates/ebonystand-core/src/allowance/allowance_lender.rs
@@ -29,6 +29,11 @@
         self.rebase(now, bucket);
     }
 
+    /// Whether the own part is not to be used.
+    pub(crate) fn is_resting(&self) -> bool {
+        self.part == AllowancePart::ZERO
+    }
+
     /// Part lent to others.
     pub(crate) fn lent_total(&self) -> AllowancePart {
         self.lent_total
--- a/crates/ebonystand-core/src/allowance/allowance_share.rs
+++ b/crates/ebonystand-core/src/allowance/allowance_share.rs
@@ -119,7 +119,7 @@
         match reservation.grant {
             Some(grant) => {
                 let tokens = unused;
-                self.refund(now, HeldGrant { tokens, ..grant }, cx);
+                self.refund(now, &HeldGrant { tokens, ..grant }, cx);
             }
             None => self.bucket.refund(now, reservation.mark, unused),
         }
--- a/crates/ebonystand-core/src/allowance/allowance_share_claim.rs
+++ b/crates/ebonystand-core/src/allowance/allowance_share_claim.rs
@@ -19,13 +19,11 @@
             let retry_after = Duration::MAX;
             return Admission::Refused { retry_after };
         }
-        if self.is_holder(cx) {
-            self.demand.add(now, need);
-            self.ask_for_stock(now, cx);
-        }
         if self.claims.is_empty()
             && let Some(reservation) = self.reserve(tokens, cx)
         {
+            self.demand.add(now, need);
+            self.ask_for_stock(now, cx);
             return Admission::Granted(reservation);
         }
         let id = TicketId(cx.next());
@@ -83,10 +81,10 @@
             Some(_) if grant.tokens > 0 && now < until => self.admit_ticket(id, grant, cx),
             Some(ticket) => {
                 ticket.retry_after = ticket.retry_after.min(retry_after);
-                self.refund(now, grant, cx);
+                self.refund(now, &grant, cx);
                 self.pursue_ticket(now, id, cx);
             }
-            None => self.refund(now, grant, cx),
+            None => self.refund(now, &grant, cx),
         }
     }
 
@@ -108,7 +106,7 @@
     }
 
     /// Gives tokens back to the holder that granted them.
-    pub(crate) fn refund(&mut self, now: Duration, unspent: HeldGrant, cx: &mut AllowanceCx) {
+    pub(crate) fn refund(&mut self, now: Duration, unspent: &HeldGrant, cx: &mut AllowanceCx) {
         if unspent.tokens == 0 {
             return;
         }
@@ -143,6 +141,11 @@
         } else if ticket.round == ClaimRound::Own {
             ticket.round = ClaimRound::All;
             let need = ticket.need();
+            let own = self
+                .open_claims
+                .iter_mut()
+                .filter(|claim| claim.ticket == id);
+            own.for_each(|claim| claim.awaited_until = claim.answered_by());
             self.claim(now, id, self.route.others.clone(), need, cx);
         } else {
             self.refuse_ticket(id, cx);
@@ -224,17 +227,24 @@
                 to: holder.clone(),
             });
         }
+        let first = self.first_holder().cloned();
         for (holder, _) in to {
             if holder == cx.vm {
-                self.take_claim(now, claim, holder, false, need, cx);
+                self.take_claim(now, claim, holder, true, need, cx);
                 continue;
             }
-            let first = self.own_holder().is_none_or(|own| *own == holder);
+            let first = first.as_ref() == Some(&holder);
             let action = AllowanceAction::Claim { claim, first, need };
             cx.send(&holder, &self.workspace, action);
         }
     }
 
+    /// The holder that is to count a request among the demand of its region.
+    fn first_holder(&self) -> Option<&VmId> {
+        let own = self.own_holder().filter(|_| !self.own_is_silent);
+        own.or_else(|| self.route.others.first().map(|(holder, _)| holder))
+    }
+
     /// Notes that the holder of the own region has left a claim unanswered: what comes next is claimed
     /// from the others at the same time.
     fn note_silence(&mut self, now: Duration) {
@@ -242,6 +252,6 @@
         self.own_is_silent |= self
             .open_claims
             .iter()
-            .any(|claim| Some(&claim.to) == own && claim.awaited_until <= now);
+            .any(|claim| Some(&claim.to) == own && claim.answered_by() <= now);
     }
 }
--- a/crates/ebonystand-core/src/allowance/allowance_share_grant.rs
+++ b/crates/ebonystand-core/src/allowance/allowance_share_grant.rs
@@ -4,7 +4,8 @@
 
 impl AllowanceShare {
     /// Takes a claim. It is answered once there is enough, or as soon as it is known that there will not
-    /// be within [`LeaseTerms::QUEUE`].
+    /// be within [`LeaseTerms::QUEUE`]. A holder that must leave its part unused answers at once: those of the
+    /// other regions can be asked.
     pub(crate) fn take_claim(
         &mut self,
         now: Duration,
@@ -19,9 +20,18 @@
             self.demand.add(now, need);
         }
         let rate = self.bucket.part().rate;
+        let is_large = first && time_for(need, rate) > LeaseTerms::QUEUE;
+        let rounds = if is_large { 2 } else { 0 };
+        if self.lender.is_resting() {
+            let claim = WaitingClaim::new(now, claim, from, first, need, rounds);
+            self.answer_claim(now, &claim, 0, 0, Duration::MAX, cx);
+            return;
+        }
         self.claims
-            .push_back(WaitingClaim::new(now, claim, from, need, rate));
-        self.ask_for_stock(now, cx);
+            .push_back(WaitingClaim::new(now, claim, from, first, need, rounds));
+        if first {
+            self.ask_for_stock(now, cx);
+        }
         self.serve_claims(now, cx);
     }
 
@@ -74,7 +84,8 @@
 
     /// Asks the other holders for what the claims lack, and calls back what they have of the own part.
     fn gather(&mut self, now: Duration, cx: &mut AllowanceCx) {
-        let need: MicroTokens = self.claims.iter().map(|claim| claim.need).sum();
+        let first = self.claims.iter().filter(|claim| claim.first);
+        let need: MicroTokens = first.map(|claim| claim.need).sum();
         let lacks = need.saturating_sub(self.bucket.level());
         let served_by_rate = time_for(lacks, self.bucket.part().rate) <= LeaseTerms::QUEUE;
         if served_by_rate || now < self.gather_after || self.is_gathering(now) {
--- a/crates/ebonystand-core/src/allowance/open_claim.rs
+++ b/crates/ebonystand-core/src/allowance/open_claim.rs
@@ -9,3 +9,10 @@
     pub(crate) ticket: TicketId,
     pub(crate) to: VmId,
 }
+
+impl OpenClaim {
+    /// When a holder of the own region that runs has answered.
+    pub(crate) fn answered_by(&self) -> Duration {
+        self.asked_at + LeaseTerms::ANSWER + LeaseTerms::CLAIM
+    }
+}
--- a/crates/ebonystand-core/src/allowance/waiting_claim.rs
+++ b/crates/ebonystand-core/src/allowance/waiting_claim.rs
@@ -6,6 +6,9 @@
     pub(crate) claim: AskId,
     /// When it is answered at the latest.
     pub(crate) deadline: Duration,
+    /// Whether this holder is the first that was asked. The others do not gather for it: each would take
+    /// the tokens away from the rest.
+    pub(crate) first: bool,
     pub(crate) from: VmId,
     /// How often it may still wait for the other holders.
     pub(crate) rounds: u8,
@@ -15,22 +18,23 @@
 }
 
 impl WaitingClaim {
-    /// Claim at a holder whose rate is `rate` a second. One that this would take long to serve waits for
-    /// the other holders, twice: the first time they call back what they have lent to one another.
+    /// Claim that may wait for the other holders in so many rounds: in the first one they call back what
+    /// they have lent to one another.
     pub(crate) fn new(
         now: Duration,
         claim: AskId,
         from: VmId,
+        first: bool,
         need: MicroTokens,
-        rate: MicroTokens,
+        rounds: u8,
     ) -> Self {
-        let is_large = time_for(need, rate) > LeaseTerms::QUEUE;
         Self {
             claim,
             deadline: now + LeaseTerms::CLAIM,
+            first,
             from,
             need,
-            rounds: if is_large { 2 } else { 0 },
+            rounds,
             waits_for_others: false,
         }
     }
--- a/crates/ebonystand-core/src/lease_terms.rs
+++ b/crates/ebonystand-core/src/lease_terms.rs
@@ -55,6 +55,8 @@
     pub(crate) const STOCK: Duration = Duration::from_millis(100);
     /// Time between two recalls of a workspace's leases.
     pub(crate) const RECALL: Duration = Duration::from_millis(50);
+    /// Time after which a claim that the holder of the own region has not answered is put to the others too.
+    pub(crate) const HEDGE: Duration = Duration::from_millis(40);
     /// Longest time that a claim waits at a holder, so that a grant can be spent when it arrives.
     pub(crate) const CLAIM: Duration = Duration::from_millis(200);
     /// Longest time that a claim waits at a holder whose rate will serve it.
--- a/crates/ebonystand-core/tests/allowance/lease.rs
+++ b/crates/ebonystand-core/tests/allowance/lease.rs
@@ -162,6 +162,24 @@
     );
 }
 
+/// Guards against refusals while the holder of a region is frozen, and while it leaves its part unused
+/// afterwards: most of the rate lies with the other holders.
+#[test]
+fn requests_go_to_the_other_holders_while_one_is_frozen_or_rests() {
+    let mut fleet = small_fleet(3_000, 3_000);
+    fleet.patience = Some(Duration::from_millis(250));
+    fleet.freeze("vm-a-0", true);
+    steady(&mut fleet, 5, seconds(4));
+    let document = fleet.document.clone();
+    fleet.publish(moved_holder(&document));
+    fleet.freeze("vm-a-0", false);
+    steady(&mut fleet, 5, seconds(2));
+    fleet.run(seconds(1));
+    let refused = fleet.requests.iter().filter(|r| r.admitted.is_none());
+    let refused: Vec<Duration> = refused.map(|request| request.arrived).collect();
+    assert_eq!(refused, []);
+}
+
 /// A holder spends its part and is left alone until its state is dropped. Its part must come back
 /// as empty as it was, filled by no more than the time since.
 #[test]
