--- a/crates/ebonystand-core/src/allowance/state.rs
+++ b/crates/ebonystand-core/src/allowance/state.rs
@@ -6,7 +6,7 @@
 /// most burst + rate × T. A share is a rate, a capacity and tokens; shares of a workspace add up
 /// to no more than its rate and burst, and tokens to no more than capacity. The configuration
 /// divides the whole over the holders of the regions; holders lend parts of theirs to the VMs that
-/// have the traffic. See `docs/decisions/allowance.md`.
+/// have the traffic. See `docs/design/allowance.md`.
 ///
 /// After each call, do what [`Self::tick`] returns no later than [`Self::deadline`] says; a
 /// message that [`Self::admit`] gave rise to waits there too.
