--- a/crates/ebonystand/src/gateway/serve_call.rs
+++ b/crates/ebonystand/src/gateway/serve_call.rs
@@ -62,6 +62,7 @@
     let head = node.gateway.dialect.read(req)?;
     let request = head.request.clone();
     let host = head.host.clone();
+    let key = head.key;
     let mut unanswered = Unanswered {
         node,
         request: &request,
@@ -75,8 +76,10 @@
     served.inspect_err(|refusal| {
         let table = node.gateway.table();
         let route = table.find(&host, req.path()).map_or("none", |route| &route.name);
+        let workspace = key.as_ref().and_then(|key| table.workspace(key));
+        let workspace = workspace.map_or("none", |workspace| &workspace.name);
         log::info!(
-            request:% = request, route:% = route, code:% = refusal.code, run:% = refusal.run, reason:% = refusal.message,
+            request:% = request, route:% = route, workspace:% = workspace, code:% = refusal.code, run:% = refusal.run, reason:% = refusal.message,
             retry_after_ms = refusal.retry_after.unwrap_or_default().as_millis() as u64;
             "refused"
         );
