Bound what waits for a link to another VM in bytes

At 300 VMs one entry VM, a relay, held 257 MB (the mean is 8.5; a VM of the large site has 160) and filled its link: up to 1,024 messages waited for each link whatever their size, most of them states of the load that the next one had overtaken, and up to 8 MB of them were written at once, so that a lease waited for seconds behind them.

What waits for a link is bounded by 256 KB of short messages and 1 MB of long ones (copies of the configuration, lists, caches of other regions). A newer state of the load takes the place of the one that waits, with the news of both on caches; short messages pass long ones, and 64 KB are written at once. The forms of frames are numbered anew, since the messages of this build differ from the last one's.

Tests: send_queue.rs; frames of the last build are refused by their form.

--- a/crates/ebonystand-core/src/load_exchange/load_message.rs
+++ b/crates/ebonystand-core/src/load_exchange/load_message.rs
@@ -36,6 +36,53 @@
 }
 
 impl LoadMessage {
+    /// Bytes of an upstream's load, and of a word on what an engine keeps, as they are encoded at most.
+    const ENTRY_BYTES: usize = 16;
+    /// Bytes of the rest, without what other regions told.
+    const REST_BYTES: usize = 16;
+    /// Bytes of what another region told of a service.
+    const PRESSURE_BYTES: usize = 64;
+
+    /// The newer state in the place of `older`, which was not sent: news of both on what engines keep.
+    #[must_use]
+    pub fn after(mut self, mut older: Self) -> Self {
+        let (mut news, _) = older.take_cached();
+        let cached = self.cached_mut();
+        news.append(cached);
+        let beyond = news.len().saturating_sub(CacheDirectory::MOST);
+        news.drain(..beyond);
+        *cached = news;
+        self
+    }
+
+    /// Bytes that it is encoded in at most.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        let (cached, pressures, under_way) = match self {
+            Self::Group { cached, under_way }
+            | Self::Report {
+                cached, under_way, ..
+            } => (cached.len(), 0, under_way.len()),
+            Self::Region {
+                cached,
+                pressures,
+                under_way,
+                ..
+            } => (cached.len(), pressures.len(), under_way.len()),
+        };
+        Self::REST_BYTES
+            + (cached + under_way) * Self::ENTRY_BYTES
+            + pressures * Self::PRESSURE_BYTES
+    }
+
+    fn cached_mut(&mut self) -> &mut Vec<CachedPrefix> {
+        match self {
+            Self::Group { cached, .. }
+            | Self::Region { cached, .. }
+            | Self::Report { cached, .. } => cached,
+        }
+    }
+
     /// Takes out what engines keep, with which VMs know of it.
     pub(crate) fn take_cached(&mut self) -> (Vec<CachedPrefix>, CacheNews) {
         let (cached, news) = match self {
--- a/crates/ebonystand-wire/src/lib.rs
+++ b/crates/ebonystand-wire/src/lib.rs
@@ -16,7 +16,10 @@
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     sha2::Sha256,
     snafu::Snafu,
-    std::{collections::BTreeSet, net::SocketAddr},
+    std::{
+        collections::{BTreeSet, VecDeque},
+        net::SocketAddr,
+    },
 };
 
 use payload::Payload;
@@ -24,6 +27,7 @@
 pub use {
     error::Error, forwarded::Forwarded, frame_reader::FrameReader, frame_writer::FrameWriter,
     hello::Hello, nonce::Nonce, peer_message::PeerMessage, proposed::Proposed, secret::Secret,
+    send_queue::SendQueue,
 };
 
 mod error;
@@ -36,6 +40,7 @@
 mod peer_message;
 mod proposed;
 mod secret;
+mod send_queue;
 
 /// Result of coding or checking a message.
 pub type Result<T = (), E = Error> = std::result::Result<T, E>;
--- a/crates/ebonystand-wire/src/payload.rs
+++ b/crates/ebonystand-wire/src/payload.rs
@@ -11,12 +11,12 @@
 pub(crate) struct Payload;
 
 impl Payload {
-    const COMPRESSED: u8 = 3;
+    const COMPRESSED: u8 = 5;
     /// Messages of fewer bytes are not worth the work.
     const COMPRESSED_FROM: usize = 256;
     /// Bytes that name the form.
     pub(crate) const FORM: usize = 1;
-    const PLAIN: u8 = 2;
+    const PLAIN: u8 = 4;
 
     pub(crate) fn decode(payload: &[u8]) -> Result<PeerMessage> {
         match payload {
--- a/crates/ebonystand-wire/src/peer_message.rs
+++ b/crates/ebonystand-wire/src/peer_message.rs
@@ -70,3 +70,35 @@
         message: ReplicaMessage,
     },
 }
+
+impl PeerMessage {
+    /// Bytes taken for a message that cannot be encoded; it is refused when it is sent.
+    const UNKNOWN: usize = 1_024;
+
+    /// Bytes before compression. Those of the most frequent message are estimated: to encode it twice would
+    /// cost more than is gained.
+    pub(crate) fn bytes(&self) -> usize {
+        match self {
+            Self::Load(load) => load.bytes(),
+            other => postcard::experimental::serialized_size(other).unwrap_or(Self::UNKNOWN),
+        }
+    }
+
+    /// Whether it may wait for others: it grows with the configuration or the upstreams.
+    pub(crate) fn is_long(&self) -> bool {
+        matches!(
+            self,
+            Self::Cached(_)
+                | Self::Feed(_)
+                | Self::Listed {
+                    upstreams: Some(_),
+                    ..
+                }
+        )
+    }
+
+    /// Whether it tells an older state of the same load.
+    pub(crate) fn is_load_like(&self, load: &LoadMessage) -> bool {
+        matches!(self, Self::Load(older) if std::mem::discriminant(older) == std::mem::discriminant(load))
+    }
+}
--- a/crates/ebonystand-wire/tests/frames.rs
+++ b/crates/ebonystand-wire/tests/frames.rs
@@ -95,6 +95,8 @@
 #[rstest]
 #[case(0)]
 #[case(1)]
+#[case(2)]
+#[case(3)]
 fn a_frame_of_an_earlier_build_is_refused_by_its_form(#[case] form: u8) {
     let payload = [form, 6];
     let mac = Hmac::<Sha256>::new_from_slice(SECRET).expect("a secret");
--- /dev/null
+++ b/crates/ebonystand-wire/tests/send_queue.rs
@@ -0,0 +1,87 @@
+//! Messages that wait for a link to another VM.
+
+use {
+    ebonystand_core::{
+        CachedPrefix, FeedMessage, LoadMessage, UnderWay, UpstreamKey, UpstreamLoads,
+    },
+    ebonystand_wire::{PeerMessage, SendQueue},
+};
+
+/// Loads of a region with many upstreams, all with so many requests.
+fn loads(requests: u32) -> UpstreamLoads {
+    let load = UnderWay {
+        requests,
+        unread: 10_000,
+    };
+    (0..300)
+        .map(|number| (UpstreamKey::from(format!("i-{number}").as_str()), load))
+        .collect()
+}
+
+fn region(included: u32, cached: Vec<CachedPrefix>) -> PeerMessage {
+    PeerMessage::Load(LoadMessage::Region {
+        cached,
+        included,
+        pressures: Vec::new(),
+        under_way: loads(included),
+    })
+}
+
+fn word(number: u64) -> CachedPrefix {
+    CachedPrefix {
+        homes: None,
+        instance: "i-1".into(),
+        prefix: number,
+    }
+}
+
+/// Guards against a relay on a full link that keeps seconds of states of the load in memory, each overtaken by the
+/// next, until its VM has no memory left.
+#[test]
+fn a_newer_state_of_the_load_takes_the_place_of_one_that_waits() {
+    let mut queue = SendQueue::default();
+    for number in 0..1_000 {
+        assert!(queue.push(region(number, vec![word(u64::from(number))])));
+    }
+    assert_eq!(queue.len(), 1);
+    assert!(queue.bytes() <= SendQueue::SHORT_BYTES);
+    let Some(PeerMessage::Load(LoadMessage::Region {
+        cached, included, ..
+    })) = queue.pop()
+    else {
+        panic!("a state of the load");
+    };
+    assert_eq!(included, 999);
+    let words: Vec<u64> = cached.iter().map(|word| word.prefix).collect();
+    assert_eq!(words, (0..1_000).collect::<Vec<u64>>());
+    assert!(queue.is_empty());
+    assert_eq!(queue.bytes(), 0);
+}
+
+/// Guards against a lease or a heartbeat that waits behind the copy of a large configuration.
+#[test]
+fn a_short_message_does_not_wait_behind_long_ones() {
+    let mut queue = SendQueue::default();
+    for after in 0..3 {
+        queue.push(PeerMessage::Feed(Box::new(FeedMessage::Pull { after })));
+    }
+    queue.push(PeerMessage::Confirm { asked_us: 1 });
+    assert_eq!(queue.pop(), Some(PeerMessage::Confirm { asked_us: 1 }));
+    let first = PeerMessage::Feed(Box::new(FeedMessage::Pull { after: 0 }));
+    assert_eq!(queue.pop(), Some(first));
+}
+
+/// Guards against a queue that grows without end while a VM takes nothing.
+#[test]
+fn what_waits_is_bounded_in_bytes() {
+    let mut queue = SendQueue::default();
+    let cached = || PeerMessage::Cached((0..1_000).map(word).collect());
+    let long = (0..10_000).filter(|_| queue.push(cached())).count();
+    let short = (0..100_000)
+        .filter(|_| queue.push(PeerMessage::Confirm { asked_us: u64::MAX }))
+        .count();
+    assert!(long > 10 && short > 1_000, "{long}, {short}");
+    assert!(queue.bytes() <= SendQueue::LONG_BYTES + SendQueue::SHORT_BYTES);
+    queue.clear();
+    assert!(queue.is_empty());
+}
--- a/crates/ebonystand/src/peer_link.rs
+++ b/crates/ebonystand/src/peer_link.rs
@@ -1,8 +1,30 @@
-use super::*;
+use {super::*, ebonystand_wire::SendQueue, tokio::sync::Notify};
 
 /// Connection to one VM, carrying messages to it only.
 pub(crate) struct PeerLink {
-    tx: mpsc::Sender<PeerMessage>,
+    outbox: Rc<Outbox>,
+}
+
+/// What waits to be sent over a link.
+#[derive(Default)]
+struct Outbox {
+    closed: Cell<bool>,
+    pushed: Notify,
+    queue: RefCell<SendQueue>,
+}
+
+impl Outbox {
+    /// The next message; none once the link is given up.
+    async fn next(&self) -> Option<PeerMessage> {
+        while !self.closed.get() {
+            let message = self.queue.borrow_mut().pop();
+            if message.is_some() {
+                return message;
+            }
+            self.pushed.notified().await;
+        }
+        None
+    }
 }
 
 /// Why a connection ended.
@@ -25,42 +47,49 @@
     const QUIET_PING: Duration = Duration::from_secs(5);
     /// Time between two looks whether a ping is due.
     const PING_INTERVAL: Duration = Duration::from_millis(500);
-    const QUEUE: usize = 1_024;
+    /// Bytes that are written at once. More would let what is urgent wait behind them.
+    const WRITE: usize = 64 << 10;
     /// A connection whose other end has vanished swallows what is written to it for minutes.
     /// One that leaves a ping unanswered for this long is closed and opened anew.
     const SILENCE: Duration = Duration::from_secs(2);
 
     /// Whether it still takes messages.
     pub(crate) fn open(&self) -> bool {
-        !self.tx.is_closed()
+        !self.outbox.closed.get()
     }
 
     pub(crate) fn open_to(to: SocketAddr, hello: Hello, secret: Secret) -> Self {
-        let (tx, rx) = mpsc::channel(Self::QUEUE);
-        actix_rt::spawn(carry(to, hello, secret, rx));
-        Self { tx }
+        let outbox = Rc::new(Outbox::default());
+        actix_rt::spawn(carry(to, hello, secret, Rc::clone(&outbox)));
+        Self { outbox }
     }
 
     pub(crate) fn send(&self, message: PeerMessage) {
-        if self.tx.try_send(message).is_err() {
-            log::debug!("message to a VM dropped: its queue is full");
+        if !self.outbox.queue.borrow_mut().push(message) {
+            log::debug!("message to a VM dropped: too much waits for it");
         }
+        self.outbox.pushed.notify_one();
     }
 }
 
-async fn carry(to: SocketAddr, hello: Hello, secret: Secret, mut rx: mpsc::Receiver<PeerMessage>) {
-    let waiting = |rx: &mut mpsc::Receiver<PeerMessage>| !rx.is_empty();
-    loop {
-        match connection(to, &hello, &secret, &mut rx).await {
+impl Drop for PeerLink {
+    fn drop(&mut self) {
+        self.outbox.closed.set(true);
+        self.outbox.pushed.notify_one();
+    }
+}
+
+async fn carry(to: SocketAddr, hello: Hello, secret: Secret, outbox: Rc<Outbox>) {
+    while !outbox.closed.get() {
+        match connection(to, &hello, &secret, &outbox).await {
             Ok(()) => return,
             Err(error) => {
-                log::info!(to:% = to, error:% = error, waiting = rx.len(); "link to a VM broke");
+                let waiting = outbox.queue.borrow().len();
+                log::info!(to:% = to, error:% = error, waiting = waiting; "link to a VM broke");
             }
         }
         // What waits is stale by the time the VM is back; the protocols send anew.
-        while waiting(&mut rx) {
-            let _ = rx.try_recv();
-        }
+        outbox.queue.borrow_mut().clear();
         actix_rt::time::sleep(PeerLink::BACKOFF).await;
     }
 }
@@ -69,7 +98,7 @@
     to: SocketAddr,
     hello: &Hello,
     secret: &Secret,
-    rx: &mut mpsc::Receiver<PeerMessage>,
+    outbox: &Outbox,
 ) -> Result<(), LinkError> {
     let connect = async {
         let mut io = TcpStream::connect(to).await?;
@@ -107,7 +136,7 @@
                     return Err(LinkError::Silent);
                 }
                 if spoken.elapsed() > PeerLink::IDLE {
-                    rx.close();
+                    outbox.closed.set(true);
                     return Ok(());
                 }
                 if spoken < heard && heard.elapsed() < PeerLink::QUIET_PING {
@@ -116,13 +145,13 @@
                 asked.get_or_insert_with(Instant::now);
                 writer.write(&PeerMessage::Ping, &mut buf)?;
             }
-            message = rx.recv() => {
+            message = outbox.next() => {
                 let Some(message) = message else { return Ok(()) };
                 spoken = Instant::now();
                 writer.write(&message, &mut buf)?;
                 // What else waits goes into the same write.
-                while buf.len() < FrameReader::MAX_PAYLOAD {
-                    let Ok(message) = rx.try_recv() else { break };
+                while buf.len() < PeerLink::WRITE {
+                    let Some(message) = outbox.queue.borrow_mut().pop() else { break };
                     writer.write(&message, &mut buf)?;
                 }
             }
