Send streams that would not end in time to another region

The choice of a region went by the first byte alone, and sent nothing away.

VMs now measure the time between the events of the streams that pass them, tell other regions, and predict when an answer will have ended: by its most tokens and the tokens of an event, which the configuration tells. A request stays while it ends within half of the time that it has left; beyond it, what is too much counts like delay, here and there.

Test: a_stream_that_would_not_end_in_time_goes_to_another_region.

--- a/crates/ebonystand-core/src/gateway/mechanism.rs
+++ b/crates/ebonystand-core/src/gateway/mechanism.rs
@@ -7,6 +7,8 @@
 pub enum Mechanism {
     /// Sending requests to other regions that one here could serve.
     Away,
+    /// Sending streams to other regions that would not end in time here.
+    EndInTime,
     /// Weighing how often an upstream fails.
     FailingWeight,
     /// Waiting of forwarded requests, and of those that only full regions can serve.
--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -19,6 +19,7 @@
     listed_upstream::ListedUpstream,
     mechanism::Mechanism,
     next_step::NextStep,
+    pressure::Pressure,
     prompt::{Prompt, PromptPart},
     quota::{Quota, QuotaUnit},
     region_vms::RegionVms,
@@ -33,7 +34,8 @@
 };
 
 use {
-    cold_gate::ColdGate, known_upstream::KnownUpstream, prefix_memory::PrefixMemory, window::Window,
+    cold_gate::ColdGate, known_upstream::KnownUpstream, prefix_memory::PrefixMemory,
+    stream_pace::StreamPace, window::Window,
 };
 
 mod attempt_end;
@@ -54,6 +56,7 @@
 mod mechanism;
 mod next_step;
 mod prefix_memory;
+mod pressure;
 mod prompt;
 mod quota;
 mod region_vms;
@@ -62,6 +65,7 @@
 mod routing;
 mod routing_fault;
 mod split_part;
+mod stream_pace;
 mod turn_queue;
 mod unfit;
 mod upstream_book;
--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -13,10 +13,12 @@
     vms: RegionVms,
     pub(super) upstreams: BTreeMap<UpstreamId, KnownUpstream>,
     pub(super) by_key: FxHashMap<UpstreamKey, UpstreamId>,
-    /// Predicted time to the first byte in other regions, with when it was told.
-    pub(super) away: FxHashMap<(RegionId, ServiceId), (Duration, Duration)>,
+    /// What requests have to expect in other regions, with when it was told.
+    pub(super) away: FxHashMap<(RegionId, ServiceId), (Duration, Pressure)>,
     /// Network time of a request that is sent away and of its first byte, there and back.
     pub(super) away_trip: Duration,
+    /// How fast the engines of this region answer.
+    pub(super) paces: FxHashMap<ServiceId, StreamPace>,
     /// Mechanisms that an experiment leaves out.
     without: BTreeSet<Mechanism>,
     zones: BTreeMap<ZoneId, RegionId>,
@@ -55,6 +57,7 @@
             by_key: FxHashMap::default(),
             away: FxHashMap::default(),
             away_trip: 2 * Self::REGION_DELAY,
+            paces: FxHashMap::default(),
             without: BTreeSet::new(),
             zones,
         }
@@ -151,6 +154,21 @@
         }
     }
 
+    /// Notes the time between two events of a stream from an upstream of this region.
+    pub fn stream_event(&mut self, now: Duration, instance: &str, gap: Duration) {
+        if let Some(known) = self.upstreams.get(instance) {
+            let service = known.listed.service.clone();
+            self.paces.entry(service).or_default().note(now, gap);
+        }
+    }
+
+    /// Time between two events of a stream in this region.
+    pub(super) fn event_gap(&self, now: Duration, service: &str) -> Duration {
+        self.paces
+            .get(service)
+            .map_or(Duration::ZERO, |pace| pace.gap(now))
+    }
+
     /// What engines keep, to tell VMs of other regions; one of each is enough.
     pub fn caches_for_others(&mut self) -> Vec<CachedPrefix> {
         self.caches.take_for_others()
@@ -168,8 +186,11 @@
         if let LoadMessage::Region { pressures, .. } = &message {
             for told in pressures {
                 let at = now.saturating_sub(Duration::from_millis(told.age_ms));
-                let delay = Duration::from_millis(told.first_byte_ms);
-                self.told_at(at, &told.region, told.service.clone(), delay);
+                let pressure = Pressure {
+                    event_gap: Duration::from_millis(told.event_gap_ms),
+                    first_byte: Duration::from_millis(told.first_byte_ms),
+                };
+                self.told_at(at, &told.region, told.service.clone(), pressure);
             }
         }
         let (cached, news) = message.take_cached();
@@ -233,9 +254,9 @@
                 && self.fits(now, known, is_engine, work)
         });
         let mut told = self.away.iter();
-        here || told.any(|((_, of), (at, delay))| {
+        here || told.any(|((_, of), (at, pressure))| {
             let is_fresh = now.saturating_sub(*at) < Self::AWAY_LIFE;
-            **of == *service && is_fresh && *delay < Self::FULL
+            **of == *service && is_fresh && pressure.first_byte < Self::FULL
         })
     }
 
@@ -272,8 +293,7 @@
         self.upstreams.values().map(|known| &known.listed)
     }
 
-    /// Predicted time to the first byte for each service served in this region, for VMs of other
-    /// regions: of a call, or of a prompt without its own reading, which depends on its length.
+    /// What requests have to expect of each service served in this region, for VMs of other regions.
     /// `is_engine` tells which services read prompts.
     #[must_use]
     pub fn pressures(
@@ -281,7 +301,7 @@
         now: Duration,
         evacuated: &BTreeSet<ZoneId>,
         is_engine: impl Fn(&str) -> bool,
-    ) -> Vec<(ServiceId, Duration)> {
+    ) -> Vec<(ServiceId, Pressure)> {
         let services: BTreeSet<_> = self.upstreams.values().map(|u| &u.listed.service).collect();
         let reachable = BTreeSet::new();
         let empty = Prompt::default();
@@ -298,12 +318,18 @@
                 reachable: &reachable,
                 service,
             };
-            match self.choose_here(now, &query) {
-                Choice::Here { predicted, .. } => Some((service.clone(), predicted)),
+            let first_byte = match self.choose_here(now, &query) {
+                Choice::Here { predicted, .. } => predicted,
                 // Whoever would send more here is told to wait as long as a request here does.
-                Choice::Full { predicted } => Some((service.clone(), predicted + Self::FULL)),
-                Choice::Away { .. } | Choice::Nowhere { .. } => None,
-            }
+                Choice::Full { predicted } => predicted + Self::FULL,
+                Choice::Away { .. } | Choice::Nowhere { .. } => return None,
+            };
+            let event_gap = self.event_gap(now, service);
+            let pressure = Pressure {
+                event_gap,
+                first_byte,
+            };
+            Some((service.clone(), pressure))
         };
         services.into_iter().filter_map(predicted).collect()
     }
@@ -350,7 +376,12 @@
     /// room: each would cost a round trip and its bytes, and a part of its caller's time.
     pub fn refused_away(&mut self, now: Duration, region: &RegionId, service: &str) {
         let key = (region.clone(), ServiceId::from(service));
-        self.away.insert(key, (now, Self::FULL));
+        let told = self.away.get(&key).map(|(_, pressure)| *pressure);
+        let full = Pressure {
+            first_byte: Self::FULL,
+            ..told.unwrap_or_default()
+        };
+        self.away.insert(key, (now, full));
     }
 
     /// Takes what a VM of another region predicts there.
@@ -358,34 +389,29 @@
         &mut self,
         now: Duration,
         region: &RegionId,
-        pressures: Vec<(ServiceId, Duration)>,
+        pressures: Vec<(ServiceId, Pressure)>,
     ) {
-        for (service, predicted) in pressures {
-            self.told_at(now, region, service, predicted);
+        for (service, pressure) in pressures {
+            self.told_at(now, region, service, pressure);
         }
     }
 
-    fn told_at(
-        &mut self,
-        at: Duration,
-        region: &RegionId,
-        service: ServiceId,
-        predicted: Duration,
-    ) {
+    fn told_at(&mut self, at: Duration, region: &RegionId, service: ServiceId, pressure: Pressure) {
         let key = (region.clone(), service);
         if self.away.get(&key).is_none_or(|(known, _)| *known <= at) {
-            self.away.insert(key, (at, predicted));
+            self.away.insert(key, (at, pressure));
         }
     }
 
     /// What other regions have told lately.
     fn told_pressures(&self, now: Duration) -> Vec<ToldPressure> {
         let told = self.away.iter();
-        let told = told.map(|((region, service), (at, predicted))| {
+        let told = told.map(|((region, service), (at, pressure))| {
             let age = now.saturating_sub(*at);
             (age < Self::AWAY_LIFE).then(|| ToldPressure {
                 age_ms: age.as_millis() as u64,
-                first_byte_ms: predicted.as_millis() as u64,
+                event_gap_ms: pressure.event_gap.as_millis() as u64,
+                first_byte_ms: pressure.first_byte.as_millis() as u64,
                 region: region.clone(),
                 service: service.clone(),
             })
--- a/crates/ebonystand-core/src/gateway/upstream_choice.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_choice.rs
@@ -15,6 +15,15 @@
     unread: Tokens,
 }
 
+/// Another region that a request could go to.
+struct There {
+    /// Delay of the request, with how much too late its answer would end.
+    cost: Duration,
+    /// Predicted time to the first byte.
+    delay: Duration,
+    region: RegionId,
+}
+
 /// A prompt, and which VMs agree to have its shared parts read where.
 struct Placed<'a> {
     owner: Option<UpstreamKey>,
@@ -42,6 +51,9 @@
     /// Part of its aim, in permille, up to which a request stays in its region. Sending away costs
     /// bytes between regions, which are scarce, and a cold prefix.
     const STAYS_PERMILLE: u32 = 300;
+    /// Part of the time that is left for it, in permille, within which an answer is to end. Streams that begin
+    /// now slow down with those that follow, and some answers come from slower engines than others.
+    const ENDS_PERMILLE: u32 = 500;
     /// What reading a token costs others, in times the delay of the request itself: those that come
     /// behind it and the streams that run wait as long. Without it, prompts leave the upstream that
     /// keeps what they share for gains smaller than what they cost. An import costs as much in times its own, far
@@ -58,31 +70,38 @@
     #[must_use]
     pub fn choose(&self, now: Duration, query: &ChoiceQuery) -> Choice {
         let here = self.choose_here(now, query);
-        let (predicted, stays) = match &here {
+        let gap = self.event_gap(now, query.service);
+        let late = |delay| self.lateness(query, delay, gap);
+        let (cost, stays) = match &here {
             Choice::Here {
                 is_sound,
                 predicted,
                 ..
             } => {
                 let most = query.aim * Self::STAYS_PERMILLE / 1_000;
-                (Some(*predicted), *is_sound && *predicted <= most)
+                let late = late(*predicted);
+                let stays = *is_sound && *predicted <= most && late.is_zero();
+                (Some(*predicted + late), stays)
+            }
+            Choice::Full { predicted } => {
+                let predicted = *predicted + Self::FULL;
+                (Some(predicted + late(predicted)), false)
             }
-            Choice::Full { predicted } => (Some(*predicted + Self::FULL), false),
             _ => (None, false),
         };
         if stays {
             return here;
         }
         let is_sound = matches!(here, Choice::Here { is_sound: true, .. });
-        let predicted = predicted.filter(|_| is_sound || matches!(here, Choice::Full { .. }));
+        let cost = cost.filter(|_| is_sound || matches!(here, Choice::Full { .. }));
         match self.choose_away(now, query) {
-            Some((region, there))
-                if predicted.is_none_or(|here| self.uses(Mechanism::Away) && there < here) =>
+            Some(there)
+                if cost.is_none_or(|here| self.uses(Mechanism::Away) && there.cost < here) =>
             {
                 Choice::Away {
-                    here: predicted,
-                    predicted: there,
-                    region,
+                    here: cost,
+                    predicted: there.delay,
+                    region: there.region,
                 }
             }
             None if matches!(here, Choice::Nowhere { .. }) => self.full_away(query).unwrap_or(here),
@@ -90,6 +109,19 @@
         }
     }
 
+    /// How much later than it should an answer would end whose first byte comes after `delay` and whose
+    /// events come every `gap`.
+    fn lateness(&self, query: &ChoiceQuery, delay: Duration, gap: Duration) -> Duration {
+        let (Some(prompt), Some(engine)) = (query.prompt, query.engine) else {
+            return Duration::ZERO;
+        };
+        if !self.uses(Mechanism::EndInTime) {
+            return Duration::ZERO;
+        }
+        let end = delay + gap * engine.events(prompt.output);
+        end.saturating_sub(query.left * Self::ENDS_PERMILLE / 1_000)
+    }
+
     /// What a request has to expect that other regions alone can serve and none has room for.
     ///
     /// They tell of room again within a fraction of its aim. Refused at once, callers of a zone that is
@@ -155,17 +187,24 @@
             .collect()
     }
 
-    fn choose_away(&self, now: Duration, query: &ChoiceQuery) -> Option<(RegionId, Duration)> {
+    fn choose_away(&self, now: Duration, query: &ChoiceQuery) -> Option<There> {
         let reading = query.prompt.map_or(Duration::ZERO, |prompt| {
             let ms = prompt.input as f64 / self.mean_speed(query.service);
             Duration::from_secs_f64(ms / 1_000.0)
         });
         let regions = self.regions_away(query);
-        let delays = regions.filter_map(|region| {
-            let delay = self.delay_away(now, region, query.service)? + reading;
-            Some((region.clone(), delay))
+        let there = regions.filter_map(|region| {
+            let pressure = self.pressure_away(now, region, query.service)?;
+            let delay = pressure.first_byte + reading;
+            let cost = delay + self.lateness(query, delay, pressure.event_gap);
+            let region = region.clone();
+            Some(There {
+                cost,
+                delay,
+                region,
+            })
         });
-        delays.min_by_key(|(_, delay)| *delay)
+        there.min_by_key(|there| there.cost)
     }
 
     /// Other regions that may and can serve a request, whether or not they have room.
@@ -179,14 +218,20 @@
         })
     }
 
-    /// Predicted time to the first byte in another region, without a prompt's own reading; `None` while that
-    /// has no room.
-    fn delay_away(&self, now: Duration, region: &RegionId, service: &str) -> Option<Duration> {
+    /// What a request has to expect in another region, with the way there and back; `None` while that has no
+    /// room.
+    fn pressure_away(&self, now: Duration, region: &RegionId, service: &str) -> Option<Pressure> {
         let key = (region.clone(), ServiceId::from(service));
         let told = self.away.get(&key);
         let told = told.filter(|(at, _)| now.saturating_sub(*at) < Self::AWAY_LIFE);
-        let told = told.map_or(Self::AWAY_UNKNOWN, |(_, delay)| *delay);
-        (told < Self::FULL).then_some(self.away_trip + told)
+        let told = told.map(|(_, pressure)| *pressure).unwrap_or(Pressure {
+            event_gap: Duration::ZERO,
+            first_byte: Self::AWAY_UNKNOWN,
+        });
+        (told.first_byte < Self::FULL).then(|| Pressure {
+            first_byte: self.away_trip + told.first_byte,
+            ..told
+        })
     }
 
     /// Prompt tokens that an engine reads in a millisecond, by those of the own region: engines of another
--- a/crates/ebonystand-core/src/load_exchange/told_pressure.rs
+++ b/crates/ebonystand-core/src/load_exchange/told_pressure.rs
@@ -5,6 +5,8 @@
 pub struct ToldPressure {
     /// Time since the other region told it, in milliseconds.
     pub age_ms: u64,
+    /// Time between two events of a stream, in milliseconds; 0 if none was seen lately.
+    pub event_gap_ms: u64,
     /// Time to the first byte of an answer, in milliseconds.
     pub first_byte_ms: u64,
     /// The other region.
--- a/crates/ebonystand-core/src/prefix_cache/engine_terms.rs
+++ b/crates/ebonystand-core/src/prefix_cache/engine_terms.rs
@@ -6,6 +6,8 @@
 pub struct EngineTerms {
     /// Tokens that one engine's memory holds.
     pub cache_tokens: Tokens,
+    /// Tokens that an event of a stream holds; 0 if that is not known.
+    pub event_tokens: u32,
     /// Megabits a second of an engine's link to the others; 0 if they hand nothing over.
     pub link_mbps: u64,
     /// Bytes that a token takes on it.
@@ -16,6 +18,13 @@
     /// Time assumed for an import beside its transfer: a round trip and the set-up of a connection.
     const SET_UP: Duration = Duration::from_millis(5);
 
+    /// Events of an answer of so many tokens.
+    #[must_use]
+    pub fn events(&self, tokens: Tokens) -> u32 {
+        let events = tokens.checked_div(u64::from(self.event_tokens));
+        u32::try_from(events.unwrap_or(0)).unwrap_or(u32::MAX)
+    }
+
     /// Time in which an engine imports so many tokens from another one; `None` if engines hand nothing
     /// over. Between availability zones it takes twice as long.
     #[must_use]
--- a/crates/ebonystand-core/tests/gateway/main.rs
+++ b/crates/ebonystand-core/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 /// Engines that hand over a token in 0.3 µs.
 pub(crate) const ENGINE: EngineTerms = EngineTerms {
     cache_tokens: 400_000,
+    event_tokens: 10,
     link_mbps: 400_000,
     token_bytes: 16_384,
 };
@@ -142,6 +143,14 @@
     }
 }
 
+/// A region in which an answer begins after so many milliseconds.
+pub(crate) fn first_byte(n: u64) -> Pressure {
+    Pressure {
+        event_gap: Duration::ZERO,
+        first_byte: ms(n),
+    }
+}
+
 /// Sets that a query borrows.
 #[derive(Default)]
 pub(crate) struct Sets {
--- a/crates/ebonystand-core/tests/gateway/upstreams.rs
+++ b/crates/ebonystand-core/tests/gateway/upstreams.rs
@@ -230,11 +230,49 @@
     let mut book = book(vec![listed("u1", "a-1", 1), listed("u2", "b-1", 2)]);
     let crowd = prompt(7, 1);
     while send(&mut book, ms(0), &sets.query(Some(&crowd))).is_some() {}
-    book.told(ms(0), &"b".into(), vec![("s".into(), ms(10))]);
+    book.told(ms(0), &"b".into(), vec![("s".into(), first_byte(10))]);
     let choice = book.choose(ms(1), &sets.query(Some(&crowd)));
     assert_eq!(matches!(choice, Choice::Away { .. }), away, "{choice:?}");
 }
 
+/// Guards against streams that begin at once and are cut off at their deadline: engines of a region at its
+/// peak read prompts all the time and hardly come to give tokens, while those of another one stand idle.
+#[rstest]
+#[case::long_stream(600, 400, 40, true)]
+#[case::short_stream(20, 400, 40, false)]
+#[case::engines_with_time(600, 20, 20, false)]
+#[case::no_better_elsewhere(600, 400, 400, false)]
+fn a_stream_that_would_not_end_in_time_goes_to_another_region(
+    #[case] output: Tokens,
+    #[case] here_ms: u64,
+    #[case] there_ms: u64,
+    #[case] away: bool,
+) {
+    let sets = Sets {
+        reachable: set(&["b"]),
+        ..Sets::default()
+    };
+    let mut book = book(vec![listed("u1", "a-1", 1), listed("u2", "b-1", 2)]);
+    let prompt = Prompt {
+        output,
+        ..prompt(7, 1)
+    };
+    let query = ChoiceQuery {
+        left: ms(12_000),
+        ..sets.query(Some(&prompt))
+    };
+    for event in 0..20 {
+        book.stream_event(ms(event * 10), "u1", ms(here_ms));
+    }
+    let told = Pressure {
+        event_gap: ms(there_ms),
+        first_byte: ms(50),
+    };
+    book.told(ms(200), &"b".into(), vec![("s".into(), told)]);
+    let choice = book.choose(ms(210), &query);
+    assert_eq!(matches!(choice, Choice::Away { .. }), away, "{choice:?}");
+}
+
 #[test]
 fn nobody_who_can_serve_gives_a_time_to_come_back() {
     let choice = book(Vec::new()).choose(ms(0), &Sets::default().query(None));
@@ -323,7 +361,7 @@
     }
     let told = book.pressures(ms(90_000), &sets.evacuated, |service| service == "s");
     assert_eq!(told.len(), 1);
-    assert!(told[0].1 < ms(100), "{told:?}");
+    assert!(told[0].1.first_byte < ms(100), "{told:?}");
 }
 
 /// Both regions are full. A request that is sent to the other one all the same is refused there and comes back
@@ -353,10 +391,10 @@
     assert!(away(&book, ms(1)), "nothing is known of it yet");
     match refused {
         true => book.refused_away(ms(1), &"b".into(), "s"),
-        false => book.told(ms(1), &"b".into(), vec![("s".into(), ms(1_200))]),
+        false => book.told(ms(1), &"b".into(), vec![("s".into(), first_byte(1_200))]),
     }
     assert!(!away(&book, ms(2)));
-    book.told(ms(250), &"b".into(), vec![("s".into(), ms(20))]);
+    book.told(ms(250), &"b".into(), vec![("s".into(), first_byte(20))]);
     assert!(away(&book, ms(251)));
 }
 
@@ -382,7 +420,7 @@
     let found = matches!(choice, Choice::Full { .. });
     assert_eq!(found, waits, "{choice:?}");
     // Told of room, it goes.
-    book.told(ms(100), &"b".into(), vec![("s".into(), ms(20))]);
+    book.told(ms(100), &"b".into(), vec![("s".into(), first_byte(20))]);
     assert!(book.has_room(ms(110), "s", true, 6_500));
     let choice = book.choose(ms(110), &sets.query(Some(&prompt)));
     assert_eq!(matches!(choice, Choice::Away { .. }), waits, "{choice:?}");
--- a/crates/ebonystand-wire/src/peer_message.rs
+++ b/crates/ebonystand-wire/src/peer_message.rs
@@ -41,8 +41,9 @@
     ListWanted,
     /// What requests have to expect in the sender's region.
     Pressure {
-        /// Time to the first byte of an answer, by service, in milliseconds.
-        first_byte_ms: Vec<(ServiceId, u64)>,
+        /// Time to the first byte of an answer and between two events of a stream, by service, in
+        /// milliseconds.
+        first_byte_and_gap_ms: Vec<(ServiceId, u64, u64)>,
         /// The region.
         region: RegionId,
     },
--- a/crates/ebonystand/src/gateway/attempt.rs
+++ b/crates/ebonystand/src/gateway/attempt.rs
@@ -10,6 +10,8 @@
     aim: Duration,
     ended: bool,
     first_byte: Option<Duration>,
+    /// When the last event of a stream came, if it is one.
+    last_event: Option<Duration>,
     /// Regions that may keep the prompt; `None` if all may.
     homes: Option<BTreeSet<RegionId>>,
     instance: UpstreamId,
@@ -37,6 +39,7 @@
             aim: query.aim,
             ended: false,
             first_byte: None,
+            last_event: None,
             homes: query.homes.cloned(),
             instance: instance.clone(),
             node: Rc::clone(node),
@@ -60,6 +63,15 @@
         }
     }
 
+    /// Notes that events of a stream came.
+    pub(crate) fn event(&mut self) {
+        let now = self.node.clock.now();
+        if let Some(last) = self.last_event.replace(now) {
+            let mut book = self.node.gateway.book.borrow_mut();
+            book.stream_event(now, &self.instance, now.saturating_sub(last));
+        }
+    }
+
     pub(crate) fn end(mut self, end: AttemptEnd) {
         self.close(end);
     }
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -400,9 +400,16 @@
             };
             this.book.borrow().pressures(now, &evacuated, is_engine)
         };
-        let first_byte_ms = pressures.into_iter();
-        let first_byte_ms = first_byte_ms
-            .map(|(service, delay)| (service, delay.as_millis() as u64))
+        let first_byte_and_gap_ms = pressures
+            .into_iter()
+            .map(|(service, pressure)| {
+                let first_byte_ms = pressure.first_byte.as_millis() as u64;
+                (
+                    service,
+                    first_byte_ms,
+                    pressure.event_gap.as_millis() as u64,
+                )
+            })
             .collect::<Vec<_>>();
         let mut others = this
             .relays_away(node)
@@ -415,7 +422,7 @@
         }
         for vm in others {
             let message = PeerMessage::Pressure {
-                first_byte_ms: first_byte_ms.clone(),
+                first_byte_and_gap_ms: first_byte_and_gap_ms.clone(),
                 region: node.settings.region.clone(),
             };
             node.send(&vm, message);
--- a/crates/ebonystand/src/gateway/relay.rs
+++ b/crates/ebonystand/src/gateway/relay.rs
@@ -20,6 +20,8 @@
     /// What the request holds until its end.
     _held: Held,
     instance: UpstreamId,
+    /// Whether an engine gives it, event by event.
+    is_stream: bool,
     node: Rc<Node>,
     request: Box<str>,
     started: Duration,
@@ -89,6 +91,7 @@
             first,
             _held: Held::default(),
             instance: instance.clone(),
+            is_stream: call.prompt.is_some(),
             node: Rc::clone(node),
             request: call.request.clone(),
             started: call.arrived,
@@ -154,6 +157,7 @@
     async fn next(&mut self) -> Result<Option<Bytes>, RelayFault> {
         if let Some(first) = self.first.take() {
             self.bytes += first.len() as u64;
+            self.note_event();
             return Ok(Some(first));
         }
         let Some(answering) = &mut self.answering else {
@@ -163,6 +167,7 @@
         match actix_rt::time::timeout(left, answering.next()).await {
             Ok(Ok(Some(bytes))) => {
                 self.bytes += bytes.len() as u64;
+                self.note_event();
                 Ok(Some(bytes))
             }
             Ok(Ok(None)) => {
@@ -182,6 +187,12 @@
         }
     }
 
+    fn note_event(&mut self) {
+        if let Some(attempt) = self.attempt.as_mut().filter(|_| self.is_stream) {
+            attempt.event();
+        }
+    }
+
     fn abandon(&mut self, end: AttemptEnd) {
         self.answering = None;
         if let Some(attempt) = self.attempt.take() {
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -260,11 +260,17 @@
                 book.load_told(now, from, message);
             }
             PeerMessage::Pressure {
-                first_byte_ms,
+                first_byte_and_gap_ms,
                 region,
             } => {
-                let pressures = first_byte_ms.into_iter();
-                let pressures = pressures.map(|(service, ms)| (service, Duration::from_millis(ms)));
+                let pressures = first_byte_and_gap_ms.into_iter();
+                let pressures = pressures.map(|(service, first_byte_ms, event_gap_ms)| {
+                    let pressure = ebonystand_core::Pressure {
+                        event_gap: Duration::from_millis(event_gap_ms),
+                        first_byte: Duration::from_millis(first_byte_ms),
+                    };
+                    (service, pressure)
+                });
                 let now = self.clock.now();
                 let mut book = self.gateway.book.borrow_mut();
                 book.told(now, &region, pressures.collect());
--- a/crates/ebonystand/tests/integration/routes.rs
+++ b/crates/ebonystand/tests/integration/routes.rs
@@ -620,6 +620,7 @@
     let mut routing = routing(1);
     routing.services[0].engine = Some(EngineTerms {
         cache_tokens: 400_000,
+        event_tokens: 0,
         link_mbps: 400_000,
         token_bytes: 16_384,
     });
