Take the parts of a copy that come late, and send none twice at once

A part that comes next in the copy is taken from whomever it comes, also late, and whoever else was asked for it is not waited for. The wait for an answer doubles with each that does not come, up to 32 s, and is short again after one that does. A VM does not send a part again to a VM that it sent it to within 6 s, or 2 s for the first part, which a VM that has started anew asks for too.

--- a/crates/ebonystand-core/src/document/document_copy.rs
+++ b/crates/ebonystand-core/src/document/document_copy.rs
@@ -35,6 +35,11 @@
         Some(copy)
     }
 
+    /// Whether a part at this place comes next.
+    pub(crate) fn awaits(&self, cursor: &DocumentCursor) -> bool {
+        self.next.as_ref() == Some(cursor)
+    }
+
     /// The document, once it is all of one version.
     pub(crate) fn finished(&self) -> bool {
         self.next.is_none() && self.document.version >= self.top
--- a/crates/ebonystand-core/src/feed.rs
+++ b/crates/ebonystand-core/src/feed.rs
@@ -11,6 +11,7 @@
 /// reaches within [`Feed::START_WAIT`]: by then what one of them had has reached the others.
 #[derive(Clone, Debug)]
 pub struct Feed {
+    answered: PartsAnswered,
     asked_withdrawn: bool,
     copy: Option<DocumentCopy>,
     leading: bool,
@@ -22,6 +23,8 @@
     pull: Option<Pull>,
     readiness: Readiness,
     rng: Pcg64Mcg,
+    /// Questions in a row that were not answered in time.
+    unanswered: u32,
     version: Version,
     withdrawals: Withdrawals,
 }
@@ -50,6 +53,9 @@
     pub const FAN_OUT: usize = 4;
     /// Wait for a pull's answer.
     pub const PULL_ANSWER: Duration = Duration::from_secs(1);
+    /// How often the wait for an answer doubles at most: a copy's part may take longer on a slow link, and
+    /// each question puts another one on it.
+    const LONGEST_PULL: u32 = 5;
     /// Longest wait of a starting VM for the log's leader.
     pub const START_WAIT: Duration = Duration::from_secs(5);
     /// Time between two ticks.
@@ -60,6 +66,7 @@
     #[must_use]
     pub fn new(own: VmId, members: Vec<VmId>, now: Duration, seed: u64) -> Self {
         Self {
+            answered: PartsAnswered::default(),
             asked_withdrawn: false,
             copy: None,
             leading: false,
@@ -71,6 +78,7 @@
             pull: None,
             readiness: Readiness::new(now),
             rng: Pcg64Mcg::seed_from_u64(seed),
+            unanswered: 0,
             version: 0,
             withdrawals: Withdrawals::default(),
         }
@@ -172,6 +180,7 @@
         outputs: &mut Vec<FeedOutput>,
     ) {
         if let Some(pull) = self.pull.take_if(|pull| pull.from == from) {
+            self.unanswered = 0;
             outputs.push(pull.ended(now, PullEnd::Answered));
             self.follow_copy(&changes, outputs);
             if changes.is_empty() {
@@ -329,6 +338,11 @@
                 FeedMessage::PullWithdrawn { after }
             }
         };
+        if let FeedMessage::Part { part } = &answer
+            && !self.answered.admits(now, &from, part)
+        {
+            return;
+        }
         outputs.push(FeedOutput::Send {
             message: answer,
             to: from,
@@ -368,18 +382,27 @@
         let pull = self.pull.take_if(|pull| pull.from == from);
         let is_late = pull.is_none();
         outputs.push(match pull {
-            Some(pull) => pull.ended(now, PullEnd::Answered),
+            Some(pull) => {
+                self.unanswered = 0;
+                pull.ended(now, PullEnd::Answered)
+            }
             None => FeedOutput::PullEnded {
                 end: PullEnd::Late,
                 from: from.clone(),
                 waited: None,
             },
         });
+        let is_awaited = |copy: &DocumentCopy| copy.awaits(&part.cursor);
+        let goes_on = self.copy.as_ref().is_some_and(is_awaited);
+        if goes_on {
+            // Whoever else was asked for this part need not answer.
+            self.pull = None;
+        }
         // A late answer is taken like any other. Thrown away, it would be asked for again: on a
         // link that carries less than a copy in the wait for it, no copy would ever be taken, and
         // the link would stay full.
         let since = self.copy.as_ref().map_or(self.version, DocumentCopy::since);
-        if is_late && version <= since {
+        if is_late && !goes_on && version <= since {
             return;
         }
         if part.cursor == DocumentCursor::default() {
@@ -403,8 +426,10 @@
         if !self.is_ready() {
             self.ask(outputs);
         }
-        let late = |pull: &mut Pull| now.saturating_sub(pull.since) >= Self::PULL_ANSWER;
+        let patience = Self::PULL_ANSWER * (1 << self.unanswered.min(Self::LONGEST_PULL));
+        let late = |pull: &mut Pull| now.saturating_sub(pull.since) >= patience;
         if let Some(pull) = self.pull.take_if(late) {
+            self.unanswered += 1;
             self.newer.remove(&pull.from);
             outputs.push(pull.ended(now, PullEnd::TimedOut));
         }
--- a/crates/ebonystand-core/src/lib.rs
+++ b/crates/ebonystand-core/src/lib.rs
@@ -28,6 +28,7 @@
     observed_load::ObservedLoad,
     open_ask::OpenAsk,
     orderer_phase::OrdererPhase,
+    parts_answered::PartsAnswered,
     pick::Pick,
     prefix_hints::PrefixHints,
     prober::Prober,
@@ -276,6 +277,7 @@
 mod orderer_fault;
 mod orderer_phase;
 mod orderer_times;
+mod parts_answered;
 mod permit;
 mod pick;
 mod place;
