--- a/crates/ebonystand-core/src/allowance/allowance_share_claim.rs
+++ b/crates/ebonystand-core/src/allowance/allowance_share_claim.rs
@@ -135,21 +135,19 @@
         let Some(ticket) = self.tickets.iter_mut().find(|ticket| ticket.id == id) else {
             return;
         };
-        if ticket.deadline <= now {
-            self.refuse_ticket(id, cx);
-        } else if awaited {
-        } else if ticket.round == ClaimRound::Own {
-            ticket.round = ClaimRound::All;
-            let need = ticket.need();
-            let own = self
-                .open_claims
-                .iter_mut()
-                .filter(|claim| claim.ticket == id);
-            own.for_each(|claim| claim.awaited_until = claim.answered_by());
-            self.claim(now, id, self.route.others.clone(), need, cx);
-        } else {
+        if awaited && now < ticket.deadline {
+            return;
+        }
+        if now >= ticket.deadline || ticket.round == ClaimRound::All {
             self.refuse_ticket(id, cx);
+            return;
         }
+        ticket.round = ClaimRound::All;
+        let need = ticket.need();
+        let open = self.open_claims.iter_mut();
+        open.filter(|claim| claim.ticket == id)
+            .for_each(|claim| claim.awaited_until = claim.answered_by());
+        self.claim(now, id, self.route.others.clone(), need, cx);
     }
 
     fn admit_ticket(&mut self, id: TicketId, grant: HeldGrant, cx: &mut AllowanceCx) {
--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -70,4 +70,5 @@
 mod unfit;
 mod upstream_book;
 mod upstream_choice;
+mod upstream_pressure;
 mod window;
