--- a/crates/ebonystand-core/src/gateway/choice.rs
+++ b/crates/ebonystand-core/src/gateway/choice.rs
@@ -5,7 +5,8 @@
 pub enum Choice {
     /// To a VM of another region, which chooses one of the upstreams there.
     Away {
-        /// Predicted time to the first byte if it stayed; none if nobody here can serve it.
+        /// Predicted time to the first byte if it stayed, with how much too late its answer would end; none
+        /// if nobody here can serve it.
         here: Option<Duration>,
         /// Predicted time to the first byte there.
         predicted: Duration,
--- a/crates/ebonystand-core/src/gateway/upstream_choice.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_choice.rs
@@ -16,7 +16,7 @@
 }
 
 /// Another region that a request could go to.
-struct There {
+struct RegionCandidate {
     /// Delay of the request, with how much too late its answer would end.
     cost: Duration,
     /// Predicted time to the first byte.
@@ -187,7 +187,7 @@
             .collect()
     }
 
-    fn choose_away(&self, now: Duration, query: &ChoiceQuery) -> Option<There> {
+    fn choose_away(&self, now: Duration, query: &ChoiceQuery) -> Option<RegionCandidate> {
         let reading = query.prompt.map_or(Duration::ZERO, |prompt| {
             let ms = prompt.input as f64 / self.mean_speed(query.service);
             Duration::from_secs_f64(ms / 1_000.0)
@@ -198,7 +198,7 @@
             let delay = pressure.first_byte + reading;
             let cost = delay + self.lateness(query, delay, pressure.event_gap);
             let region = region.clone();
-            Some(There {
+            Some(RegionCandidate {
                 cost,
                 delay,
                 region,
