Log which VMs hold the allowances and when that changes

A change of routing names the holders of each region's part. No line told them, so that refusals for want of allowance after such a change could not be told from a workspace over its rate. The accepting VM now logs each region whose part it moves and how many VMs with a log it sees; every VM logs the holders before and after, how many parts are in a handover and for how long.

--- a/crates/ebonystand-core/src/allowance/state.rs
+++ b/crates/ebonystand-core/src/allowance/state.rs
@@ -161,6 +161,25 @@
         self.cx.take_outputs()
     }
 
+    /// Number of workspaces whose part is in a handover at `now`, and the time until the last of
+    /// these ends. Until then this VM may spend less than the configuration gives it.
+    #[must_use]
+    pub fn handovers(&self, now: Duration) -> (usize, Duration) {
+        let ends = self.plans.values().filter_map(|plan| {
+            let ends_at = plan.handover.as_ref()?.ends_at;
+            (ends_at > now).then_some(ends_at)
+        });
+        ends.fold((0, Duration::ZERO), |(count, longest), ends_at| {
+            (count + 1, longest.max(ends_at - now))
+        })
+    }
+
+    /// Holders of each region in the configuration in force, sorted by region.
+    pub fn region_holders(&self) -> impl Iterator<Item = (&RegionId, &[VmId])> {
+        let regions = self.fleet.regions.iter();
+        regions.map(|(id, region)| (id, region.holders.as_slice()))
+    }
+
     /// Settles a reservation of which `used` tokens were spent. The rest is credited as far as the
     /// share could have held it since the reservation.
     pub fn settle_reservation(
--- a/crates/ebonystand/src/allowance_controller.rs
+++ b/crates/ebonystand/src/allowance_controller.rs
@@ -69,7 +69,17 @@
 
     pub(crate) fn configure(node: &Rc<Node>, now: Duration, document: &Document) {
         let this = &node.allowance;
+        let before = this.describe_holders();
         let outputs = this.allowance.borrow_mut().configure(now, document);
+        let after = this.describe_holders();
+        if before != after {
+            let (handovers, longest) = this.allowance.borrow().handovers(now);
+            log::info!(
+                before:% = before, after:% = after, handovers = handovers, version = document.version,
+                longest_ms = longest.as_millis() as u64;
+                "holders of allowances changed"
+            );
+        }
         this.changed.notify_one();
         Self::take(node, outputs);
     }
@@ -128,6 +138,15 @@
         self.allowance.borrow().status()
     }
 
+    /// Lists the holders of each region for log lines.
+    fn describe_holders(&self) -> String {
+        let allowance = self.allowance.borrow();
+        let regions = allowance
+            .region_holders()
+            .map(|(region, holders)| format!("{region}: {}", holders.join(" ")));
+        regions.collect::<Vec<_>>().join(", ")
+    }
+
     fn answer(&self, ticket: TicketId, answer: Result<Reserved, Duration>) {
         let tx = self.waiting.borrow_mut().remove(&ticket);
         if let Some(tx) = tx {
--- a/crates/ebonystand/src/gateway/gateway_handle.rs
+++ b/crates/ebonystand/src/gateway/gateway_handle.rs
@@ -163,6 +163,18 @@
             current: &document.regions,
             regions: &regions,
         };
-        plan.plan_regions()
+        let planned = plan.plan_regions();
+        let moved = planned.iter().filter(|(id, region)| {
+            let current = document.regions.get(*id);
+            current.is_none_or(|current| current.holders != region.holders)
+        });
+        for (id, region) in moved {
+            log::info!(
+                region:% = id, holders:% = region.holders.join(" "), revision = routing.revision,
+                live_log_holders = log_holders.len();
+                "change moves the region's allowances"
+            );
+        }
+        planned
     }
 }
