--- a/crates/ebonystand-core/tests/allowance/fleet.rs
+++ b/crates/ebonystand-core/tests/allowance/fleet.rs
@@ -184,6 +184,12 @@
 
     /// Starts a VM again that is down, with the newest configuration.
     pub fn start(&mut self, vm: &str) {
+        let document = self.document.clone();
+        self.start_with(vm, &document);
+    }
+
+    /// Starts a VM again that is down, with the configuration that its disk holds.
+    pub fn start_with(&mut self, vm: &str, document: &Document) {
         let now = self.now;
         let node = self.nodes.get_mut(vm).expect("a VM of the fleet");
         if node.allowance.is_some() {
@@ -194,9 +200,9 @@
         let local = node.local_time(now);
         let region = node.region.clone();
         let mut allowance = Allowance::new(vm.into(), node.incarnation, region, local);
-        allowance.configure(local, &self.document);
+        allowance.configure(local, document);
         node.allowance = Some(allowance);
-        node.version = self.document.version;
+        node.version = document.version;
     }
 
     pub fn cut(&mut self, from: &str, to: &str) {
--- a/crates/ebonystand-core/tests/allowance/lease.rs
+++ b/crates/ebonystand-core/tests/allowance/lease.rs
@@ -186,6 +186,77 @@
     assert_eq!(refused, []);
 }
 
+/// Parts that moved before all VMs were killed must not wait for a handover again when the log is
+/// replayed.
+#[test]
+fn a_replay_of_moved_parts_does_not_repeat_their_handover() {
+    let mut fleet = start_small_fleet(RATE, 300);
+    let before = fleet.document.clone();
+    let mut moved = moved_holder(&before);
+    for region in ["b", "c"] {
+        let holder = format!("vm-{region}-1").into();
+        moved.regions.get_mut(region).expect("a region").holders = vec![holder];
+    }
+    fleet.publish(moved.clone());
+    fleet.run(seconds(40));
+    let vms: Vec<VmId> = fleet.nodes.keys().cloned().collect();
+    vms.iter().for_each(|vm| fleet.crash(vm));
+    for vm in &vms {
+        fleet.start_with(vm, &before);
+        fleet.configure(vm, &moved);
+    }
+    fleet.run(seconds(4));
+    send_request(&mut fleet, "vm-a-0", 250, 250, seconds(1));
+    assert!(fleet.requests[0].admitted.is_some());
+}
+
+/// A workspace that was removed and added again before a restart must not wait for that again when
+/// the log is replayed, nor start with a full bucket.
+#[test]
+fn a_replay_of_a_workspace_added_again_counts_as_a_start() {
+    let mut fleet = start_small_fleet(RATE, 300);
+    let before = fleet.document.clone();
+    let mut without = before.clone();
+    without.version += 1;
+    let workspaces = std::mem::take(&mut without.workspaces);
+    let mut again = without.clone();
+    again.version += 1;
+    again.workspaces = workspaces;
+    let vms: Vec<VmId> = fleet.nodes.keys().cloned().collect();
+    vms.iter().for_each(|vm| fleet.crash(vm));
+    fleet.document = again.clone();
+    for vm in &vms {
+        fleet.start_with(vm, &before);
+        fleet.configure(vm, &without);
+        fleet.configure(vm, &again);
+    }
+    fleet.run(Duration::from_millis(2_150));
+    fleet.request("vm-a-0", "w", 290, 290);
+    fleet.run(seconds(2));
+    send_request(&mut fleet, "vm-a-0", 250, 250, seconds(1));
+    assert!(fleet.requests[0].admitted.is_none());
+    assert!(fleet.requests[1].admitted.is_some());
+}
+
+/// A holder that starts from a disk that lags behind must not spend a part that moved meanwhile.
+#[test]
+fn a_restarted_holder_waits_until_its_configuration_has_caught_up() {
+    let mut fleet = start_small_fleet(100, 300);
+    let before = fleet.document.clone();
+    fleet.crash("vm-a-0");
+    fleet.publish(moved_holder(&before));
+    fleet.run(seconds(42));
+    fleet.start_with("vm-a-0", &before);
+    fleet.run(seconds(6));
+    send_request(&mut fleet, "vm-a-1", 295, 295, seconds(1));
+    fleet.request("vm-a-0", "w", 90, 90);
+    assert!(fleet.requests[0].admitted.is_some());
+    assert_eq!(
+        check_windows(&fleet.requests, "w", &[bound(100, 300)]),
+        Ok(())
+    );
+}
+
 /// An idle part must keep its level. A holder spends its part and is not used until its state is
 /// dropped. The part must come back as empty as it was, plus what has accrued since.
 #[test]
--- a/crates/ebonystand-core/tests/gateway/configuration.rs
+++ b/crates/ebonystand-core/tests/gateway/configuration.rs
@@ -209,6 +209,31 @@
     assert_eq!(third["b"], first["b"]);
 }
 
+/// Changes accepted on both sides of a cut between regions must not take the parts of either side
+/// away.
+#[test]
+fn a_cut_between_regions_moves_no_holder() {
+    let regions = set(&["a", "b"]);
+    let all: [(VmId, RegionId); 3] = [
+        ("1".into(), "a".into()),
+        ("2".into(), "b".into()),
+        ("3".into(), "b".into()),
+    ];
+    let plan = |current: &BTreeMap<RegionId, Region>, live: &[(VmId, RegionId)]| {
+        let plan = HolderPlan {
+            region_delay: ms(60),
+            live,
+            current,
+            regions: &regions,
+        };
+        plan.plan_regions()
+    };
+    let before = plan(&BTreeMap::new(), &all);
+    let seen_from_b = plan(&before, &all[1..]);
+    assert_eq!(seen_from_b, before);
+    assert_eq!(plan(&seen_from_b, &all[..1]), before);
+}
+
 /// The usage that a quota permits in any window, including the part of the overage granted in
 /// advance, must stay within the tolerated overage.
 #[test]
