Keep the holders of a region that is out of sight

Callers of all workspaces were refused with 429 for tens of seconds after a cut between regions had healed. The VM that accepts a change of routing plans the holders of all regions from the VMs that it sees; a region without one was planned without holders. Of two changes accepted on the two sides of a cut, the second took away what the first had left, and each part that moves is unusable for 26.1 s.

Now holders are replaced only by VMs that are there: a plan made with a partial view equals the one in force.

--- a/crates/ebonystand-core/src/gateway/holder_plan.rs
+++ b/crates/ebonystand-core/src/gateway/holder_plan.rs
@@ -18,9 +18,10 @@
     /// are charged against it.
     const ASSUMED_LINK_MEGABITS: u64 = 100;
 
-    /// Returns all regions with their holders. A region keeps its holders while one of them is
-    /// live: a part that moves to another VM is unusable for [`LeaseTerms::HANDOVER_DELAY`], and its
-    /// tokens are missing meanwhile.
+    /// Returns all regions with their holders. A region keeps its holders while one of them is live:
+    /// a part that moves to another VM is unusable for [`LeaseTerms::HANDOVER_DELAY`], and its
+    /// tokens are missing meanwhile. It also keeps them while no other VM of the region is live,
+    /// since a region that is cut off from this VM still serves its own callers.
     #[must_use]
     pub fn plan_regions(&self) -> BTreeMap<RegionId, Region> {
         let regions = self.regions.iter();
@@ -43,13 +44,13 @@
 
     fn holders(&self, id: &RegionId) -> Vec<VmId> {
         let is_live = |vm: &VmId| self.live.iter().any(|(live, _)| live == vm);
-        if let Some(region) = self.current.get(id)
-            && region.holders.iter().any(is_live)
-        {
-            return region.holders.clone();
-        }
         let here = self.live.iter().filter(|(_, region)| region == id);
         let here: BTreeSet<_> = here.map(|(vm, _)| vm.clone()).collect();
-        here.into_iter().collect()
+        match self.current.get(id) {
+            Some(region) if here.is_empty() || region.holders.iter().any(is_live) => {
+                region.holders.clone()
+            }
+            _ => here.into_iter().collect(),
+        }
     }
 }
