Let a VM's start end when its configuration has caught up

After a start of all VMs, callers of all workspaces were refused with 429 for 26.1 s and more. A start replays the log; each change in it that had moved a part, or removed a workspace and added it again, was taken for a new one and began its handover anew, which every holder waited for. The same hole the other way: a holder that came up with an old configuration used its old parts 2.1 s after its start, though they had moved.

Now what a VM adopts before it has caught up with the log's leader is its past: no handover begins with it, no bucket of a workspace starts full, and its parts are not used before.

The simulated fleet and one test tell that a start has ended, where the daemon now does.

--- a/crates/ebonystand-core/benches/allowance.rs
+++ b/crates/ebonystand-core/benches/allowance.rs
@@ -37,6 +37,7 @@
 fn start(vm: &str, document: &Document) -> Allowance {
     let mut allowance = Allowance::new(vm.into(), 1, "a".into(), Duration::ZERO);
     allowance.configure(Duration::ZERO, document);
+    allowance.complete_start(Duration::ZERO);
     for step in 0..5 {
         allowance.tick(Duration::from_secs(step));
     }
--- a/crates/ebonystand-core/src/allowance/allowance_configure.rs
+++ b/crates/ebonystand-core/src/allowance/allowance_configure.rs
@@ -12,12 +12,12 @@
         {
             return Vec::new();
         }
-        let is_first = self.version.replace(document.version).is_none();
+        self.version = Some(document.version);
         let same_regions = self.adopt_regions(document);
         self.removed.retain(|_, until| now < *until);
         self.remove_workspaces(now, document);
         for (id, workspace) in &document.workspaces {
-            self.adopt_workspace(now, id, workspace, same_regions, is_first);
+            self.adopt_workspace(now, id, workspace, same_regions);
         }
         self.cx.take_outputs()
     }
@@ -45,7 +45,6 @@
         id: &WorkspaceId,
         workspace: &Workspace,
         same_regions: bool,
-        is_first: bool,
     ) {
         let total = AllowancePart::total_of(workspace);
         if same_regions
@@ -56,24 +55,27 @@
             return;
         }
         let mut newer = self.fleet.build_plan(&self.cx.vm, id, workspace);
-        if let Some(plan) = self.plans.get_mut(id) {
-            plan.adopt(newer, now, self.ready_at);
-            self.update_share(now, id);
-            return;
-        }
         newer.idle_since = now;
-        if let Some(until) = self.removed.remove(id) {
-            let interim_part = AllowancePart::ZERO;
-            newer.handover = Some(Box::new(Handover {
-                interim_part,
-                ends_at: until,
-            }));
-        } else if !is_first {
-            // A workspace that is new to a running fleet starts with full buckets: nobody has spent
-            // from them.
-            newer.idle_level = newer.own_part.capacity;
+        if self.is_starting {
+            self.plans.insert(id.clone(), newer);
+        } else if let Some(plan) = self.plans.get_mut(id) {
+            plan.adopt(newer, now, self.ready_at);
+        } else {
+            match self.removed.remove(id) {
+                Some(ends_at) => {
+                    let interim_part = AllowancePart::ZERO;
+                    newer.handover = Some(Box::new(Handover {
+                        interim_part,
+                        ends_at,
+                    }));
+                }
+                // A workspace that is new to a running fleet starts with full buckets: nobody has
+                // spent from them.
+                None => newer.idle_level = newer.own_part.capacity,
+            }
+            self.plans.insert(id.clone(), newer);
         }
-        self.plans.insert(id.clone(), newer);
+        self.update_share(now, id);
     }
 
     /// Updates the share of a workspace in use from its plan.
@@ -100,9 +102,11 @@
             let Some(plan) = self.plans.remove(&id) else {
                 continue;
             };
-            let refill = accrual_time(plan.total.capacity, plan.total.rate);
-            let until = now + refill.max(LeaseTerms::HANDOVER_DELAY);
-            self.removed.insert(id.clone(), until);
+            if !self.is_starting {
+                let refill = accrual_time(plan.total.capacity, plan.total.rate);
+                let until = now + refill.max(LeaseTerms::HANDOVER_DELAY);
+                self.removed.insert(id.clone(), until);
+            }
             if let Some(mut share) = self.shares.remove(&id) {
                 share.return_all_leases(now, &mut self.cx);
                 share.refuse_all_tickets(Duration::MAX, &mut self.cx);
--- a/crates/ebonystand-core/src/allowance/state.rs
+++ b/crates/ebonystand-core/src/allowance/state.rs
@@ -15,11 +15,15 @@
     pub(crate) cx: AllowanceCx,
     pub(crate) fleet: AllowanceFleet,
     pub(crate) plans: FxHashMap<WorkspaceId, AllowancePlan>,
-    /// Time from which this VM may use its own parts, after a start or a freeze.
+    /// Time from which this VM may use its own parts, after a start or a freeze;
+    /// [`Duration::MAX`] during a start.
     pub(crate) ready_at: Duration,
     /// Time of the last call, by which a freeze is detected.
     pub(crate) last_call: Duration,
     started_at: Duration,
+    /// Whether the VM is starting: until [`Self::complete_start`], the configurations that it adopts
+    /// are those of its past.
+    pub(crate) is_starting: bool,
     /// Removed workspaces, each with the time until which a new one of the same name must wait to
     /// use its part.
     pub(crate) removed: FxHashMap<WorkspaceId, Duration>,
@@ -33,9 +37,9 @@
 }
 
 impl Allowance {
-    /// Creates the allowance of a VM that starts. Its parts are empty and unused for
-    /// [`LeaseTerms::LENDER_TERM`]: the VM's previous start may have lent all of them just before
-    /// it ended.
+    /// Creates the allowance of a VM that starts. Its parts are empty, and unused until
+    /// [`Self::complete_start`] and for [`LeaseTerms::LENDER_TERM`]: the VM's previous start may
+    /// have lent all of them just before it ended.
     #[must_use]
     pub fn new(vm: VmId, incarnation: Incarnation, region: RegionId, now: Duration) -> Self {
         Self {
@@ -45,9 +49,10 @@
                 regions: Vec::new(),
             },
             plans: FxHashMap::default(),
-            ready_at: now + LeaseTerms::LENDER_TERM,
+            ready_at: Duration::MAX,
             last_call: now,
             started_at: now,
+            is_starting: true,
             removed: FxHashMap::default(),
             shares: FxHashMap::default(),
             thawed_at: None,
@@ -85,6 +90,23 @@
         self.cx.take_outputs()
     }
 
+    /// Records that the VM has caught up with the configuration in force in the fleet, which ends
+    /// its start. Before, its parts may be those of an old configuration, and a change that its log
+    /// replays is no news: a handover that each start began anew would leave parts unused long
+    /// after their former holders have learned of the change.
+    pub fn complete_start(&mut self, now: Duration) -> Vec<AllowanceOutput> {
+        self.detect_freeze(now);
+        if !std::mem::replace(&mut self.is_starting, false) {
+            return Vec::new();
+        }
+        let thawed_at = self.thawed_at.map(|at| at + LeaseTerms::THAW_DELAY);
+        self.ready_at = (self.started_at + LeaseTerms::LENDER_TERM)
+            .max(thawed_at.unwrap_or_default())
+            .max(now);
+        self.tick_all_shares(now);
+        self.cx.take_outputs()
+    }
+
     /// Records that the configuration in force was the newest at `asked_at`. A VM whose freeze was
     /// detected before then has missed no configuration, and uses its parts again.
     pub fn confirm_configuration(
@@ -97,16 +119,14 @@
             .thawed_at
             .take_if(|thawed_at| *thawed_at <= asked_at)
             .is_none()
+            || self.is_starting
         {
             return Vec::new();
         }
         self.ready_at = self
             .ready_at
             .min(now.max(self.started_at + LeaseTerms::LENDER_TERM));
-        let shares: Vec<WorkspaceId> = self.shares.keys().cloned().collect();
-        for workspace in shares {
-            self.tick_share(now, &workspace);
-        }
+        self.tick_all_shares(now);
         self.cx.take_outputs()
     }
 
@@ -235,6 +255,13 @@
         }
     }
 
+    fn tick_all_shares(&mut self, now: Duration) {
+        let shares: Vec<WorkspaceId> = self.shares.keys().cloned().collect();
+        for workspace in shares {
+            self.tick_share(now, &workspace);
+        }
+    }
+
     /// Ticks one share, drops it if it is idle and sets its next timer.
     fn tick_share(&mut self, now: Duration, workspace: &WorkspaceId) {
         let Some(share) = self.shares.get_mut(workspace) else {
--- a/crates/ebonystand-core/tests/allowance/fleet.rs
+++ b/crates/ebonystand-core/tests/allowance/fleet.rs
@@ -147,6 +147,11 @@
         node.frozen = frozen;
     }
 
+    /// Tells a VM that its configuration has caught up with the fleet's.
+    pub fn complete_start(&mut self, vm: &str) {
+        self.call(vm, Allowance::complete_start);
+    }
+
     /// Calls the allowance of a VM unless it is down or frozen, and carries out the outputs.
     fn call(
         &mut self,
@@ -186,6 +191,7 @@
     pub fn start(&mut self, vm: &str) {
         let document = self.document.clone();
         self.start_with(vm, &document);
+        self.complete_start(vm);
     }
 
     /// Starts a VM again that is down, with the configuration that its disk holds.
--- a/crates/ebonystand-core/tests/allowance/lease.rs
+++ b/crates/ebonystand-core/tests/allowance/lease.rs
@@ -204,6 +204,7 @@
     for vm in &vms {
         fleet.start_with(vm, &before);
         fleet.configure(vm, &moved);
+        fleet.complete_start(vm);
     }
     fleet.run(seconds(4));
     send_request(&mut fleet, "vm-a-0", 250, 250, seconds(1));
@@ -229,6 +230,7 @@
         fleet.start_with(vm, &before);
         fleet.configure(vm, &without);
         fleet.configure(vm, &again);
+        fleet.complete_start(vm);
     }
     fleet.run(Duration::from_millis(2_150));
     fleet.request("vm-a-0", "w", 290, 290);
@@ -282,6 +284,7 @@
         let vm = format!("vm-{region}-0");
         let mut allowance = Allowance::new(vm.into(), 1, region.into(), at(0));
         allowance.configure(at(0), &document);
+        allowance.complete_start(at(0));
         allowance
     };
     let (mut holder, mut borrower) = (start("a"), start("b"));
--- a/crates/ebonystand/src/allowance_controller.rs
+++ b/crates/ebonystand/src/allowance_controller.rs
@@ -67,6 +67,14 @@
         Self::take(node, outputs);
     }
 
+    /// Notes that this VM has caught up with the configuration in force in the fleet.
+    pub(crate) fn complete_start(node: &Rc<Node>) {
+        let this = &node.allowance;
+        let outputs = this.allowance.borrow_mut().complete_start(node.clock.now());
+        this.changed.notify_one();
+        Self::take(node, outputs);
+    }
+
     pub(crate) fn configure(node: &Rc<Node>, now: Duration, document: &Document) {
         let this = &node.allowance;
         let before = this.describe_holders();
--- a/crates/ebonystand/src/state_controller.rs
+++ b/crates/ebonystand/src/state_controller.rs
@@ -228,7 +228,10 @@
                 waited_ms:? = waited.map(|waited| waited.as_millis() as u64);
                 "question for the configuration ended"
             ),
-            FeedOutput::Ready => log::info!("ready to serve"),
+            FeedOutput::Ready => {
+                log::info!("ready to serve");
+                AllowanceController::complete_start(node);
+            }
             FeedOutput::Send { message, to } => {
                 node.send(&to, PeerMessage::Feed(Box::new(message)))
             }
