--- a/crates/ebonystand/tests/integration/faults.rs
+++ b/crates/ebonystand/tests/integration/faults.rs
@@ -2,11 +2,13 @@
     crate::{
         fleet::{CHAT, Fleet, FleetBuilder, KEY},
         stand_in::StandIn,
+        vm::Vm,
     },
-    ebonystand_core::{Change, Document, UpstreamKind, Workspace},
+    ebonystand_core::{Change, Document, Region, UpstreamKind, Workspace},
     ebonystand_fakes::{Engine, EngineOptions, Fault},
     futures_util::future::{join, join_all},
     std::{
+        collections::BTreeMap,
         net::SocketAddr,
         time::{Duration, Instant},
     },
@@ -214,6 +216,30 @@
     assert!(refused.into_iter().all(|refused| refused.unwrap() > 0));
 }
 
+/// An allowance that moved before all VMs were killed must be usable once they are ready again.
+#[actix_rt::test]
+async fn an_allowance_that_moved_is_usable_after_all_vms_were_killed() {
+    let mut fleet = FleetBuilder::new()
+        .region("utara", 3)
+        .engine(EngineOptions::default())
+        .members(3)
+        .start()
+        .await;
+    let region = Region {
+        holders: vec!["vm1".into()],
+        links: BTreeMap::new(),
+    };
+    let id = "utara".into();
+    fleet.change(1, Change::PutRegion { id, region }).await;
+    fleet.vms.iter_mut().for_each(Vm::kill);
+    fleet.vms.iter_mut().for_each(Vm::restart);
+    fleet.wait_until_ready().await;
+    for vm in &fleet.vms {
+        let answer = vm.call(KEY, "POST", CHAT, &chat("x", 12, false)).await;
+        assert_eq!(answer.status, 200, "{}: {}", vm.name, answer.body);
+    }
+}
+
 /// Sends requests to a VM, whether it lives or not, and returns how many it refused.
 async fn hammer(vm: SocketAddr, until: Instant) -> u64 {
     let client = awc::Client::default();
