Read the limit that an upstream names, and log when it changes

Answers may name the requests a second that an upstream takes from all VMs together. No VM read that, and no line told of it. The adapter decodes it into a checked type; a malformed, repeated or absurd value is a typed error, logged, and changes nothing. The book keeps what is in force, and a line tells each change. Nothing is limited by it yet.

An answer without a limit ends one only if its request was sent after the limit was last named, since answers overtake one another.

--- a/crates/ebonystand-core/src/gateway/known_upstream.rs
+++ b/crates/ebonystand-core/src/gateway/known_upstream.rs
@@ -35,6 +35,8 @@
     pub(crate) consecutive_failures: u32,
     /// Time until which the upstream is passed over because it timed out or could not be reached.
     pub(crate) backoff_until: Duration,
+    /// Limit that the upstream names in its answers, if any.
+    pub(crate) limit: Option<NamedLimit>,
     /// Limit on the prompt tokens that wait in the engine, with those reserved by this VM's requests
     /// whose answers have not begun; calls to plain services reserve none.
     pub(crate) work_window: WorkWindow,
@@ -86,6 +88,7 @@
             failure_rate: 0.0,
             consecutive_failures: 0,
             backoff_until: Duration::ZERO,
+            limit: None,
             work_window: WorkWindow::new(Self::INITIAL_WINDOW_TOKENS),
         }
     }
--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 use super::*;
 
 pub use {
+    answer_limit::AnswerLimit,
     attempt_end::AttemptEnd,
     call_kind::CallKind,
     choice_query::ChoiceQuery,
@@ -30,14 +31,18 @@
     split_part::SplitPart,
     target_choice::TargetChoice,
     upstream_book::UpstreamBook,
+    upstream_limit::UpstreamLimit,
+    upstream_limit_error::UpstreamLimitError,
     weighted_fair_queue::WeightedFairQueue,
 };
 
 use {
     cold_start_limiter::ColdStartLimiter, event_gap_meter::EventGapMeter,
-    known_upstream::KnownUpstream, sent_prefixes::SentPrefixes, work_window::WorkWindow,
+    known_upstream::KnownUpstream, named_limit::NamedLimit, sent_prefixes::SentPrefixes,
+    work_window::WorkWindow,
 };
 
+mod answer_limit;
 mod attempt_end;
 mod call_kind;
 mod choice_query;
@@ -56,6 +61,7 @@
 mod listed_upstream;
 mod live_vms;
 mod mechanism;
+mod named_limit;
 mod next_step;
 mod prompt;
 mod quota;
@@ -69,6 +75,9 @@
 mod target_choice;
 mod upstream_book;
 mod upstream_choice;
+mod upstream_limit;
+mod upstream_limit_error;
+mod upstream_limits;
 mod upstream_pressure;
 mod weighted_fair_queue;
 mod work_window;
--- a/crates/ebonystand/src/gateway/answer_marks.rs
+++ b/crates/ebonystand/src/gateway/answer_marks.rs
@@ -1,11 +1,13 @@
-use ebonystand_core::ReportedSlots;
+use ebonystand_core::{AnswerLimit, ReportedSlots};
 
 /// Metadata that the headers and status of an upstream's answer carry about the request and the
 /// server.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct AnswerMarks {
     /// Whether the server at the address is another instance than the one the request was sent to.
     pub is_stranger: bool,
+    /// Rate at which the upstream takes requests from all VMs together, if the answer names one.
+    pub limit: AnswerLimit,
     /// Whether the upstream guarantees that the request has not run and never will.
     pub not_run: bool,
     /// Identifier of the request that the upstream answers, if the answer states one.
--- a/crates/ebonystand/src/gateway/attempt.rs
+++ b/crates/ebonystand/src/gateway/attempt.rs
@@ -1,6 +1,6 @@
 use super::*;
 use {
-    ebonystand_core::{AttemptEnd, ChoiceQuery, SharedPrefix},
+    ebonystand_core::{AnswerLimit, AttemptEnd, ChoiceQuery, SharedPrefix, UpstreamLimit},
     std::collections::BTreeSet,
 };
 
@@ -66,6 +66,24 @@
         }
     }
 
+    /// Records what the head of the answer says of the upstream's limit.
+    pub(crate) fn record_limit(&self, limit: &AnswerLimit) {
+        let limit = match limit {
+            AnswerLimit::Absent => None,
+            AnswerLimit::Named(limit) => Some(*limit),
+            AnswerLimit::Invalid(error) => {
+                log::warn!(upstream:% = self.instance, error:% = error; "limit of an upstream ignored");
+                return;
+            }
+        };
+        let now = self.node.clock.now();
+        let mut book = self.node.gateway.book.borrow_mut();
+        if book.record_limit(now, &self.instance, self.started, limit) {
+            let per_s = limit.map_or(0.0, UpstreamLimit::per_s);
+            log::info!(upstream:% = self.instance, per_s = per_s; "limit of an upstream changed");
+        }
+    }
+
     /// Records the arrival of one or more events of a streamed answer.
     pub(crate) fn record_event(&mut self) {
         let now = self.node.clock.now();
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -197,6 +197,9 @@
             let mut book = node.gateway.book.borrow_mut();
             book.record_reported_slots(node.clock.now(), instance, slots);
         }
+        if marks.request.as_ref() == Some(&self.request) && !marks.is_stranger {
+            attempt.record_limit(&marks.limit);
+        }
         if let Some(end) = self.end_by_head(head, &marks) {
             attempt.end(end);
             return self
--- a/crates/ebonystand/src/gateway/native_dialect.rs
+++ b/crates/ebonystand/src/gateway/native_dialect.rs
@@ -1,5 +1,5 @@
 use super::*;
-use ebonystand_core::Prompt;
+use ebonystand_core::{AnswerLimit, Prompt};
 
 /// Built-in dialect, which uses `x-ebonystand-*` headers towards callers and upstreams.
 #[derive(Clone, Copy, Debug)]
@@ -10,6 +10,8 @@
 const IMPORT_FROM: &str = "x-ebonystand-import-from";
 const INSTANCE: &str = "x-ebonystand-instance";
 const DEADLINE: &str = "x-ebonystand-deadline-ms";
+/// Header of an answer with the requests per second that the upstream takes from all VMs together.
+const LIMIT: &str = "x-ebonystand-limit";
 const RUN_STATE: &str = "x-ebonystand-run";
 const PROMPT: &str = "x-ebonystand-prompt";
 const RANK: &str = "x-ebonystand-rank";
@@ -27,7 +29,9 @@
 
 impl Dialect for NativeDialect {
     fn answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerMarks {
+        let limits = headers.get_all(LIMIT);
         AnswerMarks {
+            limit: AnswerLimit::parse(limits.map(|value| value.to_str().unwrap_or_default())),
             is_stranger: status == StatusCode::MISDIRECTED_REQUEST,
             not_run: headers::text(headers, RUN_STATE) == Some("not_run"),
             request: headers::text(headers, REQUEST).map(Into::into),
