--- a/crates/ebonystand-core/tests/gateway/main.rs
+++ b/crates/ebonystand-core/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod caches;
 mod configuration;
 mod directory;
+mod limits;
 mod load;
 mod next_step;
 mod upstreams;
