Keep the VMs of a region together within the limit that an upstream names

No VM heeded the limit, and a bound held by each VM alone would multiply it by their number.

Of the VMs of the upstream's region, which alone send to it, four and as many more as the limit is requests a second are its senders, by rendezvous hashing of the VMs in view. Each spaces its requests by its equal share, in whatever way they came to it: first tries, retries, forwarded requests. The shares add up to the limit, and a window has at most one request more for each sender, which stays below one and a half times the limit and five. A VM that is out of sight keeps its share for 15 s, so that the two sides of a cut do not each take the whole; a VM that has just started takes the least share for 5 s. What does not fit goes to other upstreams, waits for its turn as for room, or is refused with the time of the next turn.

VMs tell one another what answers said along the paths of the load messages, when it changes and each second, so that a VM knows a limit before its first request, and one that does not send learns of its end. Status, metrics and lines show limit, age, share and refusals.

Three tests name the time at which a book gets its VMs; one has an arm for the new message.

--- a/crates/ebonystand-core/src/gateway/ineligible_upstreams.rs
+++ b/crates/ebonystand-core/src/gateway/ineligible_upstreams.rs
@@ -3,7 +3,7 @@
 /// Number of a service's upstreams by the reason why they cannot get a request in this region.
 #[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq)]
 #[display(
-    "{listed} listed, {elsewhere} in other regions, {leaving} leaving, {evacuated} evacuated, {cold} cold, {excluded} tried, home here: {is_home}"
+    "{listed} listed, {elsewhere} in other regions, {leaving} leaving, {evacuated} evacuated, {cold} cold, {limited} limited, {excluded} tried, home here: {is_home}"
 )]
 pub struct IneligibleUpstreams {
     /// Upstreams that are cold and have used up their rate.
@@ -18,6 +18,8 @@
     pub is_home: bool,
     /// Upstreams that are draining and take no new requests.
     pub leaving: u32,
+    /// Upstreams that have a limit and to which other VMs send.
+    pub limited: u32,
     /// Upstreams of the service on the list, in any region.
     pub listed: u32,
 }
--- a/crates/ebonystand-core/src/gateway/known_upstream.rs
+++ b/crates/ebonystand-core/src/gateway/known_upstream.rs
@@ -35,7 +35,7 @@
     pub(crate) consecutive_failures: u32,
     /// Time until which the upstream is passed over because it timed out or could not be reached.
     pub(crate) backoff_until: Duration,
-    /// Limit that the upstream names in its answers, if any.
+    /// Limit that the upstream has named, if any.
     pub(crate) limit: Option<NamedLimit>,
     /// Limit on the prompt tokens that wait in the engine, with those reserved by this VM's requests
     /// whose answers have not begun; calls to plain services reserve none.
@@ -208,6 +208,20 @@
             self.reading_speed * (1.0 - Self::SMOOTHING) + sample * Self::SMOOTHING;
     }
 
+    /// Returns the earliest time at which the limit of the upstream permits this VM's next request;
+    /// `None` if this VM must not send.
+    pub(crate) fn limit_opens_at(&self) -> Option<Duration> {
+        let named = self.limit.as_ref();
+        named.map_or(Some(Duration::ZERO), NamedLimit::opens_at)
+    }
+
+    /// Returns the time until the limit of the upstream permits this VM's next request; zero if this
+    /// VM must not send.
+    pub(crate) fn limit_wait(&self, now: Duration) -> Duration {
+        let opens_at = self.limit_opens_at();
+        opens_at.unwrap_or_default().saturating_sub(now)
+    }
+
     pub(crate) fn fresh_report(&self, now: Duration) -> Option<(Duration, ReportedSlots)> {
         let (at, slots) = self.last_report?;
         let age = now.saturating_sub(at);
--- a/crates/ebonystand-core/src/gateway/live_vms.rs
+++ b/crates/ebonystand-core/src/gateway/live_vms.rs
@@ -1,11 +1,16 @@
 use super::*;
 
-/// Live VMs of the own region, from which VMs derive without a message which of them send to a cold
-/// upstream.
+/// VMs of the own region, from which each VM derives without a message which of them send to an
+/// upstream that takes few requests.
 #[derive(Clone, Debug)]
 pub struct LiveVms {
     own: VmId,
     all: Vec<VmId>,
+    /// VMs that are no longer seen, with the time until which they count as senders to limited
+    /// upstreams.
+    departed: BTreeMap<VmId, Duration>,
+    /// Time of the first view.
+    first_view: Option<Duration>,
 }
 
 impl LiveVms {
@@ -14,19 +19,47 @@
     /// below one and a half times the rate plus three, which cold engines tolerate; with more,
     /// requests of several VMs that coincide would exceed it.
     const MAX_COLD_SENDERS: usize = 3;
+    /// Time for which a VM that is no longer seen keeps its share of an upstream's limit. VMs on the
+    /// two sides of a cut would otherwise each take over the shares of the other side.
+    const DEPARTED_HOLD: Duration = Duration::from_secs(15);
+    /// Time after the first view until which a VM takes no more than its least share, since it may
+    /// not have met the others yet.
+    const DISCOVERY_TIME: Duration = Duration::from_secs(5);
 
     /// Creates the set with this VM as its only member.
     #[must_use]
     pub fn new(own: VmId) -> Self {
         let all = vec![own.clone()];
-        Self { own, all }
+        Self {
+            own,
+            all,
+            departed: BTreeMap::new(),
+            first_view: None,
+        }
     }
 
     /// Replaces the live VMs. This VM is always a member, even if `live` lacks it.
-    pub fn update_live(&mut self, live: impl IntoIterator<Item = VmId>) {
-        self.all = live.into_iter().filter(|vm| *vm != self.own).collect();
-        self.all.push(self.own.clone());
-        self.all.sort_unstable();
+    pub fn update_live(&mut self, now: Duration, live: impl IntoIterator<Item = VmId>) {
+        let mut all: Vec<_> = live.into_iter().filter(|vm| *vm != self.own).collect();
+        all.push(self.own.clone());
+        all.sort_unstable();
+        let before = std::mem::replace(&mut self.all, all);
+        let gone = before
+            .into_iter()
+            .filter(|vm| self.all.binary_search(vm).is_err());
+        self.departed
+            .extend(gone.map(|vm| (vm, now + Self::DEPARTED_HOLD)));
+        self.departed
+            .retain(|vm, _| self.all.binary_search(vm).is_err());
+        self.first_view.get_or_insert(now);
+    }
+
+    /// Forgets VMs that have been out of sight for [`Self::DEPARTED_HOLD`], and returns whether the
+    /// shares of limits change with time alone.
+    pub(crate) fn expire(&mut self, now: Duration) -> bool {
+        let before = self.departed.len();
+        self.departed.retain(|_, until| now < *until);
+        self.departed.len() != before || self.is_discovering(now)
     }
 
     /// Returns the number of VMs that send to `upstream` while it is cold; `None` if this VM is not
@@ -39,4 +72,36 @@
         let senders = self.all.len().min(Self::MAX_COLD_SENDERS);
         (ahead < senders).then_some(senders as u32)
     }
+
+    /// Returns this VM's part in sending to an upstream that has a limit.
+    pub(crate) fn limit_share(
+        &self,
+        now: Duration,
+        upstream: &str,
+        limit: UpstreamLimit,
+    ) -> LimitShare {
+        let rendezvous = RendezvousHash::new(xxh3_64(upstream.as_bytes()));
+        let own = rendezvous.weight(&self.own);
+        let members = self.all.iter().chain(self.departed.keys());
+        let ahead = members.filter(|vm| rendezvous.weight(vm) > own).count();
+        let members = self.all.len() + self.departed.len();
+        let most = limit.max_senders();
+        let senders = match self.is_discovering(now) {
+            true => most,
+            false => members.min(most),
+        };
+        let interval = |vms: usize| limit.interval() * u32::try_from(vms).unwrap_or(u32::MAX);
+        let stale_interval = interval(members);
+        LimitShare {
+            interval: interval(senders),
+            is_sender: ahead < most,
+            stale_interval,
+            stale_phase: stale_interval.mul_f64(own as f64 / u64::MAX as f64),
+        }
+    }
+
+    fn is_discovering(&self, now: Duration) -> bool {
+        self.first_view
+            .is_none_or(|first| now < first + Self::DISCOVERY_TIME)
+    }
 }
--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -38,8 +38,8 @@
 
 use {
     cold_start_limiter::ColdStartLimiter, event_gap_meter::EventGapMeter,
-    known_upstream::KnownUpstream, named_limit::NamedLimit, sent_prefixes::SentPrefixes,
-    work_window::WorkWindow,
+    known_upstream::KnownUpstream, limit_share::LimitShare, named_limit::NamedLimit,
+    send_pacer::SendPacer, sent_prefixes::SentPrefixes, work_window::WorkWindow,
 };
 
 mod answer_limit;
@@ -57,6 +57,7 @@
 mod holder_plan;
 mod ineligible_upstreams;
 mod known_upstream;
+mod limit_share;
 mod list_reader_election;
 mod listed_upstream;
 mod live_vms;
@@ -69,6 +70,7 @@
 mod route_table;
 mod routing;
 mod routing_fault;
+mod send_pacer;
 mod sent_prefixes;
 mod service_latency;
 mod split_part;
--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -12,9 +12,9 @@
     /// Prompt prefixes known to be cached by engines.
     pub(super) caches: CacheDirectory,
     /// Exchange of load messages with the other VMs of the region.
-    exchange: LoadExchange,
+    pub(super) exchange: LoadExchange,
     /// Live VMs of the region.
-    vms: LiveVms,
+    pub(super) vms: LiveVms,
     /// State of each upstream on the list.
     pub(super) upstreams: BTreeMap<UpstreamId, KnownUpstream>,
     /// Upstreams by the short name that messages use.
@@ -25,6 +25,8 @@
     pub(super) region_round_trip: Duration,
     /// Time between stream events of the engines of this region, by service.
     pub(super) event_gaps: FxHashMap<ServiceId, EventGapMeter>,
+    /// Time of the next look at shares of limits that change with time alone.
+    pub(super) next_share_update: Duration,
     /// Disabled features of the selection.
     disabled_mechanisms: BTreeSet<Mechanism>,
     /// Region of each availability zone.
@@ -66,6 +68,7 @@
             region_latencies: FxHashMap::default(),
             region_round_trip: 2 * Self::DEFAULT_REGION_DELAY,
             event_gaps: FxHashMap::default(),
+            next_share_update: Duration::ZERO,
             disabled_mechanisms: BTreeSet::new(),
             zones,
         }
@@ -189,8 +192,17 @@
         }
     }
 
-    /// Processes a load message of another VM of the region.
-    pub fn receive_load_message(&mut self, now: Duration, from: &VmId, mut message: LoadMessage) {
+    /// Processes a load message of another VM of the region. Returns the upstreams whose limits it
+    /// changes, with the limits now in force.
+    pub fn receive_load_message(
+        &mut self,
+        now: Duration,
+        from: &VmId,
+        mut message: LoadMessage,
+    ) -> Vec<(UpstreamId, Option<UpstreamLimit>)> {
+        if let LoadMessage::Limits { news } = message {
+            return self.receive_limits(now, from, news);
+        }
         if let LoadMessage::Region {
             region_latencies: pressures,
             ..
@@ -214,11 +226,14 @@
             self.exchange.handle_message(now, from, message);
             self.exchange.forward_cached(&fresh, origin);
         }
+        Vec::new()
     }
 
     /// Returns the load messages to be sent to other VMs of the region now.
     pub fn build_load_messages(&mut self, now: Duration) -> Vec<(VmId, LoadMessage)> {
         self.caches.remove_expired(now);
+        self.expire_shares(now);
+        self.retell_limits(now);
         let cached = self.caches.take_for_region();
         let latencies = self.recent_region_latencies(now);
         let messages = self
@@ -333,15 +348,20 @@
                 .cold_limiter
                 .record_sent(now, query.cold.per_s, senders);
         }
+        if let Some(named) = &mut known.limit {
+            named.record_sent(now);
+        }
         if let Some(prompt) = query.prompt {
             known.sent_prefixes.record_prompt(prompt);
         }
     }
 
     /// Replaces the live VMs of the region.
-    pub fn set_vms(&mut self, vms: &[RegionVm]) {
-        self.vms.update_live(vms.iter().map(|vm| vm.vm.clone()));
+    pub fn set_vms(&mut self, now: Duration, vms: &[RegionVm]) {
+        self.vms
+            .update_live(now, vms.iter().map(|vm| vm.vm.clone()));
         self.exchange.set_vms(vms);
+        self.update_shares(now);
     }
 
     /// Returns the requests that this VM has in flight, by upstream.
@@ -400,6 +420,7 @@
             && query.is_region_allowed(&self.own_region)
             && self.is_usable(query, known)
             && is_open
+            && known.limit_opens_at().is_some()
             && !query.excluded.contains(&known.listed.instance)
     }
 
@@ -433,7 +454,12 @@
             } else {
                 Duration::ZERO
             };
-            gate.max(known.backoff_until).saturating_sub(now)
+            let limited = known
+                .limit_opens_at()
+                .unwrap_or(now + Self::MAX_RETRY_AFTER);
+            gate.max(limited)
+                .max(known.backoff_until)
+                .saturating_sub(now)
         });
         let opens = opens.min().unwrap_or(Self::MAX_RETRY_AFTER);
         opens.clamp(Self::MIN_RETRY_AFTER, Self::MAX_RETRY_AFTER)
@@ -454,6 +480,9 @@
         is_engine: bool,
         work: u64,
     ) -> bool {
+        if known.limit_opens_at().is_none_or(|at| now < at) {
+            return false;
+        }
         let others = self.peer_load(known);
         match self.is_enabled(Mechanism::Windows) {
             true => known.can_accept(now, is_engine, work, others),
@@ -512,6 +541,7 @@
                 () if query.evacuated.contains(&known.listed.zone) => &mut counts.evacuated,
                 () if query.excluded.contains(&known.listed.instance) => &mut counts.excluded,
                 () if is_cold => &mut counts.cold,
+                () if known.limit_opens_at().is_none() => &mut counts.limited,
                 () => continue,
             };
             *count += 1;
--- a/crates/ebonystand-core/src/gateway/upstream_choice.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_choice.rs
@@ -406,7 +406,7 @@
     /// Scores an upstream for a call to a plain service.
     fn score_call<'a>(&self, now: Duration, known: &'a KnownUpstream) -> UpstreamCandidate<'a> {
         let others = self.peer_load(known);
-        let delay = known.predict_call_duration(now, others);
+        let delay = known.predict_call_duration(now, others) + known.limit_wait(now);
         UpstreamCandidate {
             cost: self.add_failure_cost(known, delay),
             delay,
@@ -444,7 +444,8 @@
             true => prompt.shared_tokens().saturating_sub(cached + imported),
             false => 0,
         };
-        let delay = known.predict_first_byte(now, unread, others) + import_time;
+        let delay =
+            known.predict_first_byte(now, unread, others) + import_time + known.limit_wait(now);
         let reading_cost = match self.is_enabled(Mechanism::ReadingCosts) {
             true => known.reading_time(unread - owner_tokens.min(unread)) + import_time,
             false => Duration::ZERO,
--- a/crates/ebonystand-core/src/gateway/upstream_limit.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_limit.rs
@@ -11,6 +11,8 @@
 impl UpstreamLimit {
     /// Largest limit that is accepted, in requests per second.
     pub const MAX_PER_S: f64 = 1_000_000.0;
+    /// Senders of the smallest limits.
+    const MIN_SENDERS: usize = 4;
     /// Smallest limit that is accepted, in requests per second: one request in some eleven days.
     pub const MIN_PER_S: f64 = 0.000_001;
 
@@ -37,6 +39,14 @@
         self.interval
     }
 
+    /// Most VMs that send to the upstream. Each spaces its requests on its own, so a window can have
+    /// one request more than the limit for each of them. With the limit itself as their number, and
+    /// a few more so that a small limit does not depend on one VM, a window of four seconds stays
+    /// below one and a half times the limit and five.
+    pub(crate) fn max_senders(self) -> usize {
+        Self::MIN_SENDERS + self.per_s() as usize
+    }
+
     /// Requests per second of all VMs together.
     #[must_use]
     pub fn per_s(self) -> f64 {
--- a/crates/ebonystand-core/src/gateway/upstream_limits.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_limits.rs
@@ -1,8 +1,16 @@
-//! Limits that upstreams name in their answers.
+//! Limits that upstreams name in their answers, shared by the VMs of the region.
+//!
+//! Only a few VMs send to a limited upstream. VMs with equal views agree on them without a message,
+//! and each takes an equal share, so the shares add up to the limit even while the VMs are cut off
+//! from one another. VMs tell one another what answers said, so that those that do not send learn
+//! of changes too.
 
 use super::*;
 
 impl UpstreamBook {
+    /// Time between two looks at shares that change with time alone.
+    const SHARE_INTERVAL: Duration = Duration::from_secs(5);
+
     /// Records the limit that an answer of an upstream names to a request sent at `sent_at`, or that
     /// it names none, and returns whether that changes the limit in force.
     ///
@@ -18,13 +26,157 @@
         let Some(known) = self.upstreams.get_mut(instance) else {
             return false;
         };
-        let before = known.limit;
-        if let Some(limit) = limit {
-            let named_at = now;
-            known.limit = Some(NamedLimit { limit, named_at });
-        } else if before.is_some_and(|named| sent_at >= named.named_at) {
-            known.limit = None;
-        }
-        known.limit.map(|named| named.limit) != before.map(|named| named.limit)
+        let is_overtaken = match &known.limit {
+            None => limit.is_none(),
+            Some(named) => limit.is_none() && named.limit.is_some() && sent_at < named.named_at,
+        };
+        if is_overtaken {
+            return false;
+        }
+        let heard = HeardLimit {
+            limit,
+            named_at: now,
+            upstream: known.key,
+        };
+        let is_changed = Self::adopt_limit(now, known, heard, &self.vms);
+        if let Some(named) = &mut known.limit
+            && (is_changed || !named.is_told(now))
+        {
+            named.told_at = Some(now);
+            self.exchange.tell_limit(heard);
+        }
+        is_changed
+    }
+
+    /// Adopts what another VM of the region tells of limits, and returns those that it changes.
+    pub(super) fn receive_limits(
+        &mut self,
+        now: Duration,
+        from: &VmId,
+        news: Vec<LimitNews>,
+    ) -> Vec<(UpstreamId, Option<UpstreamLimit>)> {
+        let mut changed = Vec::new();
+        let mut newer = Vec::new();
+        for news in news {
+            let instance = self.instances_by_key.get(&news.upstream);
+            let Some(known) = instance.and_then(|instance| self.upstreams.get_mut(instance)) else {
+                continue;
+            };
+            let heard = HeardLimit {
+                limit: news.limit,
+                named_at: now.saturating_sub(Duration::from_millis(news.age_ms)),
+                upstream: news.upstream,
+            };
+            let is_known = known
+                .limit
+                .as_ref()
+                .is_some_and(|named| named.named_at >= heard.named_at);
+            if is_known {
+                continue;
+            }
+            newer.push(heard);
+            if Self::adopt_limit(now, known, heard, &self.vms) {
+                changed.push((known.listed.instance.clone(), heard.limit));
+            }
+        }
+        self.exchange.forward_limits(from, &newer);
+        changed
+    }
+
+    /// Returns the limits in force, by upstream, with this VM's share of each.
+    pub fn limits(&self, now: Duration) -> impl Iterator<Item = UpstreamLimitStatus> {
+        self.upstreams.values().filter_map(move |known| {
+            let named = known.limit.as_ref()?;
+            Some(UpstreamLimitStatus {
+                age_ms: millis(now.saturating_sub(named.named_at)),
+                per_s: named.limit?.per_s(),
+                share_per_s: named
+                    .interval
+                    .map_or(0.0, |interval| interval.as_secs_f64().recip()),
+                upstream: known.listed.instance.clone(),
+            })
+        })
+    }
+
+    /// Returns whether an upstream of the service in this region gets no request now because of its
+    /// limit.
+    #[must_use]
+    pub fn is_held_by_limit(&self, now: Duration, service: &str) -> bool {
+        let mut upstreams = self.upstreams.values();
+        upstreams.any(|known| {
+            *known.listed.service == *service
+                && self.is_local(known)
+                && known.limit_opens_at().is_none_or(|at| now < at)
+        })
+    }
+
+    /// Updates this VM's shares after its view of the region has changed.
+    pub(super) fn update_shares(&mut self, now: Duration) {
+        for known in self.upstreams.values_mut() {
+            let Some(named) = &mut known.limit else {
+                continue;
+            };
+            match named.limit {
+                Some(limit) => {
+                    let share = self.vms.limit_share(now, &known.listed.instance, limit);
+                    named.update_share(now, share);
+                }
+                None if now >= named.changed_at + NamedLimit::ENDED_HOLD => known.limit = None,
+                None => {}
+            }
+        }
+    }
+
+    /// Updates this VM's shares if time alone may have changed them.
+    pub(super) fn expire_shares(&mut self, now: Duration) {
+        let is_due = now >= self.next_share_update;
+        if self.vms.expire(now) || is_due {
+            self.next_share_update = now + Self::SHARE_INTERVAL;
+            self.update_shares(now);
+        }
+    }
+
+    /// Tells the other VMs again, on a relay, of the limits that it knows: one of them may have
+    /// started since, or may have had another relay.
+    pub(super) fn retell_limits(&mut self, now: Duration) {
+        if !self.exchange.is_relay() {
+            return;
+        }
+        for known in self.upstreams.values_mut() {
+            let Some(named) = &mut known.limit else {
+                continue;
+            };
+            if named.is_told(now) || !self.exchange.has_room_for_limits() {
+                continue;
+            }
+            named.told_at = Some(now);
+            self.exchange.tell_limit(HeardLimit {
+                limit: named.limit,
+                named_at: named.named_at,
+                upstream: known.key,
+            });
+        }
+    }
+
+    /// Replaces what is known of an upstream's limit; returns whether the limit changes.
+    fn adopt_limit(
+        now: Duration,
+        known: &mut KnownUpstream,
+        heard: HeardLimit,
+        vms: &LiveVms,
+    ) -> bool {
+        let before = known.limit.as_ref().and_then(|named| named.limit);
+        let is_changed = before != heard.limit;
+        let named = known.limit.get_or_insert_with(|| NamedLimit::new(now));
+        named.limit = heard.limit;
+        named.named_at = heard.named_at;
+        if is_changed {
+            named.changed_at = now;
+            if let Some(limit) = heard.limit {
+                let share = vms.limit_share(now, &known.listed.instance, limit);
+                named.update_share(now, share);
+            }
+        }
+        is_changed
     }
 }
--- a/crates/ebonystand-core/src/lib.rs
+++ b/crates/ebonystand-core/src/lib.rs
@@ -175,6 +175,7 @@
     unsent_order::UnsentOrder,
     upstream::Upstream,
     upstream_kind::UpstreamKind,
+    upstream_limit_status::UpstreamLimitStatus,
     upstream_status::UpstreamStatus,
     vm_entry::VmEntry,
     vm_health::VmHealth,
@@ -341,6 +342,7 @@
 mod upstream_group;
 mod upstream_index;
 mod upstream_kind;
+mod upstream_limit_status;
 mod upstream_state;
 mod upstream_status;
 mod vm_entry;
--- a/crates/ebonystand-core/src/load_exchange/load_message.rs
+++ b/crates/ebonystand-core/src/load_exchange/load_message.rs
@@ -1,7 +1,7 @@
 use super::*;
 
-/// Message between VMs of a region about the requests in flight at upstreams and the prefixes that
-/// engines cache.
+/// Message between VMs of a region about the requests in flight at upstreams, the prefixes that
+/// engines cache and the limits that upstreams name.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum LoadMessage {
     /// From a relay to another relay: the load of the VMs that report to it, and its own.
@@ -36,6 +36,11 @@
         /// Requests that the VM has in flight, by upstream.
         under_way: UpstreamLoads,
     },
+    /// What upstreams said of their limits; relays pass it on.
+    Limits {
+        /// News since the last message.
+        news: Vec<LimitNews>,
+    },
 }
 
 impl LoadMessage {
@@ -51,8 +56,17 @@
     /// [`CacheDirectory::MAX_PREFIXES`].
     #[must_use]
     pub fn merge_unsent(mut self, mut older: Self) -> Self {
+        if let (Self::Limits { news }, Self::Limits { news: older }) = (&mut self, &mut older) {
+            older.append(news);
+            let excess = older.len().saturating_sub(LimitNews::MAX_IN_MESSAGE);
+            older.drain(..excess);
+            std::mem::swap(news, older);
+            return self;
+        }
         let (mut merged, _) = older.take_cached();
-        let cached = self.cached_mut();
+        let Some(cached) = self.cached_mut() else {
+            return self;
+        };
         merged.append(cached);
         let excess = merged.len().saturating_sub(CacheDirectory::MAX_PREFIXES);
         merged.drain(..excess);
@@ -64,6 +78,9 @@
     #[must_use]
     pub fn max_encoded_len(&self) -> usize {
         let (cached, region_latencies, under_way) = match self {
+            Self::Limits { news } => {
+                return Self::MAX_HEADER_BYTES + news.len() * LimitNews::MAX_BYTES;
+            }
             Self::Group { cached, under_way }
             | Self::Report {
                 cached, under_way, ..
@@ -80,11 +97,12 @@
             + region_latencies * Self::MAX_LATENCY_BYTES
     }
 
-    fn cached_mut(&mut self) -> &mut Vec<CachedPrefix> {
+    fn cached_mut(&mut self) -> Option<&mut Vec<CachedPrefix>> {
         match self {
             Self::Group { cached, .. }
             | Self::Region { cached, .. }
-            | Self::Report { cached, .. } => cached,
+            | Self::Report { cached, .. } => Some(cached),
+            Self::Limits { .. } => None,
         }
     }
 
@@ -95,6 +113,7 @@
                 (cached, CacheNewsOrigin::Relay)
             }
             Self::Report { cached, .. } => (cached, CacheNewsOrigin::Reporter),
+            Self::Limits { .. } => return (Vec::new(), CacheNewsOrigin::Relay),
         };
         (std::mem::take(cached), origin)
     }
--- a/crates/ebonystand-core/src/load_exchange/mod.rs
+++ b/crates/ebonystand-core/src/load_exchange/mod.rs
@@ -8,6 +8,7 @@
 use super::*;
 
 pub use {
+    limit_news::LimitNews,
     load_message::LoadMessage,
     region_vm::RegionVm,
     relay_plan::RelayPlan,
@@ -17,8 +18,12 @@
     upstream_key::{UpstreamKey, UpstreamLoads},
 };
 
+pub(crate) use heard_limit::HeardLimit;
+
 use {peer_loads::PeerLoads, report_log::ReportLog};
 
+mod heard_limit;
+mod limit_news;
 mod load_message;
 mod peer_loads;
 mod region_vm;
--- a/crates/ebonystand-core/src/load_exchange/state.rs
+++ b/crates/ebonystand-core/src/load_exchange/state.rs
@@ -12,6 +12,10 @@
     cached_for_relays: Vec<CachedPrefix>,
     /// Newly cached prefixes to be sent to the VMs that report to this one.
     cached_for_reporters: Vec<CachedPrefix>,
+    /// Limits to be told to the other relays, or by a VM that is no relay to its own one.
+    limits_for_relays: Vec<HeardLimit>,
+    /// Limits to be told to the VMs that report to this one.
+    limits_for_reporters: Vec<HeardLimit>,
     /// Relays in the order in which this VM tries to report to them.
     relay_order: Vec<VmId>,
     own: VmId,
@@ -79,6 +83,8 @@
         Self {
             cached_for_relays: Vec::new(),
             cached_for_reporters: Vec::new(),
+            limits_for_relays: Vec::new(),
+            limits_for_reporters: Vec::new(),
             relay_order: Vec::new(),
             own,
             plan: RelayPlan::default(),
@@ -152,6 +158,35 @@
                 self.reporters.insert(from.clone(), number);
                 self.reported.record_report(now, from.clone(), under_way);
             }
+            // The limits themselves are kept by the book.
+            LoadMessage::Limits { .. } => {}
+        }
+    }
+
+    /// Queues a limit to be told to the other VMs of the region.
+    pub(crate) fn tell_limit(&mut self, heard: HeardLimit) {
+        Self::queue_limit(&mut self.limits_for_relays, heard);
+        Self::queue_limit(&mut self.limits_for_reporters, heard);
+    }
+
+    /// Returns whether another limit fits into the next messages.
+    pub(crate) fn has_room_for_limits(&self) -> bool {
+        self.limits_for_relays
+            .len()
+            .max(self.limits_for_reporters.len())
+            < LimitNews::MAX_IN_MESSAGE
+    }
+
+    /// Queues limits that `from` has told to be passed on, if this VM is a relay.
+    pub(crate) fn forward_limits(&mut self, from: &VmId, heard: &[HeardLimit]) {
+        if !self.is_relay() {
+            return;
+        }
+        for heard in heard {
+            Self::queue_limit(&mut self.limits_for_reporters, *heard);
+            if self.reporters.contains_key(from) {
+                Self::queue_limit(&mut self.limits_for_relays, *heard);
+            }
         }
     }
 
@@ -197,12 +232,54 @@
         region_latencies: &[RelayedLatency],
     ) -> Vec<(VmId, LoadMessage)> {
         self.remove_expired(now);
-        match self.is_relay() {
+        let mut messages = match self.is_relay() {
             true => self.relay_messages(own, &cached, region_latencies),
             false => self.report_message(now, own, cached).into_iter().collect(),
+        };
+        messages.append(&mut self.limit_messages(now));
+        messages
+    }
+
+    /// Queues a limit, in place of an older one of the same upstream.
+    fn queue_limit(queue: &mut Vec<HeardLimit>, heard: HeardLimit) {
+        queue.retain(|other| other.upstream != heard.upstream);
+        if queue.len() < LimitNews::MAX_IN_MESSAGE {
+            queue.push(heard);
         }
     }
 
+    /// Builds the messages about limits: a relay tells the other relays and the VMs that report to
+    /// it, any other VM its relay.
+    fn limit_messages(&mut self, now: Duration) -> Vec<(VmId, LoadMessage)> {
+        let for_relays = std::mem::take(&mut self.limits_for_relays);
+        let for_reporters = std::mem::take(&mut self.limits_for_reporters);
+        let tell = |vms: Vec<VmId>, heard: Vec<HeardLimit>| {
+            let news = heard.into_iter().map(|heard| heard.into_news(now));
+            let news = news.collect::<Vec<_>>();
+            let vms = vms.into_iter().filter(|_| !news.is_empty());
+            let messages = vms.map(|vm| (vm, LoadMessage::Limits { news: news.clone() }));
+            messages.collect::<Vec<_>>()
+        };
+        if !self.is_relay() {
+            let relay = self.current_relay.as_ref().map(|relay| relay.vm.clone());
+            return tell(relay.into_iter().collect(), for_relays);
+        }
+        let mut messages = tell(self.other_relays(), for_relays);
+        messages.append(&mut tell(
+            self.reporters.keys().cloned().collect(),
+            for_reporters,
+        ));
+        messages
+    }
+
+    /// Returns the VMs that act as relays beside this one.
+    fn other_relays(&self) -> Vec<VmId> {
+        let relays = self.plan.relays().chain(self.relayed.vms());
+        let relays = relays.filter(|vm| **vm != self.own && !self.reporters.contains_key(*vm));
+        let relays = relays.cloned().collect::<BTreeSet<_>>();
+        relays.into_iter().collect()
+    }
+
     /// Appends prefixes to a queue that holds at most [`CacheDirectory::MAX_PREFIXES`]; the rest is
     /// dropped.
     fn append_bounded(queue: &mut Vec<CachedPrefix>, cached: &[CachedPrefix]) {
@@ -255,14 +332,12 @@
         let tells = self.has_sent_load || !group.is_empty() || !for_relays.is_empty();
         self.has_sent_load = !group.is_empty();
         if tells || !self.reporters.is_empty() {
-            let planned = self.plan.relays().chain(self.relayed.vms());
-            let relays = planned.filter(|vm| **vm != self.own && !self.reporters.contains_key(*vm));
-            for vm in relays.collect::<BTreeSet<_>>() {
+            for vm in self.other_relays() {
                 let message = LoadMessage::Group {
                     cached: for_relays.clone(),
                     under_way: group.clone(),
                 };
-                messages.push((vm.clone(), message));
+                messages.push((vm, message));
             }
         }
         add_loads(&mut sums, self.relayed.sums());
--- a/crates/ebonystand-core/src/operator_status.rs
+++ b/crates/ebonystand-core/src/operator_status.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// Answer to `GET /v1/operator/status`: state of the system as one VM sees it.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct OperatorStatus {
     /// Status of the allowances that this VM holds a share of.
     pub allowances: Vec<WorkspaceAllowanceStatus>,
@@ -9,6 +9,9 @@
     pub draining: bool,
     /// Status of the replicated groups that this VM is a member of.
     pub groups: Vec<GroupStatus>,
+    /// Limits that upstreams name, with this VM's share of each.
+    #[serde(default)]
+    pub limits: Vec<UpstreamLimitStatus>,
     /// Name of the preset in force.
     pub preset: PresetName,
     /// Whether this VM is ready to serve requests.
--- a/crates/ebonystand-core/tests/gateway/caches.rs
+++ b/crates/ebonystand-core/tests/gateway/caches.rs
@@ -18,6 +18,7 @@
         LoadMessage::Group { cached, .. }
         | LoadMessage::Region { cached, .. }
         | LoadMessage::Report { cached, .. } => (vm, cached),
+        LoadMessage::Limits { .. } => panic!("no limit is named"),
     });
     news.collect()
 }
@@ -225,7 +226,7 @@
         (&mut second, ["vm2", "vm3"]),
         (&mut third, ["vm2", "vm3"]),
     ] {
-        book.set_vms(&region_vms(region.map(str::to_owned)));
+        book.set_vms(ms(0), &region_vms(region.map(str::to_owned)));
     }
     assert_eq!(
         cache_reports(&mut first, ms(50)),
@@ -281,7 +282,7 @@
 #[test]
 fn what_several_vms_tell_at_once_is_passed_on_once() {
     let mut relay = book_of("vm0", two_regions());
-    relay.set_vms(&region_vms((0..9).map(|vm| format!("vm{vm}"))));
+    relay.set_vms(ms(0), &region_vms((0..9).map(|vm| format!("vm{vm}"))));
     let cached = CachedPrefix {
         homes: None,
         instance: "u1".into(),
--- a/crates/ebonystand-core/tests/gateway/limits.rs
+++ b/crates/ebonystand-core/tests/gateway/limits.rs
@@ -60,7 +60,7 @@
             let seen =
                 (0..self.vms.len()).filter(|vm| self.vms[*vm].is_up && !self.is_cut(own, *vm));
             let seen = region_vms(seen.map(|vm| self.vms[vm].name.to_string()));
-            self.vms[own].book.set_vms(&seen);
+            self.vms[own].book.set_vms(ms(self.now), &seen);
         }
     }
 
--- a/crates/ebonystand-core/tests/gateway/upstreams.rs
+++ b/crates/ebonystand-core/tests/gateway/upstreams.rs
@@ -115,7 +115,7 @@
     let live = region_vms((0..vms).map(|vm| format!("vm{vm}")));
     for vm in 0..vms {
         let mut book = book_of(&format!("vm{vm}"), vec![cold.clone()]);
-        book.set_vms(&live);
+        book.set_vms(ms(0), &live);
         for at in (0..8_000).step_by(7) {
             let now = ms(at + u64::from(vm) * 3);
             let sends = send(&mut book, now, &sets.query(None));
--- a/crates/ebonystand/src/gateway/admitted.rs
+++ b/crates/ebonystand/src/gateway/admitted.rs
@@ -48,6 +48,7 @@
                         self.call.homes_text(),
                         reachable.len()
                     );
+                    self.count_limit_refusal(node);
                     let refusal = self.refusal(RefusalCode::NoUpstream, &message);
                     return Err(refusal.with_retry_after(retry_after));
                 }
@@ -55,10 +56,13 @@
                     if self.call.wait_for_room(node).await {
                         continue;
                     }
-                    let refusal = self.refusal(
-                        RefusalCode::Overloaded,
-                        "all upstreams have as much as they can begin in time",
-                    );
+                    let message = match self.count_limit_refusal(node) {
+                        true => {
+                            "no upstream can begin it in time; some have used up the limit that they name"
+                        }
+                        false => "all upstreams have as much as they can begin in time",
+                    };
+                    let refusal = self.refusal(RefusalCode::Overloaded, message);
                     return Err(refusal.with_retry_after(self.retry_delay(node, predicted)));
                 }
                 TargetChoice::Upstream {
@@ -202,6 +206,17 @@
         predicted.min(self.call.aim) + spread
     }
 
+    /// Counts a refusal if the limit of an upstream of the service keeps a request from it, and
+    /// returns whether it does.
+    fn count_limit_refusal(&self, node: &Node) -> bool {
+        let book = node.gateway.book.borrow();
+        let is_held = book.is_held_by_limit(node.clock.now(), &self.call.service);
+        if is_held {
+            node.metrics.limit_refusals.inc();
+        }
+        is_held
+    }
+
     /// Charges the request to its reservation, because an upstream may now run it.
     fn consume_reservation(&mut self) {
         if let Some(reserved) = &mut self.reserved {
--- a/crates/ebonystand/src/gateway/attempt.rs
+++ b/crates/ebonystand/src/gateway/attempt.rs
@@ -1,6 +1,6 @@
 use super::*;
 use {
-    ebonystand_core::{AnswerLimit, AttemptEnd, ChoiceQuery, SharedPrefix, UpstreamLimit},
+    ebonystand_core::{AnswerLimit, AttemptEnd, ChoiceQuery, SharedPrefix},
     std::collections::BTreeSet,
 };
 
@@ -79,8 +79,7 @@
         let now = self.node.clock.now();
         let mut book = self.node.gateway.book.borrow_mut();
         if book.record_limit(now, &self.instance, self.started, limit) {
-            let per_s = limit.map_or(0.0, UpstreamLimit::per_s);
-            log::info!(upstream:% = self.instance, per_s = per_s; "limit of an upstream changed");
+            GatewayController::log_limit(&self.instance, limit, &self.instance);
         }
     }
 
@@ -126,4 +125,4 @@
     }
 }
 
-use {node::Node, room_queues::RoomQueues};
+use {controller::GatewayController, node::Node, room_queues::RoomQueues};
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -2,8 +2,8 @@
 use {
     allowance_controller::AllowanceController,
     ebonystand_core::{
-        AttemptEnd, Confirmation, Place, Preset, RegionVm, RelayPlan, RetryBudget, Retryable,
-        RouteTable, UpstreamBook, VmEntry,
+        AttemptEnd, Confirmation, LoadMessage, Place, Preset, RegionVm, RelayPlan, RetryBudget,
+        Retryable, RouteTable, UpstreamBook, UpstreamLimit, VmEntry,
     },
     forwarders::Forwarders,
     list_controller::ListController,
@@ -295,6 +295,21 @@
         }
     }
 
+    /// Handles a load message of another VM of the region.
+    pub(crate) fn receive_load_message(node: &Rc<Node>, from: &VmId, message: LoadMessage) {
+        let now = node.clock.now();
+        let mut book = node.gateway.book.borrow_mut();
+        for (upstream, limit) in book.receive_load_message(now, from, message) {
+            Self::log_limit(&upstream, limit, from);
+        }
+    }
+
+    /// Logs that the limit of an upstream has changed on this VM, by word of `from`.
+    pub(crate) fn log_limit(upstream: &str, limit: Option<UpstreamLimit>, from: &str) {
+        let per_s = limit.map_or(0.0, UpstreamLimit::per_s);
+        log::info!(upstream:% = upstream, per_s = per_s, from:% = from; "limit of an upstream changed");
+    }
+
     /// Sends the load of upstreams known to this VM to the VMs of the region periodically, until
     /// the task is dropped.
     pub(crate) async fn run_load(node: Rc<Node>) {
@@ -307,10 +322,14 @@
                 let vms = live
                     .iter()
                     .filter_map(|entry| serving_vm_in(entry, &node.settings.region));
-                this.book.borrow_mut().set_vms(&vms.collect::<Vec<_>>());
+                this.book
+                    .borrow_mut()
+                    .set_vms(now, &vms.collect::<Vec<_>>());
                 known = live;
             }
             let messages = this.book.borrow_mut().build_load_messages(now);
+            let limited = this.book.borrow().limits(now).count();
+            node.metrics.limited_upstreams.set(limited as i64);
             for (vm, message) in messages {
                 node.send(&vm, PeerMessage::Load(message));
             }
--- a/crates/ebonystand/src/metrics.rs
+++ b/crates/ebonystand/src/metrics.rs
@@ -17,6 +17,8 @@
     pub(crate) cost: Counter,
     pub(crate) dispatches: Family<DispatchLabels, Counter>,
     pub(crate) first_token: Family<WorkspaceLabel, Histogram>,
+    pub(crate) limit_refusals: Counter,
+    pub(crate) limited_upstreams: Gauge,
     pub(crate) peer_refused: Counter,
     pub(crate) refusals: Family<RefusalLabels, Counter>,
     pub(crate) requests: Family<WorkspaceLabel, Counter>,
@@ -78,6 +80,8 @@
             cost: Counter::default(),
             dispatches: Family::default(),
             first_token: Family::new_with_constructor(histogram),
+            limit_refusals: Counter::default(),
+            limited_upstreams: Gauge::default(),
             peer_refused: Counter::default(),
             refusals: Family::default(),
             requests: Family::default(),
@@ -132,6 +136,16 @@
             "Time to the first byte of an answer",
             self.first_token.clone(),
         );
+        r.register(
+            "limit_refusals",
+            "Requests refused while the limit of an upstream of their service was used up",
+            self.limit_refusals.clone(),
+        );
+        r.register(
+            "limited_upstreams",
+            "Upstreams whose limit is in force on this VM",
+            self.limited_upstreams.clone(),
+        );
         r.register(
             "peer_refused",
             "Frames and datagrams refused as not authentic or malformed",
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -258,9 +258,7 @@
                     .receive_region_caches(now, cached);
             }
             PeerMessage::Load(message) => {
-                let now = self.clock.now();
-                let mut book = self.gateway.book.borrow_mut();
-                book.receive_load_message(now, from, message);
+                GatewayController::receive_load_message(self, from, message);
             }
             PeerMessage::Pressure {
                 first_byte_and_gap_ms,
--- a/crates/ebonystand/src/operator_status.rs
+++ b/crates/ebonystand/src/operator_status.rs
@@ -24,6 +24,7 @@
             .collect(),
         draining: node.leaving(),
         groups: node.group.status().iter().map(group).collect(),
+        limits: node.gateway.book.borrow().limits(now).collect(),
         preset: document.preset,
         ready: node.ready(),
         upstreams: upstreams
--- a/crates/ebonystandctl/src/status.rs
+++ b/crates/ebonystandctl/src/status.rs
@@ -55,6 +55,12 @@
             upstream.id, upstream.region, upstream.in_flight
         )
     }));
+    lines.extend(status.limits.iter().map(|limit| {
+        format!(
+            "  limit {}: {:.2} requests/s named {} ms ago, {:.2} of them from this VM",
+            limit.upstream, limit.per_s, limit.age_ms, limit.share_per_s
+        )
+    }));
     lines.extend(status.allowances.iter().map(|allowance| {
         format!(
             "  allowance {}: {} of {} tokens/s, {} available of burst {}",
