Count VMs that are out of sight as senders to a cold upstream

The same cause as with limits, found by looking for it: VMs on the two sides of a cut each picked three senders, so that a cold upstream could get requests of six, up to twelve in a second where 9.3 are tolerated at 4.2 a second. a_cut_between_vms_adds_no_senders_to_a_cold_upstream failed before (6 senders). A VM out of sight now counts for 15 s, as it does for limits. The price: if all three have died, a cold upstream gets nothing until then or until it is warm.

--- a/crates/ebonystand-core/src/gateway/live_vms.rs
+++ b/crates/ebonystand-core/src/gateway/live_vms.rs
@@ -6,8 +6,7 @@
 pub struct LiveVms {
     own: VmId,
     all: Vec<VmId>,
-    /// VMs that are no longer seen, with the time until which they count as senders to limited
-    /// upstreams.
+    /// VMs that are no longer seen, with the time until which they count as senders.
     departed: BTreeMap<VmId, Duration>,
     /// Time of the first view.
     first_view: Option<Duration>,
@@ -19,8 +18,8 @@
     /// below one and a half times the rate plus three, which cold engines tolerate; with more,
     /// requests of several VMs that coincide would exceed it.
     const MAX_COLD_SENDERS: usize = 3;
-    /// Time for which a VM that is no longer seen keeps its share of an upstream's limit. VMs on the
-    /// two sides of a cut would otherwise each take over the shares of the other side.
+    /// Time for which a VM that is no longer seen counts as a sender. VMs on the two sides of a cut
+    /// would otherwise each take over the shares of the other side.
     const DEPARTED_HOLD: Duration = Duration::from_secs(15);
     /// Time after the first view until which a VM takes no more than its least share, since it may
     /// not have met the others yet.
@@ -66,11 +65,8 @@
     /// one of them. VMs with equal views agree without a message, and different upstreams get
     /// different senders.
     pub(crate) fn cold_sender_count(&self, upstream: &str) -> Option<u32> {
-        let weight = |vm: &VmId| RendezvousHash::new(xxh3_64(upstream.as_bytes())).weight(vm);
-        let own = weight(&self.own);
-        let ahead = self.all.iter().filter(|vm| weight(vm) > own).count();
-        let senders = self.all.len().min(Self::MAX_COLD_SENDERS);
-        (ahead < senders).then_some(senders as u32)
+        let senders = self.member_count().min(Self::MAX_COLD_SENDERS);
+        (self.rank(upstream) < senders).then_some(senders as u32)
     }
 
     /// Returns this VM's part in sending to an upstream that has a limit.
@@ -80,11 +76,7 @@
         upstream: &str,
         limit: UpstreamLimit,
     ) -> LimitShare {
-        let rendezvous = RendezvousHash::new(xxh3_64(upstream.as_bytes()));
-        let own = rendezvous.weight(&self.own);
-        let members = self.all.iter().chain(self.departed.keys());
-        let ahead = members.filter(|vm| rendezvous.weight(vm) > own).count();
-        let members = self.all.len() + self.departed.len();
+        let members = self.member_count();
         let most = limit.max_senders();
         let senders = match self.is_discovering(now) {
             true => most,
@@ -94,12 +86,31 @@
         let stale_interval = interval(members);
         LimitShare {
             interval: interval(senders),
-            is_sender: ahead < most,
+            is_sender: self.rank(upstream) < most,
             stale_interval,
-            stale_phase: stale_interval.mul_f64(own as f64 / u64::MAX as f64),
+            stale_phase: stale_interval.mul_f64(self.spread(upstream)),
         }
     }
 
+    /// Number of VMs that count as senders, those included that have gone out of sight lately.
+    fn member_count(&self) -> usize {
+        self.all.len() + self.departed.len()
+    }
+
+    /// Number of VMs that come before this one as senders to `upstream`.
+    fn rank(&self, upstream: &str) -> usize {
+        let rendezvous = RendezvousHash::new(xxh3_64(upstream.as_bytes()));
+        let own = rendezvous.weight(&self.own);
+        let members = self.all.iter().chain(self.departed.keys());
+        members.filter(|vm| rendezvous.weight(vm) > own).count()
+    }
+
+    /// Fraction from 0 to 1 that differs from VM to VM.
+    fn spread(&self, upstream: &str) -> f64 {
+        let rendezvous = RendezvousHash::new(xxh3_64(upstream.as_bytes()));
+        rendezvous.weight(&self.own) as f64 / u64::MAX as f64
+    }
+
     fn is_discovering(&self, now: Duration) -> bool {
         self.first_view
             .is_none_or(|first| now < first + Self::DISCOVERY_TIME)
--- a/crates/ebonystand-core/tests/gateway/upstreams.rs
+++ b/crates/ebonystand-core/tests/gateway/upstreams.rs
@@ -96,6 +96,23 @@
     assert_eq!(counts.len(), 3, "{counts:?}");
 }
 
+/// VMs on the two sides of a cut must not count as two sets of senders to a cold upstream.
+#[test]
+fn a_cut_between_vms_adds_no_senders_to_a_cold_upstream() {
+    let names = (0..12).map(|vm| format!("vm{vm}")).collect::<Vec<_>>();
+    let mut cold = listed("u1", "a-1", 1);
+    cold.cold_for = ms(9_000);
+    let sets = Sets::default();
+    let senders = names.iter().enumerate().filter(|(number, name)| {
+        let mut book = book_of(name, vec![cold.clone()]);
+        book.set_vms(ms(0), &region_vms(names.iter().cloned()));
+        let side = names.chunks(6).nth(number / 6).expect("a side");
+        book.set_vms(ms(5_000), &region_vms(side.iter().cloned()));
+        send(&mut book, ms(5_100), &sets.query(None)).is_some()
+    });
+    assert_eq!(senders.count(), 3);
+}
+
 /// An upstream restarts cold while the VMs of its region are partitioned from one another. Each of
 /// them sends as much as it may. In any second, however their requests are timed, they must
 /// together send no more than the upstream tolerates, even if there are many more VMs than the
