Tell callers when a part of an allowance becomes usable

A request refused while the parts of its workspace wait for a handover was told to come back after the time in which the rate brings its tokens, some milliseconds, and was refused again until the handover had ended up to 26 s later. A holder without a usable part now answers a claim with the time until it has one, where that is known.

a_refusal_during_a_handover_tells_its_end failed before: told 10 ms of 26.1 s.

--- a/crates/ebonystand-core/src/allowance/allowance_configure.rs
+++ b/crates/ebonystand-core/src/allowance/allowance_configure.rs
@@ -87,9 +87,9 @@
         share.total = plan.total;
         share.holders = self.fleet.holders_of(id, &plan.residency);
         let part = plan.part_in_force(now, self.ready_at);
-        share.lender.set_part(now, part, &mut share.bucket);
-        share.serve_claims(now, &mut self.cx);
         let change = plan.next_part_change(now, self.ready_at);
+        share.set_part(now, part, change);
+        share.serve_claims(now, &mut self.cx);
         Self::set_timer(&mut self.timers, share, now, change);
     }
 
--- a/crates/ebonystand-core/src/allowance/allowance_share.rs
+++ b/crates/ebonystand-core/src/allowance/allowance_share.rs
@@ -31,6 +31,8 @@
     pub(crate) holders: AllowanceHolders,
     /// Time before which no further leases are prefetched.
     pub(crate) prefetch_after: Duration,
+    /// Time from which the own part is usable, while none of it is; `None` if that is not known.
+    pub(crate) rests_until: Option<Duration>,
     /// Requests of this VM that wait for tokens.
     pub(crate) tickets: VecDeque<AllowanceTicket>,
     /// Time of the next tick, as entered in [`Allowance`]'s timers.
@@ -67,6 +69,7 @@
             retry_schedule: RetrySchedule::default(),
             holders,
             prefetch_after: now,
+            rests_until: None,
             tickets: VecDeque::new(),
             timer: None,
             last_used: now,
@@ -109,6 +112,18 @@
         self.update_first_expiry();
     }
 
+    /// Sets the part that this VM may use and the time of its next change.
+    pub(crate) fn set_part(
+        &mut self,
+        now: Duration,
+        part: AllowancePart,
+        next_change: Option<Duration>,
+    ) {
+        self.lender.set_part(now, part, &mut self.bucket);
+        self.rests_until =
+            next_change.filter(|at| part == AllowancePart::ZERO && *at < Duration::MAX);
+    }
+
     /// Recomputes the expiry of the borrowed lease that expires first.
     pub(crate) fn update_first_expiry(&mut self) {
         let first = self.borrowed.iter().map(|lease| lease.expires_at).min();
--- a/crates/ebonystand-core/src/allowance/allowance_share_grant.rs
+++ b/crates/ebonystand-core/src/allowance/allowance_share_grant.rs
@@ -25,7 +25,8 @@
         let rounds = if is_large { 2 } else { 0 };
         if self.lender.has_no_part() {
             let claim = WaitingClaim::new(now, claim, from, first, need, rounds);
-            self.answer_claim(now, &claim, 0, 0, Duration::MAX, cx);
+            let rest = self.rests_until.map(|at| at.saturating_sub(now));
+            self.answer_claim(now, &claim, 0, 0, rest.unwrap_or(Duration::MAX), cx);
             return;
         }
         self.claims
--- a/crates/ebonystand-core/src/allowance/state.rs
+++ b/crates/ebonystand-core/src/allowance/state.rs
@@ -249,8 +249,7 @@
         self.thawed_at = Some(now);
         for share in self.shares.values_mut() {
             share.expire(now, &mut self.cx);
-            let bucket = &mut share.bucket;
-            share.lender.set_part(now, AllowancePart::ZERO, bucket);
+            share.set_part(now, AllowancePart::ZERO, Some(self.ready_at));
             Self::set_timer(&mut self.timers, share, now, Some(self.ready_at));
         }
     }
@@ -270,7 +269,8 @@
         share.timer = None;
         if let Some(plan) = self.plans.get(workspace) {
             let part = plan.part_in_force(now, self.ready_at);
-            share.lender.set_part(now, part, &mut share.bucket);
+            let change = plan.next_part_change(now, self.ready_at);
+            share.set_part(now, part, change);
         }
         share.tick(now, &mut self.cx);
         if share.is_idle(now) {
@@ -309,10 +309,10 @@
         let holders = self.fleet.holders_of(id, &plan.residency);
         let mut share = AllowanceShare::new(now, id.clone(), holders, plan.total, &mut self.cx);
         let part = plan.part_in_force(now, self.ready_at);
-        share.lender.set_part(now, part, &mut share.bucket);
+        let change = plan.next_part_change(now, self.ready_at);
+        share.set_part(now, part, change);
         let level = plan.level_at(now, self.ready_at);
         share.bucket.add(now, AllowancePart::ZERO, level);
-        let change = plan.next_part_change(now, self.ready_at);
         Self::set_timer(&mut self.timers, &mut share, now, change);
         self.shares.insert(id.clone(), share);
         true
--- a/crates/ebonystand-core/tests/allowance/lease.rs
+++ b/crates/ebonystand-core/tests/allowance/lease.rs
@@ -259,6 +259,38 @@
     );
 }
 
+/// A refusal while the only part waits for its handover must tell when that ends.
+#[test]
+fn a_refusal_during_a_handover_tells_its_end() {
+    let mut before = document();
+    before.regions.retain(|region, _| **region == *"a");
+    for workspace in before.workspaces.values_mut() {
+        workspace.residency = ["a".into()].into();
+    }
+    let moved = moved_holder(&before);
+    let mut holder = Allowance::new("vm-a-1".into(), 1, "a".into(), seconds(0));
+    holder.configure(seconds(0), &before);
+    holder.complete_start(seconds(0));
+    (1..5).for_each(|second| drop(holder.tick(seconds(second))));
+    holder.configure(seconds(5), &moved);
+    let mut refused = None;
+    if let Admission::Refused { retry_after } = holder.admit_request(seconds(5), "w", 10) {
+        refused = Some(retry_after);
+    }
+    for ms in (5_000..6_000).step_by(10) {
+        for output in holder.tick(Duration::from_millis(ms)) {
+            if let AllowanceOutput::Refused { retry_after, .. } = output {
+                refused = Some(retry_after);
+            }
+        }
+    }
+    let refused = refused.expect("a refusal");
+    assert!(
+        refused > LeaseTerms::HANDOVER_DELAY - seconds(1),
+        "{refused:?}"
+    );
+}
+
 /// An idle part must keep its level. A holder spends its part and is not used until its state is
 /// dropped. The part must come back as empty as it was, plus what has accrued since.
 #[test]
