Keep word of a limit from growing younger on its way

Two relays that tell each other of the same answer each took the other's word for a newer one, since the time under way is not in its age: known to them as heard lately, the limit of an upstream that nobody asks any more would not have gone stale, and each word was passed on again. The same limit now counts as news only if it is half a second younger. a_limit_told_to_and_fro_does_not_grow_younger failed before.

--- a/crates/ebonystand-core/src/gateway/named_limit.rs
+++ b/crates/ebonystand-core/src/gateway/named_limit.rs
@@ -46,6 +46,17 @@
         }
     }
 
+    /// Returns whether what another VM has heard adds nothing to this knowledge. The same limit has to
+    /// be younger by half of [`Self::TELL_INTERVAL`]: the time of a message under way is not part
+    /// of its age, so that two VMs would otherwise keep telling each other of one answer.
+    pub(crate) fn covers(&self, heard: HeardLimit) -> bool {
+        let needed = match self.limit == heard.limit {
+            true => self.named_at + Self::TELL_INTERVAL / 2,
+            false => self.named_at,
+        };
+        heard.named_at <= needed
+    }
+
     /// Returns whether this VM has told others of the limit recently.
     pub(crate) fn is_told(&self, now: Duration) -> bool {
         self.told_at
--- a/crates/ebonystand-core/src/gateway/upstream_limit.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_limit.rs
@@ -11,7 +11,7 @@
 impl UpstreamLimit {
     /// Largest limit that is accepted, in requests per second.
     pub const MAX_PER_S: f64 = 1_000_000.0;
-    /// Senders of the smallest limits.
+    /// VMs that send to an upstream however small its limit is.
     const MIN_SENDERS: usize = 4;
     /// Smallest limit that is accepted, in requests per second: one request in some eleven days.
     pub const MIN_PER_S: f64 = 0.000_001;
--- a/crates/ebonystand-core/src/gateway/upstream_limits.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_limits.rs
@@ -67,11 +67,11 @@
                 named_at: now.saturating_sub(Duration::from_millis(news.age_ms)),
                 upstream: news.upstream,
             };
-            let is_known = known
+            if known
                 .limit
                 .as_ref()
-                .is_some_and(|named| named.named_at >= heard.named_at);
-            if is_known {
+                .is_some_and(|named| named.covers(heard))
+            {
                 continue;
             }
             newer.push(heard);
--- a/crates/ebonystand-core/tests/gateway/limits.rs
+++ b/crates/ebonystand-core/tests/gateway/limits.rs
@@ -300,6 +300,19 @@
     assert!(arrived > 1_000, "{arrived} served without a limit");
 }
 
+/// Word of a limit that two relays pass to and fro must not grow younger on the way.
+#[test]
+fn a_limit_told_to_and_fro_does_not_grow_younger() {
+    let mut region = Region::new(2, 5.0, 200.0);
+    region.run(1_000);
+    region.vms.iter_mut().for_each(|vm| vm.has_demand = false);
+    region.run(30_000);
+    for vm in &region.vms {
+        let status = vm.book.limits(ms(region.now)).next().expect("a limit");
+        assert!(status.age_ms >= 29_000, "{} ms", status.age_ms);
+    }
+}
+
 /// An answer that was under way when the limit was first named says nothing of its end.
 #[test]
 fn an_answer_that_was_overtaken_does_not_end_a_limit() {
