Kill all VMs and bring them back in five orders after an allowance moved

Together, killed again while they start, VMs with disks first, last, and one by one: once all say that they are ready, the first request through each is served.

--- a/crates/ebonystand/tests/integration/faults.rs
+++ b/crates/ebonystand/tests/integration/faults.rs
@@ -7,6 +7,7 @@
     ebonystand_core::{Change, Document, Region, UpstreamKind, Workspace},
     ebonystand_fakes::{Engine, EngineOptions, Fault},
     futures_util::future::{join, join_all},
+    rstest::rstest,
     std::{
         collections::BTreeMap,
         net::SocketAddr,
@@ -216,11 +217,49 @@
     assert!(refused.into_iter().all(|refused| refused.unwrap() > 0));
 }
 
+/// Order in which VMs that were all killed come back; the first three have a disk.
+enum Return {
+    Together,
+    KilledAgain,
+    DisksFirst,
+    DisksLast,
+    OneByOne,
+}
+
+impl Return {
+    async fn carry_out(&self, vms: &mut [Vm]) {
+        const PAUSE: Duration = Duration::from_millis(700);
+        let order = match self {
+            Self::Together | Self::KilledAgain => vec![vec![0, 1, 2, 3]],
+            Self::DisksFirst => vec![vec![0, 1, 2], vec![3]],
+            Self::DisksLast => vec![vec![3], vec![2, 1, 0]],
+            Self::OneByOne => vec![vec![2], vec![3], vec![0], vec![1]],
+        };
+        for (step, started) in order.into_iter().enumerate() {
+            if step > 0 {
+                actix_rt::time::sleep(PAUSE).await;
+            }
+            started.into_iter().for_each(|vm| vms[vm].restart());
+        }
+        if matches!(self, Self::KilledAgain) {
+            actix_rt::time::sleep(PAUSE).await;
+            vms.iter_mut().for_each(Vm::kill);
+            vms.iter_mut().for_each(Vm::restart);
+        }
+    }
+}
+
 /// An allowance that moved before all VMs were killed must be usable once they are ready again.
+#[rstest]
+#[case::together(Return::Together)]
+#[case::killed_again(Return::KilledAgain)]
+#[case::disks_first(Return::DisksFirst)]
+#[case::disks_last(Return::DisksLast)]
+#[case::one_by_one(Return::OneByOne)]
 #[actix_rt::test]
-async fn an_allowance_that_moved_is_usable_after_all_vms_were_killed() {
+async fn an_allowance_that_moved_is_usable_after_all_vms_were_killed(#[case] way_back: Return) {
     let mut fleet = FleetBuilder::new()
-        .region("utara", 3)
+        .region("utara", 4)
         .engine(EngineOptions::default())
         .members(3)
         .start()
@@ -232,7 +271,7 @@
     let id = "utara".into();
     fleet.change(1, Change::PutRegion { id, region }).await;
     fleet.vms.iter_mut().for_each(Vm::kill);
-    fleet.vms.iter_mut().for_each(Vm::restart);
+    way_back.carry_out(&mut fleet.vms).await;
     fleet.wait_until_ready().await;
     for vm in &fleet.vms {
         let answer = vm.call(KEY, "POST", CHAT, &chat("x", 12, false)).await;
