--- a/crates/ebonystand-wire/tests/send_queue.rs
+++ b/crates/ebonystand-wire/tests/send_queue.rs
@@ -2,7 +2,8 @@
 
 use {
     ebonystand_core::{
-        CachedPrefix, FeedMessage, LoadMessage, UnderWay, UpstreamKey, UpstreamLoads,
+        CachedPrefix, FeedMessage, LimitNews, LoadMessage, UnderWay, UpstreamKey, UpstreamLimit,
+        UpstreamLoads,
     },
     ebonystand_wire::{PeerMessage, SendQueue},
 };
@@ -61,6 +62,29 @@
     assert_eq!(queue.bytes(), 0);
 }
 
+/// Guards against a limit that is forgotten, or a queue that grows, while the link to a VM is saturated.
+#[test]
+fn news_of_limits_that_wait_become_one_message_of_bounded_length() {
+    let limit = UpstreamLimit::parse("5.7").ok();
+    let news = |number: u64| LimitNews {
+        age_ms: number,
+        limit,
+        upstream: UpstreamKey::from(format!("i-{number}").as_str()),
+    };
+    let mut queue = SendQueue::default();
+    for number in 0..500 {
+        let news = vec![news(number)];
+        assert!(queue.push(PeerMessage::Load(LoadMessage::Limits { news })));
+    }
+    assert_eq!(queue.len(), 1);
+    let Some(PeerMessage::Load(LoadMessage::Limits { news: waiting })) = queue.pop() else {
+        panic!("news of limits");
+    };
+    let newest = (500 - waiting.len() as u64..500).map(news);
+    assert_eq!(waiting, newest.collect::<Vec<_>>());
+    assert!((2..=64).contains(&waiting.len()), "{}", waiting.len());
+}
+
 /// Guards against a lease or a heartbeat that is delayed behind a copy of a large configuration.
 #[test]
 fn a_short_message_does_not_wait_behind_long_ones() {
