Keep only the newest word of a limit that waits for a link

Two words of one upstream that waited for the same link came in one message with equal ages, and the older one, read first, held: a VM could take a limit for in force that had ended. newer_news_of_a_limit_takes_the_place_of_older_ones failed before.

--- a/crates/ebonystand-core/src/load_exchange/load_message.rs
+++ b/crates/ebonystand-core/src/load_exchange/load_message.rs
@@ -53,10 +53,11 @@
 
     /// Returns this message with the cached prefixes of `older`, which was not sent, put before its
     /// own. The loads of `older` are outdated and dropped, and so are the oldest prefixes beyond
-    /// [`CacheDirectory::MAX_PREFIXES`].
+    /// [`CacheDirectory::MAX_PREFIXES`]. Of limits, the newest word of each upstream is kept.
     #[must_use]
     pub fn merge_unsent(mut self, mut older: Self) -> Self {
         if let (Self::Limits { news }, Self::Limits { news: older }) = (&mut self, &mut older) {
+            older.retain(|other| news.iter().all(|news| news.upstream != other.upstream));
             older.append(news);
             let excess = older.len().saturating_sub(LimitNews::MAX_IN_MESSAGE);
             older.drain(..excess);
--- a/crates/ebonystand-wire/tests/send_queue.rs
+++ b/crates/ebonystand-wire/tests/send_queue.rs
@@ -85,6 +85,25 @@
     assert!((2..=64).contains(&waiting.len()), "{}", waiting.len());
 }
 
+/// Guards against the end of a limit that is undone by older news waiting for the same link.
+#[test]
+fn newer_news_of_a_limit_takes_the_place_of_older_ones() {
+    let mut queue = SendQueue::default();
+    for limit in [UpstreamLimit::parse("5").ok(), None] {
+        let news = vec![LimitNews {
+            age_ms: 0,
+            limit,
+            upstream: "i-1".into(),
+        }];
+        queue.push(PeerMessage::Load(LoadMessage::Limits { news }));
+    }
+    let Some(PeerMessage::Load(LoadMessage::Limits { news })) = queue.pop() else {
+        panic!("news of limits");
+    };
+    let limits: Vec<_> = news.iter().map(|news| news.limit).collect();
+    assert_eq!(limits, [None]);
+}
+
 /// Guards against a lease or a heartbeat that is delayed behind a copy of a large configuration.
 #[test]
 fn a_short_message_does_not_wait_behind_long_ones() {
