--- a/crates/ebonystand-core/src/gateway/upstream_limits.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_limits.rs
@@ -26,11 +26,11 @@
         let Some(known) = self.upstreams.get_mut(instance) else {
             return false;
         };
-        let is_overtaken = match &known.limit {
+        let adds_nothing = match &known.limit {
             None => limit.is_none(),
             Some(named) => limit.is_none() && named.limit.is_some() && sent_at < named.named_at,
         };
-        if is_overtaken {
+        if adds_nothing {
             return false;
         }
         let heard = HeardLimit {
