--- a/crates/ebonystand-core/tests/gateway/limits.rs
+++ b/crates/ebonystand-core/tests/gateway/limits.rs
@@ -313,6 +313,24 @@
     }
 }
 
+/// VMs that do not send must not shun an upstream for good when those that send have no requests.
+#[test]
+fn vms_that_hear_nothing_of_a_limit_try_again_within_it() {
+    let mut region = Region::new(60, 5.0, 200.0);
+    region.run(GRACE + 5_000);
+    for vm in &mut region.vms {
+        let status = vm.book.limits(ms(region.now)).next().expect("a limit");
+        vm.has_demand = status.share_per_s == 0.0;
+    }
+    region.run(1_000);
+    let silent = region.now;
+    region.run(50_000);
+    assert_eq!(region.arrived_since(silent), 0);
+    region.run(40_000);
+    assert!(region.arrived_since(silent) > 0);
+    region.check_bound(GRACE, 5.0);
+}
+
 /// An answer that was under way when the limit was first named says nothing of its end.
 #[test]
 fn an_answer_that_was_overtaken_does_not_end_a_limit() {
