--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -77,6 +77,7 @@
 mod target_choice;
 mod upstream_book;
 mod upstream_choice;
+mod upstream_eligibility;
 mod upstream_limit;
 mod upstream_limit_error;
 mod upstream_limits;
