Bound the VMs that read the list of upstreams

Cause: of a fleet's 985 VMs that start together, none has met another after 500 ms, so each takes itself for its region's first VM and reads the list. Its server takes 320 calls a second and refuses the reads of the regions' real readers as well.

Change: a VM that has met nobody waits for a contact or for the list to be overdue. Four VMs read an overdue list, twice as many each further interval. A VM whose reads fail waits up to four intervals between them.

Result: in the test of 300, 1,000 and 2,000 VMs four take over after three intervals, where all did.

--- a/crates/ebonystand-core/tests/gateway/directory.rs
+++ b/crates/ebonystand-core/tests/gateway/directory.rs
@@ -166,7 +166,7 @@
     for at in (0..2_900).step_by(50) {
         for (own, reader) in readers.iter_mut().enumerate() {
             let others = met(own, at);
-            if reader.has_discovered_peers(ms(at), &others)
+            if reader.has_discovered_peers(ms(at), &others, true)
                 && reader.is_reader(ms(at), &vm(own), &others)
             {
                 reading.insert(own);
@@ -176,14 +176,67 @@
     assert_eq!(reading, BTreeSet::new(), "who is first is not known yet");
     let all = (0..300).map(vm).collect::<Vec<_>>();
     for (own, reader) in readers.iter_mut().enumerate() {
-        assert!(!reader.has_discovered_peers(ms(2_900), &all));
-        assert!(reader.has_discovered_peers(ms(3_200), &all));
+        assert!(!reader.has_discovered_peers(ms(2_900), &all, true));
+        assert!(reader.has_discovered_peers(ms(3_200), &all, true));
         reader.record_list_received(ms(2_900));
         assert_eq!(reader.is_reader(ms(3_200), &vm(own), &all), own == 0);
     }
     let mut alone = ListReaderElection::new(ms(1_000), ms(0));
-    assert!(!alone.has_discovered_peers(ms(0), &[vm(7)]));
+    assert!(!alone.has_discovered_peers(ms(0), &[vm(7)], true));
     assert!(
-        alone.has_discovered_peers(ms(500), &[vm(7)]) && alone.is_reader(ms(500), &vm(7), &[vm(7)])
+        alone.has_discovered_peers(ms(500), &[vm(7)], true)
+            && alone.is_reader(ms(500), &vm(7), &[vm(7)])
     );
 }
+
+/// The reader of a large region falls silent. Guards against a stampede: if all other VMs read the
+/// list at once, its server answers none of them, and the list stays unknown for all.
+#[rstest]
+#[case(300)]
+#[case(1_000)]
+#[case(2_000)]
+fn few_vms_read_the_list_when_its_reader_is_silent(#[case] count: usize) {
+    const READERS_IN_TIME: usize = 4;
+    let vms = (0..count).map(|vm| VmId::from(format!("{vm:04}")));
+    let vms = vms.collect::<Vec<_>>();
+    let election = ListReaderElection::new(ms(1_000), ms(0));
+    let readers = |at| {
+        let readers = vms.iter().skip(1);
+        let readers = readers.filter(|vm| election.is_reader(ms(at), vm, &vms));
+        readers.count()
+    };
+    assert_eq!(readers(2_999), 0);
+    assert!((1..=READERS_IN_TIME).contains(&readers(3_000)));
+    for second in 4..10 {
+        let (before, now) = (readers(second * 1_000 - 1_000), readers(second * 1_000));
+        assert!(now <= 2 * before + READERS_IN_TIME, "{before}, then {now}");
+    }
+    assert_eq!(readers(20_000), count - 1, "all in the end");
+}
+
+/// A list's server that refuses reads because it gets too many must get fewer of them.
+#[test]
+fn reads_that_fail_are_spaced_out() {
+    let election = ListReaderElection::new(ms(1_000), ms(0));
+    let delays = (0..40).map(|failures| election.next_read_delay(failures));
+    let delays = delays.collect::<Vec<_>>();
+    assert_eq!(delays[0], ms(1_000));
+    assert!(delays.is_sorted());
+    assert_eq!(delays[39], ms(4_000), "it is found again in time");
+}
+
+/// A VM that has met nobody knows nothing of who reads the list. Guards against a start of a large
+/// fleet in which the first contacts take a second and each VM takes itself for the only one.
+#[test]
+fn a_vm_that_has_met_nobody_does_not_take_itself_for_the_reader() {
+    let own = VmId::from("0001");
+    let mut election = ListReaderElection::new(ms(1_000), ms(0));
+    let others = [own.clone()];
+    for at in (0..2_900).step_by(50) {
+        assert!(!election.has_discovered_peers(ms(at), &others, false));
+    }
+    assert!(election.is_list_overdue(ms(3_000)), "it reads in the end");
+    let others = [VmId::from("0000"), own.clone()];
+    assert!(!election.has_discovered_peers(ms(3_000), &others, true));
+    assert!(election.has_discovered_peers(ms(3_300), &others, true));
+}
--- a/crates/ebonystand/src/gateway/list_controller.rs
+++ b/crates/ebonystand/src/gateway/list_controller.rs
@@ -107,7 +107,11 @@
         loop {
             let now = node.clock.now();
             let readers = Self::readers(node);
-            let has_met = this.reader.borrow_mut().has_discovered_peers(now, &readers);
+            let has_contact = node.membership.live(now).len() > 1 || node.settings.is_alone();
+            let has_met = this
+                .reader
+                .borrow_mut()
+                .has_discovered_peers(now, &readers, has_contact);
             if has_met || this.reader.borrow().is_list_overdue(now) || this.is_known() {
                 return;
             }
@@ -128,8 +132,7 @@
     /// task is dropped.
     pub(crate) async fn run(node: Rc<Node>) {
         let this = &node.gateway.list;
-        let every = node.settings.gateway.list_every;
-        let (mut failing, mut reading) = (false, false);
+        let (mut failures, mut reading) = (0_u32, false);
         Self::discover_readers(&node).await;
         loop {
             let readers = Self::readers(&node);
@@ -149,27 +152,28 @@
             match list {
                 None => {}
                 Some(Ok(listed)) => {
-                    if failing || this.listed.borrow().is_none() {
+                    if failures > 0 || this.listed.borrow().is_none() {
                         log::info!(upstreams = listed.len(); "list of upstreams read");
                     }
-                    failing = false;
+                    failures = 0;
                     let is_new = this.install(&node, listed);
                     let mut peers = node.gateway.book.borrow().reporters();
                     peers.extend(node.gateway.book.borrow().relays());
                     this.share(&node, is_new, &peers);
                 }
                 Some(Err(error)) => {
-                    if !failing {
+                    if failures == 0 {
                         log::warn!(error:% = error; "list of upstreams could not be read");
                     }
-                    failing = true;
+                    failures = failures.saturating_add(1);
                 }
             }
             node.gateway.pool.prune(node.clock.now());
             // The random factor keeps VMs that started together from reading the source at the same
             // moments.
             let part = node.gateway.jitter();
-            actix_rt::time::sleep(every.mul_f64(part)).await;
+            let delay = this.reader.borrow().next_read_delay(failures);
+            actix_rt::time::sleep(delay.mul_f64(part)).await;
         }
     }
 
--- a/crates/ebonystand/src/settings.rs
+++ b/crates/ebonystand/src/settings.rs
@@ -58,6 +58,11 @@
         Self::parse(&text)
     }
 
+    /// Returns whether this VM has no other VM to meet first.
+    pub(crate) fn is_alone(&self) -> bool {
+        self.seeds.iter().all(|seed| *seed == self.listen.peers)
+    }
+
     fn fields(reader: &mut SettingsReader) -> Option<Self> {
         let data_folder = reader.optional("data_folder", None);
         let founding = reader.optional("founding", true);
