Tell the changes of the list of upstreams, of one region where it is long

Cause: the list went whole to every VM of the region whenever one upstream changed, and the remaining cold time of an upstream changes with each read. 10,002 entries of some 60 bytes each second to 330 VMs through relays with 13 reporters are 7.8 MB/s out of a relay, over its link of 1.25 MB/s. The list was read in 51 pages one after the other by each region's reader, for all regions, though a VM sends only to upstreams of its own.

Change: VMs share a list with a digest that is a sum over its entries. The reader tells what has changed; a VM applies it if it fits its list and leads to the digest, and asks for the whole list otherwise. An upstream's cold time is told when it begins and when it ends. A list of over 1,000 upstreams covers the region of its reader only, whose zones are read at the same time; other regions are then sent to by what they report.

Changes that do not fit, come twice or lack a part are refused whole.

--- a/crates/ebonystand-core/benches/choice.rs
+++ b/crates/ebonystand-core/benches/choice.rs
@@ -3,7 +3,7 @@
 use {
     criterion::{BenchmarkId, Criterion, criterion_group, criterion_main},
     ebonystand_core::{
-        ChoiceQuery, ColdTerms, EngineSpec, ListedUpstream, Place, Prompt, PromptPart,
+        ChoiceQuery, ColdTerms, EngineSpec, ListScope, ListedUpstream, Place, Prompt, PromptPart,
         SharedPrefix, UpstreamBook,
     },
     std::{
@@ -34,7 +34,7 @@
         slots: 64,
         zone: zone_name(engine % 6),
     });
-    book.update_list(Duration::ZERO, listed.collect());
+    book.update_list(Duration::ZERO, ListScope::AllRegions, listed);
     for shared in 0..100 {
         let prefixes = SharedPrefix::list_in(&prompt(shared));
         for holder in 0..HOLDERS {
--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -16,7 +16,10 @@
     gateway_workspace::GatewayWorkspace,
     holder_plan::HolderPlan,
     ineligible_upstreams::IneligibleUpstreams,
+    list_mismatch::ListMismatch,
     list_reader_election::ListReaderElection,
+    list_scope::ListScope,
+    list_update::ListUpdate,
     listed_upstream::ListedUpstream,
     live_vms::LiveVms,
     mechanism::Mechanism,
@@ -33,6 +36,7 @@
     upstream_book::UpstreamBook,
     upstream_limit::UpstreamLimit,
     upstream_limit_error::UpstreamLimitError,
+    upstream_list::UpstreamList,
     weighted_fair_queue::WeightedFairQueue,
 };
 
@@ -58,7 +62,10 @@
 mod ineligible_upstreams;
 mod known_upstream;
 mod limit_share;
+mod list_mismatch;
 mod list_reader_election;
+mod list_scope;
+mod list_update;
 mod listed_upstream;
 mod live_vms;
 mod mechanism;
@@ -81,6 +88,7 @@
 mod upstream_limit;
 mod upstream_limit_error;
 mod upstream_limits;
+mod upstream_list;
 mod upstream_pressure;
 mod weighted_fair_queue;
 mod work_window;
--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -15,6 +15,8 @@
     pub(super) exchange: LoadExchange,
     /// Live VMs of the region.
     pub(super) vms: LiveVms,
+    /// Part of all upstreams that the list covers.
+    list_scope: ListScope,
     /// State of each upstream on the list.
     pub(super) upstreams: BTreeMap<UpstreamId, KnownUpstream>,
     /// Upstreams by the short name that messages use.
@@ -59,6 +61,7 @@
             caches: CacheDirectory::default(),
             exchange: LoadExchange::new(own.clone(), place.zone),
             vms: LiveVms::new(own),
+            list_scope: ListScope::default(),
             upstreams: BTreeMap::new(),
             instances_by_key: FxHashMap::default(),
             region_latencies: FxHashMap::default(),
@@ -284,11 +287,39 @@
     }
 
     /// Replaces the list of upstreams and drops the state of those no longer on it.
-    pub fn update_list(&mut self, now: Duration, listed: Vec<ListedUpstream>) {
-        let mut next = BTreeMap::new();
-        let mut emptied = FxHashSet::default();
+    pub fn update_list(
+        &mut self,
+        now: Duration,
+        scope: ListScope,
+        listed: impl IntoIterator<Item = ListedUpstream>,
+    ) {
+        let listed = listed.into_iter().collect::<Vec<_>>();
+        let names = listed.iter().map(|entry| &entry.instance);
+        let names = names.collect::<FxHashSet<_>>();
+        let known = self.upstreams.keys();
+        let removed = known.filter(|instance| !names.contains(instance));
+        let removed = removed.cloned().collect::<Vec<_>>();
+        self.list_scope = scope;
+        self.change_list(now, listed, &removed);
+    }
+
+    /// Applies changes to the list of upstreams: the new entries, and the instances that are no
+    /// longer on it.
+    pub fn change_list(
+        &mut self,
+        now: Duration,
+        changed: Vec<ListedUpstream>,
+        removed: &[UpstreamId],
+    ) {
         let is_first = self.upstreams.is_empty();
-        for upstream in listed {
+        let mut emptied = FxHashSet::default();
+        for instance in removed {
+            if let Some(known) = self.upstreams.remove(instance) {
+                self.instances_by_key.remove(&known.key);
+                emptied.insert(known.key);
+            }
+        }
+        for upstream in changed {
             let instance = upstream.instance.clone();
             let region = self.zones.get(&upstream.zone).cloned();
             let known = match self.upstreams.remove(&instance) {
@@ -298,17 +329,21 @@
                     }
                     Self::update_upstream(now, known, upstream, region)
                 }
-                _ => Self::new_upstream(now, upstream, region, is_first),
+                before => {
+                    emptied.extend(before.map(|known| known.key));
+                    Self::new_upstream(now, upstream, region, is_first)
+                }
             };
-            next.insert(instance, known);
+            self.instances_by_key.insert(known.key, instance.clone());
+            self.upstreams.insert(instance, known);
         }
-        emptied.extend(self.upstreams.values().map(|known| known.key));
         self.caches.remove_engines(&emptied);
-        self.upstreams = next;
-        let known = self.upstreams.iter();
-        self.instances_by_key = known
-            .map(|(instance, known)| (known.key, instance.clone()))
-            .collect();
+    }
+
+    /// Returns whether the list covers the upstreams of other regions.
+    #[must_use]
+    pub fn lists_other_regions(&self) -> bool {
+        self.list_scope == ListScope::AllRegions
     }
 
     /// Returns the list entries of all known upstreams, in order of their names.
--- a/crates/ebonystand-core/src/gateway/upstream_choice.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_choice.rs
@@ -228,7 +228,8 @@
         candidates.min_by_key(|candidate| candidate.cost)
     }
 
-    /// Returns the other regions that may and can serve a request, with or without room.
+    /// Returns the other regions that may and can serve a request, with or without room. If the list
+    /// does not cover them, only their reports tell whether they can.
     fn eligible_regions<'a>(
         &'a self,
         query: &'a ChoiceQuery,
@@ -238,8 +239,10 @@
             regions.filter(|region| **region != self.own_region && query.is_region_allowed(region));
         regions.filter(|region| {
             let mut upstreams = self.upstreams.values();
-            upstreams
-                .any(|known| known.region.as_ref() == Some(*region) && self.is_usable(query, known))
+            !self.lists_other_regions()
+                || upstreams.any(|known| {
+                    known.region.as_ref() == Some(*region) && self.is_usable(query, known)
+                })
         })
     }
 
--- /dev/null
+++ b/crates/ebonystand-core/src/gateway/upstream_list.rs
@@ -0,0 +1,173 @@
+use super::*;
+use std::hash::{Hash as _, Hasher as _};
+
+/// List of upstreams that the VMs of a region share.
+///
+/// One VM reads it from its source and tells the others what has changed, so the messages grow with
+/// the changes and not with the list. The digest is a sum over the entries: it is updated with each
+/// of them and does not depend on the order of the changes.
+#[derive(Clone, Debug, Default)]
+pub struct UpstreamList {
+    /// Cold times of the upstreams that were cold at the last read by this VM.
+    cold_at_read: FxHashMap<UpstreamId, Duration>,
+    /// Sum of the hashes of the entries.
+    digest: u64,
+    entries: BTreeMap<UpstreamId, ListedUpstream>,
+    scope: ListScope,
+}
+
+impl UpstreamList {
+    /// Creates a list of these upstreams.
+    #[must_use]
+    pub fn new(scope: ListScope, upstreams: Vec<ListedUpstream>) -> Self {
+        let mut list = Self {
+            scope,
+            ..Self::default()
+        };
+        upstreams.into_iter().for_each(|entry| list.insert(entry));
+        list
+    }
+
+    /// Returns the digest by which VMs compare their lists.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Returns the part of all upstreams that the list covers.
+    #[must_use]
+    pub fn scope(&self) -> ListScope {
+        self.scope
+    }
+
+    /// Returns the number of upstreams.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether there is no upstream.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns the upstreams, in order of their instances.
+    pub fn iter(&self) -> impl Iterator<Item = &ListedUpstream> {
+        self.entries.values()
+    }
+
+    /// Returns the update that replaces any list by this one.
+    #[must_use]
+    pub fn to_whole(&self) -> ListUpdate {
+        ListUpdate::Whole {
+            scope: self.scope,
+            upstreams: self.iter().cloned().collect(),
+        }
+    }
+
+    /// Puts a list that was just read in force, and returns the update for the other VMs.
+    ///
+    /// An entry keeps the cold time with which its upstream became cold until the upstream is warm:
+    /// the time that is left changes with each read, and the other VMs count it down by themselves.
+    pub fn replace(&mut self, scope: ListScope, read: Vec<ListedUpstream>) -> ListUpdate {
+        let is_cold = |entry: &&ListedUpstream| !entry.cold_for.is_zero();
+        let cold = read.iter().filter(is_cold);
+        let cold = cold.map(|entry| (entry.instance.clone(), entry.cold_for));
+        let cold_before = std::mem::replace(&mut self.cold_at_read, cold.collect());
+        if scope != self.scope || self.is_empty() {
+            let cold_at_read = std::mem::take(&mut self.cold_at_read);
+            *self = Self {
+                cold_at_read,
+                ..Self::new(scope, read)
+            };
+            return self.to_whole();
+        }
+        let base = self.digest;
+        let mut gone = std::mem::take(&mut self.entries);
+        let mut changed = Vec::new();
+        for entry in read {
+            let known = gone.remove(&entry.instance);
+            let kept = known.filter(|known| {
+                let counted_down = cold_before
+                    .get(&entry.instance)
+                    .is_some_and(|before| entry.cold_for <= *before);
+                let is_same_cold = known.cold_for == entry.cold_for
+                    || counted_down && !known.cold_for.is_zero() && !entry.cold_for.is_zero();
+                let cold_for = known.cold_for;
+                is_same_cold
+                    && *known
+                        == ListedUpstream {
+                            cold_for,
+                            ..entry.clone()
+                        }
+            });
+            match kept {
+                Some(kept) => {
+                    self.entries.insert(kept.instance.clone(), kept);
+                }
+                None => changed.push(entry),
+            }
+        }
+        let removed = gone.into_keys().collect::<Vec<_>>();
+        self.digest = self.entries.values().map(hash).fold(0, u64::wrapping_add);
+        changed.iter().cloned().for_each(|entry| self.insert(entry));
+        if self.digest == base {
+            return ListUpdate::Unchanged { digest: base };
+        }
+        ListUpdate::Changes {
+            base,
+            changed,
+            digest: self.digest,
+            removed,
+        }
+    }
+
+    /// Applies changes that another VM has read.
+    ///
+    /// # Errors
+    /// [`ListMismatch`] if the changes apply to another list or do not lead to the one with the
+    /// digest `digest`; this list is then unchanged.
+    pub fn apply_changes(
+        &mut self,
+        base: u64,
+        digest: u64,
+        changed: &[ListedUpstream],
+        removed: &[UpstreamId],
+    ) -> Result<(), ListMismatch> {
+        if base != self.digest {
+            let known = self.digest;
+            return Err(ListMismatch::Base { base, known });
+        }
+        let instances = changed.iter().map(|entry| &entry.instance).chain(removed);
+        let known = instances.filter_map(|instance| self.entries.get(instance));
+        let without = known.map(hash).fold(base, u64::wrapping_sub);
+        let reached = changed.iter().map(hash).fold(without, u64::wrapping_add);
+        if reached != digest {
+            let wanted = digest;
+            return Err(ListMismatch::Digest { reached, wanted });
+        }
+        for instance in removed {
+            self.entries.remove(instance);
+        }
+        for entry in changed {
+            self.entries.insert(entry.instance.clone(), entry.clone());
+        }
+        self.digest = digest;
+        Ok(())
+    }
+
+    fn insert(&mut self, entry: ListedUpstream) {
+        self.digest = self.digest.wrapping_add(hash(&entry));
+        if let Some(before) = self.entries.insert(entry.instance.clone(), entry) {
+            self.digest = self.digest.wrapping_sub(hash(&before));
+        }
+    }
+}
+
+/// Returns the hash of an entry, equal in all processes of a build.
+fn hash(entry: &ListedUpstream) -> u64 {
+    let mut hasher = Xxh3Default::new();
+    entry.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/ebonystand-core/src/lib.rs
+++ b/crates/ebonystand-core/src/lib.rs
@@ -62,7 +62,7 @@
     upstream_state::UpstreamState,
     vm_table::VmTable,
     withdrawal_proposals::WithdrawalProposals,
-    xxhash_rust::xxh3::{Xxh3, xxh3_64, xxh3_64_with_seed},
+    xxhash_rust::xxh3::{Xxh3, Xxh3Default, xxh3_64, xxh3_64_with_seed},
 };
 
 pub use {
--- a/crates/ebonystand-core/tests/gateway/caches.rs
+++ b/crates/ebonystand-core/tests/gateway/caches.rs
@@ -147,13 +147,13 @@
 /// An engine that cached a prefix is unlisted, down, cold, replaced by another server, or has not
 /// used the prefix for a long time. A request must not rely on its cache any more.
 #[rstest]
-#[case::unlisted(|book: &mut UpstreamBook| book.update_list(ms(10), two_regions()[..2].to_vec()))]
+#[case::unlisted(|book: &mut UpstreamBook| book.update_list(ms(10), ListScope::AllRegions, two_regions()[..2].to_vec()))]
 #[case::down(|book: &mut UpstreamBook| book.record_attempt_end(ms(10), "v1", AttemptEnd::Unreachable, ms(1)))]
 #[case::another_server(|book: &mut UpstreamBook| book.record_attempt_end(ms(10), "v1", AttemptEnd::AddressReused, ms(1)))]
 #[case::cold(|book: &mut UpstreamBook| {
     let mut all = two_regions();
     all[2].cold_for = ms(3_000);
-    book.update_list(ms(10), all);
+    book.update_list(ms(10), ListScope::AllRegions, all);
 })]
 #[case::long_unused(|book: &mut UpstreamBook| drop(book.build_load_messages(ms(40_000))))]
 fn an_engine_that_lost_what_it_kept_is_no_source(#[case] loses: fn(&mut UpstreamBook)) {
@@ -182,7 +182,7 @@
         true => all[1].leaving = true,
         false => sets.evacuated = set(&["a-2"]),
     }
-    book.update_list(ms(1), all);
+    book.update_list(ms(1), ListScope::AllRegions, all);
     let (chosen, source) = import(&book, ms(2), &sets, &prompt);
     assert_eq!(&*chosen, "u1");
     assert_eq!(&*source.expect("a source").instance, "u2");
--- a/crates/ebonystand-core/tests/gateway/main.rs
+++ b/crates/ebonystand-core/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod directory;
 mod limits;
+mod list;
 mod load;
 mod next_step;
 mod upstreams;
@@ -134,7 +135,7 @@
         zone: "a-1".into(),
     };
     let mut book = UpstreamBook::new(vm.into(), place, BTreeMap::from(zones));
-    book.update_list(ms(0), upstreams);
+    book.update_list(ms(0), ListScope::AllRegions, upstreams);
     book
 }
 
--- a/crates/ebonystand-core/tests/gateway/upstreams.rs
+++ b/crates/ebonystand-core/tests/gateway/upstreams.rs
@@ -345,7 +345,11 @@
         matches!(choice, TargetChoice::Unavailable { .. }),
         "{choice:?}"
     );
-    book.update_list(ms(60_000), vec![listed("u1", "a-1", 9)]);
+    book.update_list(
+        ms(60_000),
+        ListScope::AllRegions,
+        vec![listed("u1", "a-1", 9)],
+    );
     let choice = book.choose_target(ms(70_000), &sets.query(None));
     assert_eq!(instance(&choice), Some("u1"));
 }
--- a/crates/ebonystand-wire/src/lib.rs
+++ b/crates/ebonystand-wire/src/lib.rs
@@ -10,7 +10,7 @@
     bytes::{Buf, BufMut, BytesMut},
     ebonystand_core::{
         AllowanceMessage, CachedPrefix, Command, CommandOutcome, FeedMessage, Incarnation,
-        ListedUpstream, LoadMessage, MemberId, Prompt, QuarantineMessage, RegionId, ReplicaMessage,
+        ListUpdate, LoadMessage, MemberId, Prompt, QuarantineMessage, RegionId, ReplicaMessage,
         ServiceId, Version, VmId, WorkspaceId,
     },
     hmac::{Hmac, KeyInit, Mac},
--- a/crates/ebonystand-wire/src/peer_message.rs
+++ b/crates/ebonystand-wire/src/peer_message.rs
@@ -33,15 +33,10 @@
     Load(LoadMessage),
     /// Checks that the connection still delivers messages to the recipient, which answers with one byte.
     Ping,
-    /// List of upstreams, as read by a VM of the same region.
-    Listed {
-        /// Hash of the list of upstreams.
-        digest: u64,
-        /// List of upstreams; `None` if it has not changed.
-        upstreams: Option<Vec<ListedUpstream>>,
-    },
-    /// Asks for the whole list of upstreams, because the digest in [`Self::Listed`] is unknown to the
-    /// sender.
+    /// Update of the list of upstreams, as read by a VM of the same region.
+    Listed(ListUpdate),
+    /// Asks for the whole list of upstreams, because the update in [`Self::Listed`] does not fit the
+    /// sender's list.
     ListWanted,
     /// Predicted latencies of requests in the sender's region.
     Pressure {
@@ -90,17 +85,10 @@
     }
 
     /// Returns whether the message grows with the configuration, the upstreams or the cached prefixes, and
-    /// is therefore sent after the short messages.
+    /// is therefore sent after the short messages. All updates of the list count, so that none overtakes
+    /// the one that it applies to.
     pub(crate) fn is_long(&self) -> bool {
-        matches!(
-            self,
-            Self::Cached(_)
-                | Self::Feed(_)
-                | Self::Listed {
-                    upstreams: Some(_),
-                    ..
-                }
-        )
+        matches!(self, Self::Cached(_) | Self::Feed(_) | Self::Listed(_))
     }
 
     /// Returns whether this is a load message of the same kind as `load`. A queue then holds one message
--- a/crates/ebonystand-wire/tests/frames.rs
+++ b/crates/ebonystand-wire/tests/frames.rs
@@ -2,7 +2,7 @@
 
 use {
     bytes::BytesMut,
-    ebonystand_core::ListedUpstream,
+    ebonystand_core::{ListScope, ListUpdate, ListedUpstream},
     ebonystand_wire::{Error, FrameReader, FrameWriter, Hello, Nonce, PeerMessage, Secret},
     hmac::{Hmac, KeyInit, Mac},
     rstest::rstest,
@@ -39,10 +39,10 @@
         slots: 64,
         zone: "utara-a".into(),
     };
-    PeerMessage::Listed {
-        digest: 1,
-        upstreams: Some((0..upstreams).map(upstream).collect()),
-    }
+    PeerMessage::Listed(ListUpdate::Whole {
+        scope: ListScope::AllRegions,
+        upstreams: (0..upstreams).map(upstream).collect(),
+    })
 }
 
 fn encode_frames(messages: &[PeerMessage]) -> BytesMut {
@@ -104,6 +104,8 @@
 #[case(1)]
 #[case(2)]
 #[case(3)]
+#[case(6)]
+#[case(7)]
 fn a_frame_of_an_earlier_build_is_refused_by_its_form(#[case] form: u8) {
     let payload = [form, 6];
     let mac = Hmac::<Sha256>::new_from_slice(SECRET).expect("a secret");
--- a/crates/ebonystand/src/gateway/list_controller.rs
+++ b/crates/ebonystand/src/gateway/list_controller.rs
@@ -1,16 +1,19 @@
 use super::*;
 use {
-    ebonystand_core::{ListReaderElection, ListedUpstream, UpstreamKind},
+    ebonystand_core::{
+        ListMismatch, ListReaderElection, ListScope, ListUpdate, ListedUpstream, UpstreamKind,
+        UpstreamList,
+    },
+    futures_util::future::try_join_all,
     node::Node,
     std::collections::BTreeSet,
-    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Keeps the list of upstreams of this VM's region. One VM of the region reads the list from its
 /// source and the others receive it from there.
 pub(crate) struct ListController {
-    /// List in force and its hash; `None` until the first list arrives.
-    listed: RefCell<Option<(u64, Vec<ListedUpstream>)>>,
+    /// List in force; `None` until the first list arrives.
+    listed: RefCell<Option<UpstreamList>>,
     reader: RefCell<ListReaderElection>,
     source: Option<Rc<dyn UpstreamSource>>,
 }
@@ -33,69 +36,93 @@
         self.listed.borrow().is_some()
     }
 
-    /// Handles a list, or only the hash of one, from another VM of the region. A list is put in
-    /// force and passed on to the VMs that report to this one; the hash of the list in force is
-    /// passed on as well. A list with an unknown hash is requested from the sender.
-    pub(crate) fn heard(
-        &self,
-        node: &Rc<Node>,
-        from: &VmId,
-        digest: u64,
-        upstreams: Option<Vec<ListedUpstream>>,
-    ) {
+    /// Handles an update of the list from another VM of the region: puts it in force and passes it
+    /// on to the VMs that report to this one. An update that does not fit the list in force is
+    /// answered with a request for the whole list.
+    pub(crate) fn receive(&self, node: &Rc<Node>, from: &VmId, update: &ListUpdate) {
         let now = node.clock.now();
         self.reader.borrow_mut().record_list_received(now);
-        let is_known = self
-            .listed
-            .borrow()
-            .as_ref()
-            .is_some_and(|(known, _)| *known == digest);
-        match upstreams {
-            Some(upstreams) => {
-                log::info!(
-                    from:% = from, leaving = upstreams.iter().filter(|u| u.leaving).count(),
-                    upstreams = upstreams.len();
-                    "list of upstreams heard"
-                );
-                let is_new = self.install(node, upstreams);
-                self.share(node, is_new, &node.gateway.book.borrow().reporters());
+        let reporters = node.gateway.book.borrow().reporters();
+        match self.apply(node, update) {
+            Ok(()) => self.share(node, update, &reporters),
+            Err(mismatch) => {
+                log::info!(from:% = from, reason:% = mismatch; "whole list of upstreams requested");
+                node.send(from, PeerMessage::ListWanted);
             }
-            None if is_known => self.share(node, false, &node.gateway.book.borrow().reporters()),
-            None => node.send(from, PeerMessage::ListWanted),
         }
     }
 
-    /// Sends the list in force to a VM that has requested it.
-    pub(crate) fn send(&self, node: &Node, to: &VmId) {
-        let listed = self.listed.borrow().clone();
-        if let Some((digest, upstreams)) = listed {
-            let upstreams = Some(upstreams);
-            node.send(to, PeerMessage::Listed { digest, upstreams });
+    /// Sends the whole list in force to a VM that has requested it.
+    pub(crate) fn send_whole(&self, node: &Node, to: &VmId) {
+        if let Some(listed) = &*self.listed.borrow() {
+            node.send(to, PeerMessage::Listed(listed.to_whole()));
         }
     }
 
-    /// Puts a list in force and returns whether it differs from the previous one.
-    fn install(&self, node: &Node, upstreams: Vec<ListedUpstream>) -> bool {
-        let digest = digest(&upstreams);
+    /// Puts an update of the list in force.
+    ///
+    /// # Errors
+    /// [`ListMismatch`] if the update does not fit the list in force.
+    fn apply(&self, node: &Node, update: &ListUpdate) -> Result<(), ListMismatch> {
         let now = node.clock.now();
+        let mut listed = self.listed.borrow_mut();
         let mut book = node.gateway.book.borrow_mut();
-        book.update_list(now, upstreams.clone());
-        let before = self.listed.replace(Some((digest, upstreams)));
-        before.is_none_or(|(before, _)| before != digest)
+        match update {
+            ListUpdate::Changes {
+                base,
+                changed,
+                digest,
+                removed,
+            } => {
+                let Some(list) = listed.as_mut() else {
+                    let known = UpstreamList::default().digest();
+                    return Err(ListMismatch::Base { base: *base, known });
+                };
+                list.apply_changes(*base, *digest, changed, removed)?;
+                log::info!(
+                    changed = changed.len(), removed = removed.len(), upstreams = list.len();
+                    "list of upstreams changed"
+                );
+                book.change_list(now, changed.clone(), removed);
+            }
+            ListUpdate::Unchanged { digest } => {
+                let known = listed.as_ref().map_or(0, UpstreamList::digest);
+                if known != *digest {
+                    let base = *digest;
+                    return Err(ListMismatch::Base { base, known });
+                }
+            }
+            ListUpdate::Whole { scope, upstreams } => {
+                log::info!(upstreams = upstreams.len(); "whole list of upstreams received");
+                book.update_list(now, *scope, upstreams.clone());
+                *listed = Some(UpstreamList::new(*scope, upstreams.clone()));
+            }
+        }
+        Ok(())
     }
 
-    /// Sends the list to VMs of the region, or only its hash if the list is not new.
-    fn share(&self, node: &Node, is_new: bool, peers: &BTreeSet<VmId>) {
-        let listed = self.listed.borrow();
-        let Some((digest, upstreams)) = &*listed else {
-            return;
-        };
+    /// Puts a list that this VM has read in force and returns the update for the other VMs.
+    fn install(&self, node: &Node, scope: ListScope, read: Vec<ListedUpstream>) -> ListUpdate {
+        let mut listed = self.listed.borrow_mut();
+        let update = listed.get_or_insert_default().replace(scope, read);
+        let now = node.clock.now();
+        let mut book = node.gateway.book.borrow_mut();
+        match &update {
+            ListUpdate::Changes {
+                changed, removed, ..
+            } => book.change_list(now, changed.clone(), removed),
+            ListUpdate::Unchanged { .. } => {}
+            ListUpdate::Whole { scope, upstreams } => {
+                book.update_list(now, *scope, upstreams.clone());
+            }
+        }
+        update
+    }
+
+    /// Sends an update of the list to VMs of the region.
+    fn share(&self, node: &Node, update: &ListUpdate, peers: &BTreeSet<VmId>) {
         for vm in peers.iter().filter(|vm| **vm != node.settings.vm) {
-            let message = PeerMessage::Listed {
-                digest: *digest,
-                upstreams: is_new.then(|| upstreams.clone()),
-            };
-            node.send(vm, message);
+            node.send(vm, PeerMessage::Listed(update.clone()));
         }
     }
 
@@ -151,15 +178,15 @@
             };
             match list {
                 None => {}
-                Some(Ok(listed)) => {
+                Some(Ok((scope, upstreams))) => {
                     if failures > 0 || this.listed.borrow().is_none() {
-                        log::info!(upstreams = listed.len(); "list of upstreams read");
+                        log::info!(upstreams = upstreams.len(); "list of upstreams read");
                     }
                     failures = 0;
-                    let is_new = this.install(&node, listed);
+                    let update = this.install(&node, scope, upstreams);
                     let mut peers = node.gateway.book.borrow().reporters();
                     peers.extend(node.gateway.book.borrow().relays());
-                    this.share(&node, is_new, &peers);
+                    this.share(&node, &update, &peers);
                 }
                 Some(Err(error)) => {
                     if failures == 0 {
@@ -177,14 +204,38 @@
         }
     }
 
-    async fn read(&self, node: &Rc<Node>) -> Result<Vec<ListedUpstream>, FetchError> {
+    /// Returns the part of all upstreams that the next read covers.
+    fn next_scope(&self) -> ListScope {
+        let listed = self.listed.borrow();
+        let listed = listed.as_ref();
+        listed.map_or(ListScope::default(), |list| {
+            list.scope().after_read(list.len())
+        })
+    }
+
+    /// Reads the list of all regions, or of the own region if that of all is too long.
+    async fn read(&self, node: &Rc<Node>) -> Result<(ListScope, Vec<ListedUpstream>), FetchError> {
         let Some(source) = &self.source else {
-            return Ok(Self::configured(&node.document()));
+            let upstreams = Self::configured(&node.document());
+            return Ok((ListScope::AllRegions, upstreams));
         };
         let fetch = Fetch {
             node: Rc::clone(node),
         };
-        source.list(&fetch).await
+        let scope = self.next_scope();
+        if scope == ListScope::AllRegions {
+            let max = ListScope::MAX_OF_ALL_REGIONS;
+            let read = source.list(&fetch, None, max).await?;
+            if read.is_complete && read.upstreams.len() <= max {
+                return Ok((scope, read.upstreams));
+            }
+        }
+        let zones = node.settings.zones_of_region();
+        let reads = zones.iter();
+        let reads = reads.map(|zone| source.list(&fetch, Some(zone), usize::MAX));
+        let reads = try_join_all(reads).await?;
+        let upstreams = reads.into_iter().flat_map(|read| read.upstreams);
+        Ok((ListScope::OwnRegion, upstreams.collect()))
     }
 
     /// Builds the list from the upstreams in the configuration itself.
@@ -207,14 +258,3 @@
         listed.collect()
     }
 }
-
-/// Hashes a list so that VMs can compare their lists without sending them whole.
-fn digest(upstreams: &[ListedUpstream]) -> u64 {
-    match postcard::to_stdvec(upstreams) {
-        Ok(bytes) => xxh3_64(&bytes),
-        Err(error) => {
-            log::error!(error:% = error; "list of upstreams could not be encoded to hash it");
-            0
-        }
-    }
-}
--- a/crates/ebonystand/src/gateway/mod.rs
+++ b/crates/ebonystand/src/gateway/mod.rs
@@ -15,7 +15,7 @@
     outgoing_call::OutgoingCall,
     replace_error::ReplaceError,
     settings::GatewaySettings,
-    upstream_source::UpstreamSource,
+    upstream_source::{UpstreamRead, UpstreamSource},
 };
 
 pub(crate) use {controller::GatewayController, list_controller::ListController};
--- a/crates/ebonystand/src/gateway/upstream_source.rs
+++ b/crates/ebonystand/src/gateway/upstream_source.rs
@@ -3,12 +3,24 @@
 
 /// Source of the list of running upstreams.
 pub trait UpstreamSource {
-    /// Reads the whole list once.
+    /// Reads the list of one availability zone, or of all zones if `zone` is `None`, once. A read
+    /// that has found more than `max` upstreams may stop before the end of the list.
     ///
     /// # Errors
     /// [`FetchError`] if the list cannot be fetched or decoded.
     fn list<'a>(
         &'a self,
         fetch: &'a Fetch,
-    ) -> LocalBoxFuture<'a, Result<Vec<ListedUpstream>, FetchError>>;
+        zone: Option<&'a str>,
+        max: usize,
+    ) -> LocalBoxFuture<'a, Result<UpstreamRead, FetchError>>;
+}
+
+/// What a read of the list of running upstreams found.
+#[derive(Clone, Debug)]
+pub struct UpstreamRead {
+    /// Whether the read reached the end of the list.
+    pub is_complete: bool,
+    /// Upstreams found.
+    pub upstreams: Vec<ListedUpstream>,
 }
--- a/crates/ebonystand/src/lib.rs
+++ b/crates/ebonystand/src/lib.rs
@@ -52,8 +52,8 @@
     files::once_there_is_room,
     gateway::{
         AnswerMarks, CallHead, ConnectionFault, Dialect, Extension, Fetch, FetchError, Gateway,
-        GatewaySettings, Handler, OutgoingCall, ReplaceError, Surface, UpstreamSource, header_text,
-        passed_on, set_header,
+        GatewaySettings, Handler, OutgoingCall, ReplaceError, Surface, UpstreamRead,
+        UpstreamSource, header_text, passed_on, set_header,
     },
     group::Group,
     group_effect::GroupEffect,
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -246,10 +246,8 @@
                 let asked = Duration::from_micros(asked_us);
                 self.gateway.confirm(self, from, asked, leading, version);
             }
-            PeerMessage::Listed { digest, upstreams } => {
-                self.gateway.list.heard(self, from, digest, upstreams);
-            }
-            PeerMessage::ListWanted => self.gateway.list.send(self, from),
+            PeerMessage::Listed(update) => self.gateway.list.receive(self, from, &update),
+            PeerMessage::ListWanted => self.gateway.list.send_whole(self, from),
             PeerMessage::Cached(cached) => {
                 let now = self.clock.now();
                 self.gateway
--- a/crates/ebonystand/src/settings.rs
+++ b/crates/ebonystand/src/settings.rs
@@ -1,5 +1,5 @@
 use super::*;
-use settings_reader::SettingsReader;
+use {settings_reader::SettingsReader, std::collections::BTreeSet};
 
 /// Settings of one VM, checked in full.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -63,6 +63,13 @@
         self.seeds.iter().all(|seed| *seed == self.listen.peers)
     }
 
+    /// Returns the availability zones of this VM's region.
+    pub(crate) fn zones_of_region(&self) -> BTreeSet<&ZoneId> {
+        let zones = self.gateway.zones.iter();
+        let zones = zones.filter(|(_, region)| **region == self.region);
+        zones.map(|(zone, _)| zone).chain([&self.zone]).collect()
+    }
+
     fn fields(reader: &mut SettingsReader) -> Option<Self> {
         let data_folder = reader.optional("data_folder", None);
         let founding = reader.optional("founding", true);
