Keep the upstreams in use and those with a limit apart from all others

Cause: a VM went over all known upstreams ten times a second for its load report, once more for the metric of limits and, on a relay, for the limits to be told again: 200,000 upstreams a second on an idle VM of a fleet with 10,002.

Change: the book keeps the names of the upstreams that have requests of this VM, and of those whose limit is known.

Result: the cost of a message no longer grows with the list; the tests of loads and limits are unchanged.

--- a/crates/ebonystand-core/src/gateway/known_upstream.rs
+++ b/crates/ebonystand-core/src/gateway/known_upstream.rs
@@ -222,6 +222,12 @@
         opens_at.unwrap_or_default().saturating_sub(now)
     }
 
+    /// Returns the limit that the upstream has named, with the upstream's short name.
+    pub(crate) fn limit_mut(&mut self) -> Option<(UpstreamKey, &mut NamedLimit)> {
+        let key = self.key;
+        self.limit.as_mut().map(|named| (key, named))
+    }
+
     pub(crate) fn fresh_report(&self, now: Duration) -> Option<(Duration, ReportedSlots)> {
         let (at, slots) = self.last_report?;
         let age = now.saturating_sub(at);
--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -17,6 +17,10 @@
     pub(super) vms: LiveVms,
     /// Part of all upstreams that the list covers.
     list_scope: ListScope,
+    /// Upstreams that have requests of this VM.
+    busy: BTreeSet<UpstreamId>,
+    /// Upstreams of which a limit is or was lately known.
+    pub(super) limited: BTreeSet<UpstreamId>,
     /// State of each upstream on the list.
     pub(super) upstreams: BTreeMap<UpstreamId, KnownUpstream>,
     /// Upstreams by the short name that messages use.
@@ -62,6 +66,8 @@
             exchange: LoadExchange::new(own.clone(), place.zone),
             vms: LiveVms::new(own),
             list_scope: ListScope::default(),
+            busy: BTreeSet::new(),
+            limited: BTreeSet::new(),
             upstreams: BTreeMap::new(),
             instances_by_key: FxHashMap::default(),
             region_latencies: FxHashMap::default(),
@@ -113,6 +119,9 @@
             return;
         };
         known.in_flight = known.in_flight.saturating_sub(1);
+        if known.under_way().is_idle() {
+            self.busy.remove(instance);
+        }
         match end {
             AttemptEnd::Answered => {
                 known.reset_backoff();
@@ -155,6 +164,9 @@
                 .adjust_limit(now, waited, target, unread, others);
         }
         known.work_window.release(unread);
+        if known.under_way().is_idle() {
+            self.busy.remove(instance);
+        }
     }
 
     /// Records that an engine has begun an answer: it has read the whole prompt and caches these
@@ -315,6 +327,7 @@
         let mut emptied = FxHashSet::default();
         for instance in removed {
             if let Some(known) = self.upstreams.remove(instance) {
+                self.forget_requests(instance);
                 self.instances_by_key.remove(&known.key);
                 emptied.insert(known.key);
             }
@@ -330,6 +343,7 @@
                     Self::update_upstream(now, known, upstream, region)
                 }
                 before => {
+                    self.forget_requests(&instance);
                     emptied.extend(before.map(|known| known.key));
                     Self::new_upstream(now, upstream, region, is_first)
                 }
@@ -371,6 +385,9 @@
             return;
         };
         known.in_flight += 1;
+        if !self.busy.contains(instance) {
+            self.busy.insert(instance.into());
+        }
         known.sent_since_report += 1;
         known.work_window.reserve(unread);
         let senders = self.vms.cold_sender_count(instance).unwrap_or(1);
@@ -397,9 +414,9 @@
 
     /// Returns the requests that this VM has in flight, by upstream.
     fn under_way(&self) -> UpstreamLoads {
-        let all = self.upstreams.values();
-        let all = all.map(|known| (known.key, known.under_way()));
-        all.filter(|(_, under_way)| !under_way.is_idle()).collect()
+        let busy = self.busy.iter();
+        let busy = busy.filter_map(|instance| self.upstreams.get(instance));
+        busy.map(|known| (known.key, known.under_way())).collect()
     }
 
     /// Treats the upstreams of a zone as cold after its evacuation ends, since they may have cooled
@@ -412,6 +429,12 @@
         }
     }
 
+    /// Forgets the requests and the limit of an upstream that is gone.
+    fn forget_requests(&mut self, instance: &str) {
+        self.busy.remove(instance);
+        self.limited.remove(instance);
+    }
+
     /// Creates the state of an upstream that is new on the list; it counts as cold at first, unless
     /// it is on the first list of this VM.
     fn new_upstream(
--- a/crates/ebonystand-core/src/gateway/upstream_limits.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_limits.rs
@@ -38,6 +38,7 @@
             named_at: now,
             upstream: known.key,
         };
+        self.limited.insert(instance.into());
         let is_changed = Self::adopt_limit(now, known, heard, &self.vms);
         if let Some(named) = &mut known.limit
             && (is_changed || !named.is_told(now))
@@ -75,6 +76,7 @@
                 continue;
             }
             newer.push(heard);
+            self.limited.insert(known.listed.instance.clone());
             if Self::adopt_limit(now, known, heard, &self.vms) {
                 changed.push((known.listed.instance.clone(), heard.limit));
             }
@@ -85,7 +87,9 @@
 
     /// Returns the limits in force, by upstream, with this VM's share of each.
     pub fn limits(&self, now: Duration) -> impl Iterator<Item = UpstreamLimitStatus> {
-        self.upstreams.values().filter_map(move |known| {
+        let limited = self.limited.iter();
+        let limited = limited.filter_map(|instance| self.upstreams.get(instance));
+        limited.filter_map(move |known| {
             let named = known.limit.as_ref()?;
             Some(UpstreamLimitStatus {
                 age_ms: millis(now.saturating_sub(named.named_at)),
@@ -102,8 +106,9 @@
     /// limit.
     #[must_use]
     pub fn is_held_by_limit(&self, now: Duration, service: &str) -> bool {
-        let mut upstreams = self.upstreams.values();
-        upstreams.any(|known| {
+        let limited = self.limited.iter();
+        let mut limited = limited.filter_map(|instance| self.upstreams.get(instance));
+        limited.any(|known| {
             *known.listed.service == *service
                 && self.is_local(known)
                 && known.limit_opens_at().is_none_or(|at| now < at)
@@ -112,19 +117,29 @@
 
     /// Updates this VM's shares after its view of the region has changed.
     pub(super) fn update_shares(&mut self, now: Duration) {
-        for known in self.upstreams.values_mut() {
+        let Self {
+            limited,
+            upstreams,
+            vms,
+            ..
+        } = self;
+        limited.retain(|instance| {
+            let Some(known) = upstreams.get_mut(instance) else {
+                return false;
+            };
             let Some(named) = &mut known.limit else {
-                continue;
+                return false;
             };
             match named.limit {
                 Some(limit) => {
-                    let share = self.vms.limit_share(now, &known.listed.instance, limit);
+                    let share = vms.limit_share(now, instance, limit);
                     named.update_share(now, share);
                 }
                 None if now >= named.changed_at + NamedLimit::ENDED_HOLD => known.limit = None,
                 None => {}
             }
-        }
+            known.limit.is_some()
+        });
     }
 
     /// Updates this VM's shares if time alone may have changed them.
@@ -142,8 +157,9 @@
         if !self.exchange.is_relay() {
             return;
         }
-        for known in self.upstreams.values_mut() {
-            let Some(named) = &mut known.limit else {
+        for instance in &self.limited {
+            let known = self.upstreams.get_mut(instance);
+            let Some((key, named)) = known.and_then(KnownUpstream::limit_mut) else {
                 continue;
             };
             if named.is_told(now) || !self.exchange.has_room_for_limits() {
@@ -153,7 +169,7 @@
             self.exchange.tell_limit(HeardLimit {
                 limit: named.limit,
                 named_at: named.named_at,
-                upstream: known.key,
+                upstream: key,
             });
         }
     }
