Divide the least retries of a VM over the fleet

Cause: each VM may retry three times in ten seconds for a service however few requests it has.

Change: the setting `gateway.retry_slack` tells what all VMs may retry together beyond their share; each has an equal part of it, at most three. VMs out of sight count, since they may serve on the other side of a partition. Live VMs that come and go in large numbers are told by number and up to eight names.

Result: in the test of 7, 300, 1,000 and 2,000 VMs the minima add up to 21, 900, 1,000 and 0 of 1,000; 21, 900, 3,000 and 6,000 before.

--- a/crates/ebonystand-core/src/retry_budget.rs
+++ b/crates/ebonystand-core/src/retry_budget.rs
@@ -8,10 +8,21 @@
 /// The limit holds in any span of [`Self::WINDOW`], wherever it begins. Counted in two alternating
 /// windows, retries at the end of one window and at the beginning of the next but one could add up
 /// to twice the share.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct RetryBudget {
     /// Counts per interval, the newest last.
     intervals: VecDeque<Interval>,
+    /// Number of retries allowed in a window however few requests there are.
+    min_retries: u64,
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self {
+            intervals: VecDeque::new(),
+            min_retries: Self::MIN_RETRIES,
+        }
+    }
 }
 
 /// Counts of one interval of [`RetryBudget::INTERVAL`].
@@ -24,7 +35,7 @@
 }
 
 impl RetryBudget {
-    /// Number of retries allowed in a window however few requests there are.
+    /// Most retries allowed in a window however few requests there are.
     pub const MIN_RETRIES: u64 = 3;
     /// Span in which the limit holds.
     pub const WINDOW: Duration = Duration::from_secs(10);
@@ -34,6 +45,14 @@
     /// Length of the intervals in which requests and retries are counted.
     const INTERVAL: Duration = Duration::from_millis(500);
 
+    /// Limits the retries that are allowed however few requests there are to an equal part of what
+    /// `vms` VMs may make together. Hundreds of VMs with a few retries each would otherwise add up
+    /// to more than the share of all requests.
+    pub fn set_fleet_minimum(&mut self, fleet_retries: u64, vms: usize) {
+        let vms = u64::try_from(vms).unwrap_or(u64::MAX).max(1);
+        self.min_retries = (fleet_retries / vms).min(Self::MIN_RETRIES);
+    }
+
     /// Records a request from a caller.
     pub fn record_request(&mut self, now: Duration) {
         self.interval_at(now).requests += 1;
@@ -64,7 +83,7 @@
         let requests = self.intervals.iter().filter(since(Self::WINDOW));
         let requests = requests.map(|interval| interval.requests).sum::<u64>();
         let allowed = requests * preset.retry_budget_permille / 1_000;
-        if retries >= allowed.max(Self::MIN_RETRIES) {
+        if retries >= allowed.max(self.min_retries) {
             return false;
         }
         self.interval_at(now).retries += 1;
--- a/crates/ebonystand-core/tests/request_policy.rs
+++ b/crates/ebonystand-core/tests/request_policy.rs
@@ -65,6 +65,33 @@
     assert_eq!(granted as u64, RetryBudget::MIN_RETRIES);
 }
 
+/// Each VM of a fleet has few requests, and all of them fail. Guards against a minimum that each VM
+/// may retry and that adds up, over hundreds of VMs, to more than the fleet may.
+#[rstest]
+#[case(7)]
+#[case(300)]
+#[case(1_000)]
+#[case(2_000)]
+fn the_minima_of_all_vms_stay_within_the_fleets(#[case] vms: usize) {
+    const FLEET_RETRIES: u64 = 1_000;
+    let retries_of_a_vm = || {
+        let mut budget = RetryBudget::default();
+        budget.set_fleet_minimum(FLEET_RETRIES, vms);
+        budget.record_request(ms(0));
+        let mut retry = || budget.try_retry(ms(1), Retryable::Idempotent, &Preset::default());
+        (0..10).filter(|_| retry()).count() as u64
+    };
+    let retries = (0..vms).map(|_| retries_of_a_vm()).sum::<u64>();
+    assert!(retries <= FLEET_RETRIES, "{retries}");
+    if vms == 7 {
+        assert_eq!(
+            retries,
+            7 * RetryBudget::MIN_RETRIES,
+            "few VMs are not limited"
+        );
+    }
+}
+
 /// Four of ten engines are down and refuse connections, and a VM with little traffic tries them
 /// again and again. Each request must still reach an engine that is up: such an attempt puts no
 /// load on an engine, so it must not use up the budget for retries that do.
--- a/crates/ebonystand/src/gateway/admitted.rs
+++ b/crates/ebonystand/src/gateway/admitted.rs
@@ -235,7 +235,6 @@
         retry_after: Option<Duration>,
         instance: Option<UpstreamId>,
     ) -> Result<Option<Response<BoxBody>>, Refusal> {
-        let now = node.clock.now();
         self.tried += u32::from(end.is_counted_attempt());
         self.not_run &= end.is_known_not_run();
         if self.not_run
@@ -244,7 +243,7 @@
             reserved.use_up(0);
         }
         self.call.excluded.extend(instance);
-        let budget = || node.gateway.may_retry(now, &self.call.service, end);
+        let budget = || node.gateway.may_retry(node, &self.call.service, end);
         let step = NextStep::decide(&self.route, end, self.tried, self.not_run, budget);
         log::info!(
             request:% = self.call.request, end:? = end, tried = self.tried,
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -187,13 +187,18 @@
 
     /// Whether an attempt that ended with `end` may be retried. A retry is taken from the service's
     /// budget, unless the attempt cannot have reached an upstream.
-    pub(crate) fn may_retry(&self, now: Duration, service: &str, end: AttemptEnd) -> bool {
+    pub(crate) fn may_retry(&self, node: &Node, service: &str, end: AttemptEnd) -> bool {
+        let now = node.clock.now();
         let retryable = match end.can_have_reached_upstream() {
             true => Retryable::Idempotent,
             false => Retryable::NotStarted,
         };
         let mut retries = self.retries.borrow_mut();
         let budget = retries.entry(service.into()).or_default();
+        if let Some(fleet_retries) = node.settings.gateway.retry_slack {
+            // VMs that are out of sight may serve on the other side of a partition.
+            budget.set_fleet_minimum(fleet_retries, node.membership.known_count());
+        }
         budget.try_retry(now, retryable, &self.preset)
     }
 
--- a/crates/ebonystand/src/gateway/settings.rs
+++ b/crates/ebonystand/src/gateway/settings.rs
@@ -26,6 +26,9 @@
     pub quota_window: Duration,
     /// Share of requests that may be retried, in permille of all requests.
     pub retry_permille: u64,
+    /// Retries that all VMs together may make in a window beyond [`Self::retry_permille`]; `None` if
+    /// only the number of each VM is limited.
+    pub retry_slack: Option<u64>,
     /// Whether callers may be directed to this VM.
     pub serves_callers: bool,
     /// Time that a VM takes to start serving when all VMs start together: an election plus the
@@ -61,6 +64,9 @@
             quota_slack: reader.ranged("quota_slack", 0, 0, u64::MAX),
             quota_window: millis(reader.ranged("quota_window_ms", 0, 0, 600_000)),
             retry_permille: permille(reader.optional("retry_ratio", 0.1)),
+            retry_slack: reader
+                .optional::<Option<f64>>("retry_slack", None)
+                .map(|retries| retries as u64),
             serves_callers: reader.optional("serves_callers", true),
             start_takes: millis(reader.ranged("start_takes_ms", 2_500, 0, 600_000)),
             without: reader.optional("without", BTreeSet::new()),
--- a/crates/ebonystand/src/membership_controller.rs
+++ b/crates/ebonystand/src/membership_controller.rs
@@ -28,6 +28,11 @@
         self.membership.borrow().entries().cloned().collect()
     }
 
+    /// Number of VMs that are known, live or not.
+    pub(crate) fn known_count(&self) -> usize {
+        self.membership.borrow().entries().count()
+    }
+
     /// Adds addresses of VMs to meet.
     pub(crate) fn add_seeds(node: &Node, seeds: &[SocketAddr]) {
         node.membership.membership.borrow_mut().add_seeds(seeds);
@@ -172,9 +177,13 @@
         let come = now_live
             .iter()
             .filter(|(vm, at)| known.get(*vm) != Some(*at));
+        let come = come.collect::<Vec<_>>();
         let gone = known.keys().filter(|vm| !now_live.contains_key(*vm));
+        let gone = gone.collect::<Vec<_>>();
+        let (first_come, first_gone) = (first_of(&come), first_of(&gone));
         log::info!(
-            live = now_live.len(), come:? = come.collect::<Vec<_>>(), gone:? = gone.collect::<Vec<_>>();
+            live = now_live.len(), come_count = come.len(), come:? = first_come,
+            gone_count = gone.len(), gone:? = first_gone;
             "live VMs changed"
         );
         node.peers.prune();
@@ -231,3 +240,9 @@
         }
     }
 }
+
+/// Returns the VMs that a log line names; the line tells the number of all.
+fn first_of<T>(vms: &[T]) -> &[T] {
+    const MAX_NAMED: usize = 8;
+    &vms[..vms.len().min(MAX_NAMED)]
+}
