Keep the printed status of a large fleet short

Cause: `ebonystandctl status` printed a line for each VM and each upstream, 995 lines of which the few that matter are not found.

Change: of more than 20 VMs or upstreams it prints the numbers by zone or region and up to 20 that are not alive, are leaving, are behind or get no requests; `--json` lists all as before.

--- a/crates/ebonystandctl/src/lib.rs
+++ b/crates/ebonystandctl/src/lib.rs
@@ -16,7 +16,7 @@
     },
 };
 
-pub use {exit_status::ExitStatus, run::run};
+pub use {exit_status::ExitStatus, run::run, status::format_status};
 
 use {
     apply::Apply, attempt_error::AttemptError, change_args::ChangeArgs, check::Check,
--- a/crates/ebonystandctl/src/status.rs
+++ b/crates/ebonystandctl/src/status.rs
@@ -1,6 +1,10 @@
 //! `status` subcommand: prints the state of VMs, upstreams, groups and allowances as one VM sees it.
 
 use super::*;
+use std::collections::BTreeMap;
+
+/// Most VMs or upstreams that are printed line by line.
+const MAX_LISTED: usize = 20;
 
 pub(crate) fn command() -> Command {
     Command::new("status")
@@ -13,7 +17,9 @@
     cx.print(&status, || format_status(&status))
 }
 
-fn format_status(status: &OperatorStatus) -> String {
+/// Formats the state of a fleet for people; its length does not grow with a large fleet.
+#[must_use]
+pub fn format_status(status: &OperatorStatus) -> String {
     let mut lines = vec![format!(
         "VM {}: version {}, preset {}, {}",
         status.vm,
@@ -25,13 +31,7 @@
             (false, false) => "not ready",
         }
     )];
-    lines.extend(status.vms.iter().map(|vm| {
-        let leaving = if vm.leaving { " leaving" } else { "" };
-        format!(
-            "  VM {} in {}/{}: {}{leaving}, version {}",
-            vm.vm, vm.region, vm.zone, vm.health, vm.version
-        )
-    }));
+    lines.extend(format_vms(&status.vms, status.version));
     lines.extend(status.groups.iter().map(|group| {
         let leader = group.leader.as_deref().unwrap_or("none");
         let members: Vec<_> = group.members.iter().map(|member| &*member.vm).collect();
@@ -43,18 +43,7 @@
             members.join(" ")
         )
     }));
-    lines.extend(status.upstreams.iter().map(|upstream| {
-        let leaving = if upstream.leaving { " leaving" } else { "" };
-        let available = if upstream.available {
-            "available"
-        } else {
-            "not available"
-        };
-        format!(
-            "  upstream {} in {}: {available}{leaving}, {} in flight",
-            upstream.id, upstream.region, upstream.in_flight
-        )
-    }));
+    lines.extend(format_upstreams(&status.upstreams));
     lines.extend(status.limits.iter().map(|limit| {
         format!(
             "  limit {}: {:.2} requests/s named {} ms ago, {:.2} of them from this VM",
@@ -73,3 +62,76 @@
     }));
     lines.join("\n")
 }
+
+/// Formats the VMs: each of them if they are few, else their numbers by zone and those that need
+/// attention.
+fn format_vms(vms: &[VmStatus], version: Version) -> Vec<String> {
+    let line = |vm: &VmStatus| {
+        let leaving = if vm.leaving { " leaving" } else { "" };
+        format!(
+            "  VM {} in {}/{}: {}{leaving}, version {}",
+            vm.vm, vm.region, vm.zone, vm.health, vm.version
+        )
+    };
+    if vms.len() <= MAX_LISTED {
+        return vms.iter().map(line).collect();
+    }
+    let needs_attention =
+        |vm: &&VmStatus| vm.health != VmHealth::Alive || vm.leaving || vm.version < version;
+    let mut zones = BTreeMap::<_, (usize, usize)>::new();
+    for vm in vms {
+        let (all, unsound) = zones.entry((&vm.region, &vm.zone)).or_default();
+        *all += 1;
+        *unsound += usize::from(needs_attention(&vm));
+    }
+    let zones = zones.into_iter().map(|((region, zone), (all, unsound))| {
+        format!("  {all} VMs in {region}/{zone}, {unsound} not alive, leaving or behind")
+    });
+    let mut lines = zones.collect::<Vec<_>>();
+    let unsound = vms.iter().filter(needs_attention);
+    lines.extend(listed(unsound.map(line), "VMs"));
+    lines
+}
+
+/// Formats the upstreams of the configuration: each of them if they are few, else their numbers by
+/// region and those that get no requests.
+fn format_upstreams(upstreams: &[UpstreamStatus]) -> Vec<String> {
+    let line = |upstream: &UpstreamStatus| {
+        let leaving = if upstream.leaving { " leaving" } else { "" };
+        let available = match upstream.available {
+            true => "available",
+            false => "not available",
+        };
+        format!(
+            "  upstream {} in {}: {available}{leaving}, {} in flight",
+            upstream.id, upstream.region, upstream.in_flight
+        )
+    };
+    if upstreams.len() <= MAX_LISTED {
+        return upstreams.iter().map(line).collect();
+    }
+    let mut regions = BTreeMap::<_, (usize, usize)>::new();
+    for upstream in upstreams {
+        let (all, unavailable) = regions.entry(&upstream.region).or_default();
+        *all += 1;
+        *unavailable += usize::from(!upstream.available);
+    }
+    let regions = regions.into_iter().map(|(region, (all, unavailable))| {
+        format!("  {all} upstreams in {region}, {unavailable} not available")
+    });
+    let mut lines = regions.collect::<Vec<_>>();
+    let unavailable = upstreams.iter().filter(|upstream| !upstream.available);
+    lines.extend(listed(unavailable.map(line), "upstreams"));
+    lines
+}
+
+/// Returns the first lines, and how many of the `what` are left out.
+fn listed(lines: impl Iterator<Item = String>, what: &str) -> Vec<String> {
+    let mut lines = lines.collect::<Vec<_>>();
+    let left_out = lines.len().saturating_sub(MAX_LISTED);
+    lines.truncate(MAX_LISTED);
+    if left_out > 0 {
+        lines.push(format!("  and {left_out} more {what}; --json lists all"));
+    }
+    lines
+}
--- /dev/null
+++ b/crates/ebonystandctl/tests/status.rs
@@ -0,0 +1,55 @@
+//! Tests that the printed state of a fleet stays readable, however large the fleet is.
+
+use {
+    ebonystand_core::{OperatorStatus, PresetName, VmHealth, VmStatus},
+    ebonystandctl::format_status,
+};
+
+fn status(vms: usize, dead: usize) -> OperatorStatus {
+    let vm = |number: usize| VmStatus {
+        health: match number < dead {
+            true => VmHealth::Dead,
+            false => VmHealth::Alive,
+        },
+        http: ([10, 0, 0, 1], 80).into(),
+        incarnation: 1,
+        leaving: false,
+        peer: ([10, 0, 0, 1], 81).into(),
+        region: "a".into(),
+        version: 7,
+        vm: format!("vm-{number:04}").into(),
+        zone: format!("a-{}", number % 2).into(),
+    };
+    OperatorStatus {
+        allowances: Vec::new(),
+        draining: false,
+        groups: Vec::new(),
+        limits: Vec::new(),
+        preset: PresetName::default(),
+        ready: true,
+        upstreams: Vec::new(),
+        version: 7,
+        vm: "vm-0000".into(),
+        vms: (0..vms).map(vm).collect(),
+        withdrawals_pending: 0,
+    }
+}
+
+#[test]
+fn each_vm_of_a_small_fleet_is_listed() {
+    let text = format_status(&status(9, 1));
+    assert_eq!(text.lines().count(), 1 + 9, "{text}");
+    assert!(text.contains("VM vm-0000 in a/a-0: dead"), "{text}");
+}
+
+/// Guards against a screenful of a thousand VMs in which the few that are dead are not found.
+#[test]
+fn of_a_large_fleet_the_numbers_and_the_unsound_vms_are_listed() {
+    let text = format_status(&status(995, 3));
+    assert!(text.contains("498 VMs in a/a-0, 2 not alive"), "{text}");
+    assert!(text.contains("VM vm-0002 in a/a-0: dead"), "{text}");
+    assert_eq!(text.lines().count(), 1 + 2 + 3, "{text}");
+    let text = format_status(&status(995, 400));
+    assert!(text.contains("and 380 more VMs"), "{text}");
+    assert!(text.lines().count() <= 30, "{text}");
+}
