--- a/crates/ebonystand-core/benches/choice.rs
+++ b/crates/ebonystand-core/benches/choice.rs
@@ -74,7 +74,7 @@
 fn benches(c: &mut Criterion) {
     let (evacuated, reachable) = (BTreeSet::new(), BTreeSet::from([region_name(1)]));
     let mut group = c.benchmark_group("choice");
-    for engines in [10, 60, 240] {
+    for engines in [10, 60, 240, 4_000, 20_000] {
         let book = book(engines);
         let mut next = 0;
         group.bench_function(BenchmarkId::from_parameter(engines), |b| {
