Pass over the upstreams of a zone that nobody reaches

Cause: each VM found out by a request of its own that an upstream is gone. A zone of a fleet has 2,231 upstreams and a VM sends three requests a second, so while the list still names a lost zone, half of its region's callers wait for a connection in vain. With three upstreams a zone a VM knew after three requests.

Change: the VMs of a region tell one another, through the relays, how many contacts with a zone's upstreams opened a connection and how many could not. Nothing is told of a zone without a miss.

--- a/crates/ebonystand-core/src/gateway/attempt_end.rs
+++ b/crates/ebonystand-core/src/gateway/attempt_end.rs
@@ -41,4 +41,14 @@
     pub fn can_have_reached_upstream(self) -> bool {
         self != Self::Unreachable
     }
+
+    /// Returns whether the upstream was reached; `None` if the end does not tell.
+    pub(crate) fn is_upstream_reached(self) -> Option<bool> {
+        match self {
+            Self::Answered | Self::Failed | Self::Shed | Self::AddressReused => Some(true),
+            Self::Unreachable => Some(false),
+            // A busy upstream may leave a request unanswered as well.
+            Self::Cancelled | Self::Lost | Self::TimedOut => None,
+        }
+    }
 }
--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -44,6 +44,7 @@
     cold_start_limiter::ColdStartLimiter, event_gap_meter::EventGapMeter,
     known_upstream::KnownUpstream, limit_share::LimitShare, named_limit::NamedLimit,
     send_pacer::SendPacer, sent_prefixes::SentPrefixes, work_window::WorkWindow,
+    zone_health::ZoneHealth,
 };
 
 mod answer_limit;
@@ -93,3 +94,4 @@
 mod upstream_shortlist;
 mod weighted_fair_queue;
 mod work_window;
+mod zone_health;
--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -37,6 +37,8 @@
     disabled_mechanisms: BTreeSet<Mechanism>,
     /// Region of each availability zone.
     zones: BTreeMap<ZoneId, RegionId>,
+    /// Zones whose upstreams have become unreachable.
+    pub(super) zone_health: ZoneHealth,
 }
 
 impl UpstreamBook {
@@ -64,7 +66,7 @@
             own_region: place.region,
             caches: CacheDirectory::default(),
             exchange: LoadExchange::new(own.clone(), place.zone),
-            vms: LiveVms::new(own),
+            vms: LiveVms::new(own.clone()),
             list_scope: ListScope::default(),
             busy: BTreeSet::new(),
             limited: BTreeSet::new(),
@@ -76,6 +78,7 @@
             next_share_update: Duration::ZERO,
             disabled_mechanisms: BTreeSet::new(),
             zones,
+            zone_health: ZoneHealth::new(own),
         }
     }
 
@@ -119,6 +122,10 @@
             return;
         };
         known.in_flight = known.in_flight.saturating_sub(1);
+        if let Some(is_reached) = end.is_upstream_reached() {
+            self.zone_health
+                .record_contact(now, &known.listed.zone, is_reached);
+        }
         if known.under_way().is_idle() {
             self.busy.remove(instance);
         }
@@ -211,8 +218,14 @@
         from: &VmId,
         mut message: LoadMessage,
     ) -> Vec<(UpstreamId, Option<UpstreamLimit>)> {
-        if let LoadMessage::Limits { news } = message {
-            return self.receive_limits(now, from, news);
+        match message {
+            LoadMessage::Contacts { zones } => {
+                self.zone_health.record_told(now, &zones);
+                self.exchange.forward_contacts(from, &zones);
+                return Vec::new();
+            }
+            LoadMessage::Limits { news } => return self.receive_limits(now, from, news),
+            _ => {}
         }
         if let LoadMessage::Region {
             region_latencies: pressures,
@@ -245,6 +258,8 @@
         self.caches.remove_expired(now);
         self.expire_shares(now);
         self.retell_limits(now);
+        let contacts = self.zone_health.take_untold(now);
+        self.exchange.tell_contacts(&contacts);
         let cached = self.caches.take_for_region();
         let latencies = self.recent_region_latencies(now);
         let messages = self
--- a/crates/ebonystand-core/src/gateway/upstream_choice.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_choice.rs
@@ -163,11 +163,13 @@
 
     /// Chooses an upstream of the own region.
     pub(super) fn choose_local(&self, now: Duration, query: &ChoiceQuery) -> TargetChoice {
-        let mut candidates =
-            self.find_candidates(query, |known| self.is_candidate(now, query, known));
+        let lost_zones = self.zone_health.lost_zones(now);
+        let mut candidates = self.find_candidates(query, |known| {
+            !lost_zones.contains(&&known.listed.zone) && self.is_candidate(now, query, known)
+        });
         let is_sound = !candidates.is_empty();
         if !is_sound {
-            // Every upstream is backed off. One of them may have recovered; if no other region can
+            // Every upstream is backed off or lost. One of them may have recovered; if no other region can
             // serve the request either, trying one is better than refusing.
             candidates = self.find_candidates(query, |known| self.is_open(now, query, known));
         }
@@ -408,14 +410,16 @@
                 .max_by_key(|known| rendezvous.weight(&known.listed.instance));
             owner.map(|known| known.key)
         });
+        let lost_zones = self.zone_health.lost_zones(now);
         let source = |holder: HolderView<'a>| {
             let known = self
                 .upstreams
                 .get(self.instances_by_key.get(&holder.instance)?)?;
+            let is_lost = lost_zones.contains(&&known.listed.zone);
             Some(ImportSource {
                 homes: holder.homes,
                 known,
-                can_export: Self::can_export(now, query, known),
+                can_export: !is_lost && Self::can_export(now, query, known),
                 last_used: holder.last_used,
             })
         };
--- a/crates/ebonystand-core/src/load_exchange/load_message.rs
+++ b/crates/ebonystand-core/src/load_exchange/load_message.rs
@@ -4,6 +4,11 @@
 /// engines cache and the limits that upstreams name.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum LoadMessage {
+    /// Contacts with the upstreams of zones since the last message; relays pass it on.
+    Contacts {
+        /// Counts of the zones in which an upstream was lately not reached.
+        zones: ZoneContacts,
+    },
     /// From a relay to another relay: the load of the VMs that report to it, and its own.
     Group {
         /// Newly cached prefixes that the relay has learned of since its last message, except from
@@ -53,9 +58,14 @@
 
     /// Returns this message with the cached prefixes of `older`, which was not sent, put before its
     /// own. The loads of `older` are outdated and dropped, and so are the oldest prefixes beyond
-    /// [`CacheDirectory::MAX_PREFIXES`]. Of limits, the newest word of each upstream is kept.
+    /// [`CacheDirectory::MAX_PREFIXES`]. Contacts are added up. Of limits, the newest word of each
+    /// upstream is kept.
     #[must_use]
     pub fn merge_unsent(mut self, mut older: Self) -> Self {
+        if let (Self::Contacts { zones }, Self::Contacts { zones: older }) = (&mut self, &older) {
+            add_contacts(zones, older);
+            return self;
+        }
         if let (Self::Limits { news }, Self::Limits { news: older }) = (&mut self, &mut older) {
             older.retain(|other| news.iter().all(|news| news.upstream != other.upstream));
             older.append(news);
@@ -79,6 +89,9 @@
     #[must_use]
     pub fn max_encoded_len(&self) -> usize {
         let (cached, region_latencies, under_way) = match self {
+            Self::Contacts { zones } => {
+                return Self::MAX_HEADER_BYTES + zones.len() * ContactCounts::MAX_BYTES;
+            }
             Self::Limits { news } => {
                 return Self::MAX_HEADER_BYTES + news.len() * LimitNews::MAX_BYTES;
             }
@@ -103,7 +116,7 @@
             Self::Group { cached, .. }
             | Self::Region { cached, .. }
             | Self::Report { cached, .. } => Some(cached),
-            Self::Limits { .. } => None,
+            Self::Contacts { .. } | Self::Limits { .. } => None,
         }
     }
 
@@ -114,8 +127,17 @@
                 (cached, CacheNewsOrigin::Relay)
             }
             Self::Report { cached, .. } => (cached, CacheNewsOrigin::Reporter),
-            Self::Limits { .. } => return (Vec::new(), CacheNewsOrigin::Relay),
+            Self::Contacts { .. } | Self::Limits { .. } => {
+                return (Vec::new(), CacheNewsOrigin::Relay);
+            }
         };
         (std::mem::take(cached), origin)
     }
 }
+
+/// Adds the counts of each zone.
+pub(crate) fn add_contacts(sums: &mut ZoneContacts, contacts: &ZoneContacts) {
+    for (zone, counts) in contacts {
+        sums.entry(zone.clone()).or_default().add(*counts);
+    }
+}
--- a/crates/ebonystand-core/src/load_exchange/mod.rs
+++ b/crates/ebonystand-core/src/load_exchange/mod.rs
@@ -8,6 +8,7 @@
 use super::*;
 
 pub use {
+    contact_counts::{ContactCounts, ZoneContacts},
     limit_news::LimitNews,
     load_message::LoadMessage,
     region_vm::RegionVm,
@@ -22,6 +23,7 @@
 
 use {peer_loads::PeerLoads, report_log::ReportLog};
 
+mod contact_counts;
 mod heard_limit;
 mod limit_news;
 mod load_message;
--- a/crates/ebonystand-core/src/load_exchange/state.rs
+++ b/crates/ebonystand-core/src/load_exchange/state.rs
@@ -1,4 +1,5 @@
 use super::*;
+use load_message::add_contacts;
 
 /// One VM's side of the load exchange in its region.
 ///
@@ -12,6 +13,10 @@
     cached_for_relays: Vec<CachedPrefix>,
     /// Newly cached prefixes to be sent to the VMs that report to this one.
     cached_for_reporters: Vec<CachedPrefix>,
+    /// Contacts to be told to the other relays, or by a VM that is no relay to its own one.
+    contacts_for_relays: ZoneContacts,
+    /// Contacts to be told to the VMs that report to this one.
+    contacts_for_reporters: ZoneContacts,
     /// Limits to be told to the other relays, or by a VM that is no relay to its own one.
     limits_for_relays: Vec<HeardLimit>,
     /// Limits to be told to the VMs that report to this one.
@@ -83,6 +88,8 @@
         Self {
             cached_for_relays: Vec::new(),
             cached_for_reporters: Vec::new(),
+            contacts_for_relays: ZoneContacts::new(),
+            contacts_for_reporters: ZoneContacts::new(),
             limits_for_relays: Vec::new(),
             limits_for_reporters: Vec::new(),
             relay_order: Vec::new(),
@@ -158,8 +165,25 @@
                 self.reporters.insert(from.clone(), number);
                 self.reported.record_report(now, from.clone(), under_way);
             }
-            // The limits themselves are kept by the book.
-            LoadMessage::Limits { .. } => {}
+            // Contacts and limits are kept by the book.
+            LoadMessage::Contacts { .. } | LoadMessage::Limits { .. } => {}
+        }
+    }
+
+    /// Queues contacts of this VM to be told to the other VMs of the region.
+    pub(crate) fn tell_contacts(&mut self, contacts: &ZoneContacts) {
+        add_contacts(&mut self.contacts_for_relays, contacts);
+        add_contacts(&mut self.contacts_for_reporters, contacts);
+    }
+
+    /// Queues contacts that `from` has told to be passed on, if this VM is a relay.
+    pub(crate) fn forward_contacts(&mut self, from: &VmId, contacts: &ZoneContacts) {
+        if !self.is_relay() {
+            return;
+        }
+        add_contacts(&mut self.contacts_for_reporters, contacts);
+        if self.reporters.contains_key(from) {
+            add_contacts(&mut self.contacts_for_relays, contacts);
         }
     }
 
@@ -236,6 +260,7 @@
             true => self.relay_messages(own, &cached, region_latencies),
             false => self.report_message(now, own, cached).into_iter().collect(),
         };
+        messages.append(&mut self.contact_messages());
         messages.append(&mut self.limit_messages(now));
         messages
     }
@@ -248,27 +273,52 @@
         }
     }
 
-    /// Builds the messages about limits: a relay tells the other relays and the VMs that report to
-    /// it, any other VM its relay.
+    /// Builds the messages about limits.
     fn limit_messages(&mut self, now: Duration) -> Vec<(VmId, LoadMessage)> {
         let for_relays = std::mem::take(&mut self.limits_for_relays);
         let for_reporters = std::mem::take(&mut self.limits_for_reporters);
-        let tell = |vms: Vec<VmId>, heard: Vec<HeardLimit>| {
+        let message = |heard: Vec<HeardLimit>| {
             let news = heard.into_iter().map(|heard| heard.into_news(now));
             let news = news.collect::<Vec<_>>();
-            let vms = vms.into_iter().filter(|_| !news.is_empty());
-            let messages = vms.map(|vm| (vm, LoadMessage::Limits { news: news.clone() }));
-            messages.collect::<Vec<_>>()
+            (!news.is_empty()).then_some(LoadMessage::Limits { news })
         };
-        if !self.is_relay() {
-            let relay = self.current_relay.as_ref().map(|relay| relay.vm.clone());
-            return tell(relay.into_iter().collect(), for_relays);
-        }
-        let mut messages = tell(self.other_relays(), for_relays);
-        messages.append(&mut tell(
-            self.reporters.keys().cloned().collect(),
-            for_reporters,
-        ));
+        self.news_messages(message(for_relays), message(for_reporters))
+    }
+
+    /// Builds the messages about contacts.
+    fn contact_messages(&mut self) -> Vec<(VmId, LoadMessage)> {
+        let for_relays = std::mem::take(&mut self.contacts_for_relays);
+        let for_reporters = std::mem::take(&mut self.contacts_for_reporters);
+        let message =
+            |zones: ZoneContacts| (!zones.is_empty()).then_some(LoadMessage::Contacts { zones });
+        self.news_messages(message(for_relays), message(for_reporters))
+    }
+
+    /// Addresses news: a relay tells the other relays and the VMs that report to it, any other VM
+    /// tells its relay.
+    fn news_messages(
+        &self,
+        for_relays: Option<LoadMessage>,
+        for_reporters: Option<LoadMessage>,
+    ) -> Vec<(VmId, LoadMessage)> {
+        let (relays, reporters) = match self.is_relay() {
+            true => (
+                self.other_relays(),
+                self.reporters.keys().cloned().collect(),
+            ),
+            false => {
+                let relay = self.current_relay.as_ref().map(|relay| relay.vm.clone());
+                (relay.into_iter().collect(), Vec::new())
+            }
+        };
+        let address = |vms: Vec<VmId>, message: Option<LoadMessage>| {
+            let pairs = vms
+                .into_iter()
+                .filter_map(move |vm| Some((vm, message.clone()?)));
+            pairs.collect::<Vec<_>>()
+        };
+        let mut messages = address(relays, for_relays);
+        messages.append(&mut address(reporters, for_reporters));
         messages
     }
 
--- a/crates/ebonystand-core/tests/gateway/caches.rs
+++ b/crates/ebonystand-core/tests/gateway/caches.rs
@@ -18,6 +18,7 @@
         LoadMessage::Group { cached, .. }
         | LoadMessage::Region { cached, .. }
         | LoadMessage::Report { cached, .. } => (vm, cached),
+        LoadMessage::Contacts { .. } => panic!("no upstream is missed"),
         LoadMessage::Limits { .. } => panic!("no limit is named"),
     });
     news.collect()
--- a/crates/ebonystand-core/tests/gateway/main.rs
+++ b/crates/ebonystand-core/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod next_step;
 mod shortlist;
 mod upstreams;
+mod zone_loss;
 
 use {
     ebonystand_core::*,
