Pass over an upstream that accepts no connection while there is time

Cause: a request to an upstream that is down waited a second for a connection, longer than the first-byte targets of most routes, so its answer was late wherever it came from. A request forwarded to another region was not tried at a second upstream there: the region counted as full for it, and its caller was refused if no other region may serve it.

Change: a connection to an upstream of the own region is given up after half of the first-byte target, 250 ms at least and a second at most. A VM that gets a forwarded request tries up to three upstreams if no connection can be opened, which costs none of them anything.

The reader of a list logs its changes as well.

--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -183,7 +183,10 @@
         };
         node.gateway.dialect.write(&outgoing, &mut headers);
         let until = node.clock.now() + wait;
-        let sent = self.exchange(node, address, instance, headers, wait).await;
+        let connect_time = self.upstream_connect_time();
+        let sent = self
+            .exchange(node, address, instance, headers, connect_time, wait)
+            .await;
         let reader = match sent {
             Ok(reader) => reader,
             Err(end) => {
@@ -219,17 +222,27 @@
         Outcome::Answered(Box::new(relay.into_answered(Some(attempt))))
     }
 
-    /// Sends the call over a connection and waits up to `wait` for the head of the answer.
+    /// Longest time to open a connection to an upstream of this region. An upstream that has not
+    /// accepted one by then is down, and the answer of another one can still begin in time.
+    fn upstream_connect_time(&self) -> Duration {
+        const MIN_CONNECT_TIME: Duration = Duration::from_millis(250);
+        (self.aim / 2).clamp(MIN_CONNECT_TIME, Connection::MAX_CONNECT_TIME)
+    }
+
+    /// Sends the call over a connection, which is opened within `connect_time`, and waits up to
+    /// `wait` for the head of the answer.
     pub(crate) async fn exchange(
         &self,
         node: &Rc<Node>,
         address: SocketAddr,
         instance: &str,
         headers: HeaderMap,
+        connect_time: Duration,
         wait: Duration,
     ) -> Result<ResponseReader, AttemptEnd> {
         let pool = &node.gateway.pool;
-        let connection = match pool.take(node.clock.now(), address, instance).await {
+        let now = node.clock.now();
+        let connection = match pool.take(now, address, instance, connect_time).await {
             Ok(connection) => connection,
             Err(fault) => {
                 log::warn!(request:% = self.request, upstream:% = instance, address:% = address, fault:% = fault; "not connected");
--- a/crates/ebonystand/src/gateway/connection.rs
+++ b/crates/ebonystand/src/gateway/connection.rs
@@ -89,15 +89,19 @@
     /// Largest head of an answer, in bytes.
     const MAX_HEAD_BYTES: usize = 64 << 10;
 
-    /// Opens a connection to `address`.
+    /// Longest time to open a connection: one round trip between regions and one lost packet.
+    pub(crate) const MAX_CONNECT_TIME: Duration = Duration::from_millis(1_000);
+
+    /// Opens a connection to `address` within `max_wait`.
     ///
     /// # Errors
     /// [`ConnectionFault::Connect`] if the connection cannot be opened in time.
-    pub(crate) async fn open(address: SocketAddr) -> Result<Self, ConnectionFault> {
-        /// Longest time to open a connection: one round trip between regions and one lost packet.
-        const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+    pub(crate) async fn open(
+        address: SocketAddr,
+        max_wait: Duration,
+    ) -> Result<Self, ConnectionFault> {
         let connect = TcpStream::connect(address);
-        let connected = actix_rt::time::timeout(CONNECT_TIMEOUT, connect).await;
+        let connected = actix_rt::time::timeout(max_wait, connect).await;
         let connected = connected.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()));
         let io = connected.map_err(|source| ConnectionFault::Connect { source })?;
         // Nagle's algorithm would delay a small request until the peer acknowledges earlier data.
--- a/crates/ebonystand/src/gateway/connection_pool.rs
+++ b/crates/ebonystand/src/gateway/connection_pool.rs
@@ -67,7 +67,8 @@
         }
     }
 
-    /// Takes the most recently used idle connection to a server, or opens a new one.
+    /// Takes the most recently used idle connection to a server, or opens a new one within
+    /// `max_wait`.
     ///
     /// # Errors
     /// [`ConnectionFault::Connect`] if a new connection cannot be opened.
@@ -76,10 +77,11 @@
         now: Duration,
         address: SocketAddr,
         instance: &str,
+        max_wait: Duration,
     ) -> Result<Connection, ConnectionFault> {
         match self.take_idle(now, address, instance) {
             Some(connection) => Ok(connection),
-            None => Connection::open(address).await,
+            None => Connection::open(address, max_wait).await,
         }
     }
 
--- a/crates/ebonystand/src/gateway/fetch.rs
+++ b/crates/ebonystand/src/gateway/fetch.rs
@@ -59,7 +59,7 @@
         let connection_error = |fault| FetchError::Connection { fault };
         let now = self.node.clock.now();
         let taken = pool
-            .take(now, address, "")
+            .take(now, address, "", connection::Connection::MAX_CONNECT_TIME)
             .await
             .map_err(connection_error)?;
         let mut reader = taken
--- a/crates/ebonystand/src/gateway/forward.rs
+++ b/crates/ebonystand/src/gateway/forward.rs
@@ -71,7 +71,10 @@
         }
     }
     let until = node.clock.now() + wait;
-    let sent = call.exchange(node, address, &vm, headers, wait).await;
+    let connect_time = Connection::MAX_CONNECT_TIME;
+    let sent = call
+        .exchange(node, address, &vm, headers, connect_time, wait)
+        .await;
     let reader = match sent {
         Ok(reader) => reader,
         Err(end) => {
--- a/crates/ebonystand/src/gateway/list_controller.rs
+++ b/crates/ebonystand/src/gateway/list_controller.rs
@@ -79,10 +79,7 @@
                     return Err(ListMismatch::Base { base: *base, known });
                 };
                 list.apply_changes(*base, *digest, changed, removed)?;
-                log::info!(
-                    changed = changed.len(), removed = removed.len(), upstreams = list.len();
-                    "list of upstreams changed"
-                );
+                log_changes(list, changed, removed);
                 book.change_list(now, changed.clone(), removed);
             }
             ListUpdate::Unchanged { digest } => {
@@ -104,13 +101,17 @@
     /// Puts a list that this VM has read in force and returns the update for the other VMs.
     fn install(&self, node: &Node, scope: ListScope, read: Vec<ListedUpstream>) -> ListUpdate {
         let mut listed = self.listed.borrow_mut();
-        let update = listed.get_or_insert_default().replace(scope, read);
+        let list = listed.get_or_insert_default();
+        let update = list.replace(scope, read);
         let now = node.clock.now();
         let mut book = node.gateway.book.borrow_mut();
         match &update {
             ListUpdate::Changes {
                 changed, removed, ..
-            } => book.change_list(now, changed.clone(), removed),
+            } => {
+                log_changes(list, changed, removed);
+                book.change_list(now, changed.clone(), removed);
+            }
             ListUpdate::Unchanged { .. } => {}
             ListUpdate::Whole { scope, upstreams } => {
                 book.update_list(now, *scope, upstreams.clone());
@@ -258,3 +259,10 @@
         listed.collect()
     }
 }
+
+fn log_changes(list: &UpstreamList, changed: &[ListedUpstream], removed: &[UpstreamId]) {
+    log::info!(
+        changed = changed.len(), removed = removed.len(), upstreams = list.len();
+        "list of upstreams changed"
+    );
+}
--- a/crates/ebonystand/src/gateway/receive_forward.rs
+++ b/crates/ebonystand/src/gateway/receive_forward.rs
@@ -11,6 +11,9 @@
     std::collections::BTreeSet,
 };
 
+/// Most upstreams that a forwarded request gives up because no connection to them can be opened.
+const MAX_UNREACHABLE: usize = 2;
+
 /// Answers a request that a VM of another region forwards.
 pub(crate) async fn handle(node: Rc<Node>, mut req: Request) -> Response<BoxBody> {
     let mut payload = req.take_payload();
@@ -78,7 +81,7 @@
             return Outcome::ended(AttemptEnd::Unreachable);
         }
     };
-    let call = Call {
+    let mut call = Call {
         admitted: now,
         aim: Duration::from_millis(forwarded.aim_ms),
         arrived: now,
@@ -96,6 +99,29 @@
         service: forwarded.service,
         workspace: forwarded.workspace,
     };
+    // A connection that cannot be opened costs the upstream nothing, so another one of this region
+    // is tried before the request travels between regions again.
+    loop {
+        let (outcome, tried) = serve_here(node, &call).await;
+        let is_unreachable = matches!(
+            outcome,
+            Outcome::Ended {
+                end: AttemptEnd::Unreachable,
+                ..
+            }
+        );
+        match tried {
+            Some(instance) if is_unreachable && call.excluded.len() < MAX_UNREACHABLE => {
+                call.excluded.push(instance);
+            }
+            _ => return with_in_flight(outcome, in_flight),
+        }
+    }
+}
+
+/// Sends a forwarded call to an upstream of this region. Returns how the attempt ended, and the
+/// upstream unless nothing was sent to any.
+async fn serve_here(node: &Rc<Node>, call: &Call) -> (Outcome, Option<UpstreamId>) {
     let none = BTreeSet::new();
     let mut choice = call.choose(node, &none);
     let waits = node
@@ -129,12 +155,12 @@
                 unread,
             };
             let outcome = call.send_here(node, &to, wait).await;
-            with_in_flight(outcome, in_flight)
+            (outcome, Some(to.instance))
         }
         // Nothing was sent to an upstream, so the forwarding VM may try another region.
-        TargetChoice::NoRoom { predicted } => no_room_outcome(predicted),
-        TargetChoice::Unavailable { retry_after, .. } => no_room_outcome(retry_after),
-        TargetChoice::OtherRegion { .. } => Outcome::ended(AttemptEnd::Unreachable),
+        TargetChoice::NoRoom { predicted } => (no_room_outcome(predicted), None),
+        TargetChoice::Unavailable { retry_after, .. } => (no_room_outcome(retry_after), None),
+        TargetChoice::OtherRegion { .. } => (Outcome::ended(AttemptEnd::Unreachable), None),
     }
 }
 
--- a/crates/ebonystand/tests/integration/routes.rs
+++ b/crates/ebonystand/tests/integration/routes.rs
@@ -375,6 +375,45 @@
     fleet.vms[1].log_with("forwarded request sent").await;
 }
 
+/// Guards against a forwarded request that is refused because no connection to the chosen upstream can be opened,
+/// although another one of that region is up. Calls that come together fill the one that is up, so that the others
+/// are chosen as well.
+#[actix_rt::test]
+async fn a_forwarded_request_passes_over_upstreams_that_refuse_connections() {
+    const CALLS: usize = 40;
+    let slow = |received: &Received| {
+        std::thread::sleep(Duration::from_millis(10));
+        echo(received)
+    };
+    let scripted = Scripted::start(slow);
+    let regions = vec![("a", Vec::new()), ("b", vec![scripted.clone()])];
+    let fleet = Setting::new(regions).start().await;
+    put(&fleet, routing(1)).await;
+    served(&fleet.vms[0], "/look/first").await;
+    let document = fleet.vms[0].operate("GET", "/v1/operator/document", "");
+    let mut version = document.await.json::<ebonystand_core::Document>().version;
+    for n in 0..2 {
+        let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let upstream = Upstream {
+            address: closed.local_addr().unwrap(),
+            ..upstream("b", &scripted)
+        };
+        let id = format!("closed-{n}").into();
+        version = fleet
+            .change(version, Change::PutUpstream { id, upstream })
+            .await;
+    }
+    fleet.vms[1].log_with("\"upstreams\":3").await;
+    let names = (0..CALLS).map(|n| format!("many-{n}")).collect::<Vec<_>>();
+    let calls = names
+        .iter()
+        .map(|name| call(&fleet.vms[0], "POST", "/once/x", name, "o"));
+    for answer in join_all(calls).await {
+        assert_eq!(answer.status, 200, "{}", answer.body);
+    }
+    fleet.vms[1].log_with("not connected").await;
+}
+
 /// The only VM of the upstream's region has been told to stop and serves on for want of another one. A long
 /// answer that it began for a VM of another region would be cut off when its time is over; so it takes none,
 /// and the caller is told that its request has not run. A short one is still served.
