Request the first list of upstreams when a VM starts

Cause: a VM that starts heard of the list with the next message of its relay, up to a read interval of a second later, then asked for the whole of it, and serves only from then on. Of a fleet, hundreds of VMs start again together.

Change: until it has a list, a VM asks random VMs of its region for it every 250 ms.

Result: the integration test shows that a VM that starts again gets the list that way; the time gained was not measured.

--- a/crates/ebonystand/src/gateway/list_controller.rs
+++ b/crates/ebonystand/src/gateway/list_controller.rs
@@ -156,11 +156,27 @@
         readers.map(|record| record.vm.clone()).collect()
     }
 
+    /// Requests the list from random VMs of the region until this VM has one. It cannot serve before
+    /// that, and the next update of the list may be a read interval away.
+    async fn request_first_list(node: Rc<Node>) {
+        const REQUEST_INTERVAL: Duration = Duration::from_millis(250);
+        while !node.gateway.list.is_known() {
+            let mut others = Self::readers(&node);
+            others.retain(|vm| *vm != node.settings.vm);
+            if let Some(count) = u64::try_from(others.len()).ok().filter(|count| *count > 0) {
+                let index = (node.gateway.draw() % count) as usize;
+                node.send(&others[index], PeerMessage::ListWanted);
+            }
+            actix_rt::time::sleep(REQUEST_INTERVAL).await;
+        }
+    }
+
     /// Reads the list of upstreams periodically while this VM is the region's reader, until the
     /// task is dropped.
     pub(crate) async fn run(node: Rc<Node>) {
         let this = &node.gateway.list;
         let (mut failures, mut reading) = (0_u32, false);
+        actix_rt::spawn(Self::request_first_list(Rc::clone(&node)));
         Self::discover_readers(&node).await;
         loop {
             let readers = Self::readers(&node);
--- a/crates/ebonystand/tests/integration/routes.rs
+++ b/crates/ebonystand/tests/integration/routes.rs
@@ -24,6 +24,7 @@
 
 /// Regions with their upstreams, and the VMs of each.
 struct Setting {
+    list_every_ms: u64,
     regions: Vec<(&'static str, Vec<Scripted>)>,
     start_takes_ms: u64,
     vms: usize,
@@ -48,6 +49,7 @@
 impl Setting {
     fn new(regions: Vec<(&'static str, Vec<Scripted>)>) -> Self {
         Self {
+            list_every_ms: 50,
             regions,
             start_takes_ms: 2_500,
             vms: 1,
@@ -61,7 +63,7 @@
         let zones = zones.collect::<BTreeMap<_, _>>();
         let mut builder = FleetBuilder::new().settings(json!({
             "forwards": "127.0.0.1:0",
-            "list_every_ms": 50,
+            "list_every_ms": self.list_every_ms,
             "start_takes_ms": self.start_takes_ms,
             "withdrawn_within_ms": self.withdrawn_within_ms,
             "zones": zones,
@@ -788,3 +790,21 @@
     };
     assert_eq!(fleet.vms.iter().filter(reads).count(), 1);
 }
+
+/// A VM that starts again gets the list of upstreams from another VM of its region and serves.
+#[actix_rt::test]
+async fn a_vm_that_starts_gets_the_list_of_upstreams_from_another_one() {
+    let setting = Setting {
+        list_every_ms: 3_000,
+        vms: 3,
+        ..Setting::new(vec![("a", vec![Scripted::start(echo)])])
+    };
+    let mut fleet = setting.start().await;
+    put(&fleet, routing(1)).await;
+    for vm in &fleet.vms {
+        served(vm, "/look/first").await;
+    }
+    fleet.vms[2].kill();
+    fleet.vms[2].restart();
+    served(&fleet.vms[2], "/look/after").await;
+}
