Let two readers of the list of upstreams agree

Cause: where up to four VMs read the list in the place of a silent reader, each told its changes from the same list. A VM applied the first, found that the others apply to another list than it now had, and asked each reader for the whole list, though all led to the same one. The cold times that they read differ by the time between their reads, and so did the digests.

Change: changes that lead to the list in force are taken as known. The digest tells of a cold time only whether there is any.

Result: in the test of two readers a third VM follows both; on the code before it refused each change of the second.

--- a/crates/ebonystand-core/src/gateway/list_scope.rs
+++ b/crates/ebonystand-core/src/gateway/list_scope.rs
@@ -5,7 +5,7 @@
 /// A VM sends requests to the upstreams of its own region only. Those of other regions tell which
 /// region can serve a request and where a cached prefix can be imported from, which is worth their
 /// place on the list while there are few of them.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub enum ListScope {
     /// The upstreams of all regions.
     #[default]
--- a/crates/ebonystand-core/src/gateway/listed_upstream.rs
+++ b/crates/ebonystand-core/src/gateway/listed_upstream.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// Entry of the list of running upstreams, which lags behind the servers' actual state.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ListedUpstream {
     /// Address on which the upstream listens.
     pub address: SocketAddr,
--- a/crates/ebonystand-core/src/gateway/upstream_list.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_list.rs
@@ -112,7 +112,7 @@
         let removed = gone.into_keys().collect::<Vec<_>>();
         self.digest = self.entries.values().map(hash).fold(0, u64::wrapping_add);
         changed.iter().cloned().for_each(|entry| self.insert(entry));
-        if self.digest == base {
+        if changed.is_empty() && removed.is_empty() {
             return ListUpdate::Unchanged { digest: base };
         }
         ListUpdate::Changes {
@@ -123,21 +123,25 @@
         }
     }
 
-    /// Applies changes that another VM has read.
+    /// Applies changes that another VM has read. Returns whether they were applied: changes to
+    /// another list that lead to this one come from a second reader of the same list, or twice.
     ///
     /// # Errors
-    /// [`ListMismatch`] if the changes apply to another list or do not lead to the one with the
-    /// digest `digest`; this list is then unchanged.
+    /// [`ListMismatch`] if the changes apply to another list and lead to another one, or do not lead
+    /// to the list with the digest `digest`; this list is then unchanged.
     pub fn apply_changes(
         &mut self,
         base: u64,
         digest: u64,
         changed: &[ListedUpstream],
         removed: &[UpstreamId],
-    ) -> Result<(), ListMismatch> {
+    ) -> Result<bool, ListMismatch> {
         if base != self.digest {
             let known = self.digest;
-            return Err(ListMismatch::Base { base, known });
+            return match digest == known {
+                true => Ok(false),
+                false => Err(ListMismatch::Base { base, known }),
+            };
         }
         let instances = changed.iter().map(|entry| &entry.instance).chain(removed);
         let known = instances.filter_map(|instance| self.entries.get(instance));
@@ -154,7 +158,7 @@
             self.entries.insert(entry.instance.clone(), entry.clone());
         }
         self.digest = digest;
-        Ok(())
+        Ok(true)
     }
 
     fn insert(&mut self, entry: ListedUpstream) {
@@ -165,9 +169,20 @@
     }
 }
 
-/// Returns the hash of an entry, equal in all processes of a build.
+/// Returns the hash of an entry, equal in all processes of a build. Of the cold time it tells only
+/// whether there is any: two VMs that read the list one after the other find different times left.
 fn hash(entry: &ListedUpstream) -> u64 {
+    let ListedUpstream {
+        address,
+        cold_for,
+        instance,
+        leaving,
+        service,
+        slots,
+        zone,
+    } = entry;
+    let is_cold = !cold_for.is_zero();
     let mut hasher = Xxh3Default::new();
-    entry.hash(&mut hasher);
+    (address, is_cold, instance, leaving, service, slots, zone).hash(&mut hasher);
     hasher.finish()
 }
--- a/crates/ebonystand/src/gateway/list_controller.rs
+++ b/crates/ebonystand/src/gateway/list_controller.rs
@@ -78,9 +78,10 @@
                     let known = UpstreamList::default().digest();
                     return Err(ListMismatch::Base { base: *base, known });
                 };
-                list.apply_changes(*base, *digest, changed, removed)?;
-                log_changes(list, changed, removed);
-                book.change_list(now, changed.clone(), removed);
+                if list.apply_changes(*base, *digest, changed, removed)? {
+                    log_changes(list, changed, removed);
+                    book.change_list(now, changed.clone(), removed);
+                }
             }
             ListUpdate::Unchanged { digest } => {
                 let known = listed.as_ref().map_or(0, UpstreamList::digest);
