Count servers at reused addresses as missed contacts of a zone

Change: another server at an upstream's address is a missed contact, so the zone stays passed over until the list names its new upstreams. A forwarded request is then tried at up to two more upstreams within the retry budget.

--- a/crates/ebonystand-core/src/gateway/attempt_end.rs
+++ b/crates/ebonystand-core/src/gateway/attempt_end.rs
@@ -42,11 +42,12 @@
         self != Self::Unreachable
     }
 
-    /// Returns whether the upstream was reached; `None` if the end does not tell.
+    /// Returns whether the listed upstream was reached; `None` if the end does not tell.
     pub(crate) fn is_upstream_reached(self) -> Option<bool> {
         match self {
-            Self::Answered | Self::Failed | Self::Shed | Self::AddressReused => Some(true),
-            Self::Unreachable => Some(false),
+            Self::Answered | Self::Failed | Self::Shed => Some(true),
+            // The upstreams of a zone that lost power come back as new ones at the same addresses.
+            Self::AddressReused | Self::Unreachable => Some(false),
             // A busy upstream may leave a request unanswered as well.
             Self::Cancelled | Self::Lost | Self::TimedOut => None,
         }
--- a/crates/ebonystand-core/src/load_exchange/contact_counts.rs
+++ b/crates/ebonystand-core/src/load_exchange/contact_counts.rs
@@ -6,7 +6,7 @@
 pub struct ContactCounts {
     /// Attempts that an upstream answered.
     pub reached: u32,
-    /// Attempts that could not open a connection.
+    /// Attempts that could not open a connection, or found another server at the address.
     pub missed: u32,
 }
 
--- a/crates/ebonystand-core/tests/gateway/zone_loss.rs
+++ b/crates/ebonystand-core/tests/gateway/zone_loss.rs
@@ -8,10 +8,20 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const STEP: Duration = Duration::from_millis(10);
 
-/// Simulated VMs of region `a` and the upstreams of its two zones, of which `a-1` can be dark.
+/// State of the upstreams of zone `a-1`.
+#[derive(Clone, Copy)]
+enum FirstZone {
+    /// They accept no connection.
+    Dark,
+    /// Others have started at their addresses, which the list does not name yet.
+    Replaced,
+    Sound,
+}
+
+/// Simulated VMs of region `a` and the upstreams of its two zones.
 struct Region {
     books: Vec<UpstreamBook>,
-    is_dark: bool,
+    first_zone: FirstZone,
     now: Duration,
     /// Attempts that have not ended: when they do, by which VM, at which upstream.
     open: Vec<(Duration, usize, Box<str>, AttemptEnd)>,
@@ -36,7 +46,7 @@
         }
         Self {
             books,
-            is_dark: false,
+            first_zone: FirstZone::Sound,
             now: ms(0),
             open: Vec::new(),
             sent: 0,
@@ -77,14 +87,30 @@
         self.books[vm].record_sent(self.now, &query, &instance, 0);
         let number = instance[1..].parse::<u16>().expect("a number");
         let is_first = number % 2 == 0;
-        let (end, wait) = match is_first && self.is_dark {
-            true => (AttemptEnd::Unreachable, CONNECT_TIMEOUT),
-            false => (AttemptEnd::Answered, ms(60)),
+        let (end, wait) = match self.first_zone {
+            FirstZone::Dark if is_first => (AttemptEnd::Unreachable, CONNECT_TIMEOUT),
+            FirstZone::Replaced if is_first => (AttemptEnd::AddressReused, ms(5)),
+            _ => (AttemptEnd::Answered, ms(60)),
         };
         self.open.push((self.now + wait, vm, instance, end));
         is_first
     }
 
+    /// Lets the list name the upstreams that have started at the addresses of others.
+    fn list_again(&mut self) {
+        let renamed = (0..2 * UPSTREAMS_OF_A_ZONE).step_by(2).map(|number| {
+            let instance = format!("v{number:04}");
+            (
+                listed(&instance, "a-1", number),
+                format!("u{number:04}").into(),
+            )
+        });
+        let (changed, removed): (Vec<_>, Vec<_>) = renamed.unzip();
+        for book in &mut self.books {
+            book.change_list(self.now, changed.clone(), &removed);
+        }
+    }
+
     fn end_attempts(&mut self) {
         let now = self.now;
         let ended = self.open.extract_if(.., |(at, ..)| *at <= now);
@@ -111,18 +137,24 @@
 
 /// Guards against a region whose VMs find out for each upstream of a lost zone by a request of its
 /// own that it is gone: with hundreds of upstreams and seconds until the list names them no more,
-/// half of the region's callers would wait for a connection in vain.
+/// half of the region's callers would wait for a connection in vain, and once the zone has power
+/// again, be refused by servers that the list does not name.
 #[test]
 fn the_upstreams_of_a_lost_zone_are_passed_over_before_the_list_changes() {
     let mut region = Region::new();
     let before = region.share_sent_to_first_zone(ms(3_000));
     assert!((0.4..0.6).contains(&before), "{before}");
-    region.is_dark = true;
+    region.first_zone = FirstZone::Dark;
     region.share_sent_to_first_zone(CONNECT_TIMEOUT + ms(500));
     let noticed = region.share_sent_to_first_zone(ms(4_000));
     println!("to the lost zone: {noticed:.3} of the requests");
     assert!(noticed < 0.15, "{noticed}");
-    region.is_dark = false;
+    region.first_zone = FirstZone::Replaced;
+    let replaced = region.share_sent_to_first_zone(ms(3_000));
+    println!("to servers that the list does not name: {replaced:.3} of the requests");
+    assert!(replaced < 0.15, "{replaced}");
+    region.first_zone = FirstZone::Sound;
+    region.list_again();
     region.share_sent_to_first_zone(ms(2_500));
     let after = region.share_sent_to_first_zone(ms(3_000));
     assert!(after > 0.4, "its return is noticed: {after}");
--- a/crates/ebonystand/src/gateway/receive_forward.rs
+++ b/crates/ebonystand/src/gateway/receive_forward.rs
@@ -11,8 +11,8 @@
     std::collections::BTreeSet,
 };
 
-/// Most upstreams that a forwarded request gives up because no connection to them can be opened.
-const MAX_UNREACHABLE: usize = 2;
+/// Most upstreams that are tried again after a forwarded request found them gone.
+const MAX_GONE: usize = 2;
 
 /// Answers a request that a VM of another region forwards.
 pub(crate) async fn handle(node: Rc<Node>, mut req: Request) -> Response<BoxBody> {
@@ -99,22 +99,22 @@
         service: forwarded.service,
         workspace: forwarded.workspace,
     };
-    // A connection that cannot be opened costs the upstream nothing, so another one of this region
-    // is tried before the request travels between regions again.
+    // The request has not run, so another upstream of this region is tried before it travels between
+    // regions again.
     loop {
         let (outcome, tried) = serve_here(node, &call).await;
-        let is_unreachable = matches!(
-            outcome,
+        let gone = match &outcome {
             Outcome::Ended {
-                end: AttemptEnd::Unreachable,
+                end: end @ (AttemptEnd::AddressReused | AttemptEnd::Unreachable),
                 ..
-            }
-        );
-        match tried {
-            Some(instance) if is_unreachable && call.excluded.len() < MAX_UNREACHABLE => {
-                call.excluded.push(instance);
-            }
-            _ => return with_in_flight(outcome, in_flight),
+            } => tried.filter(|_| {
+                call.excluded.len() < MAX_GONE && node.gateway.may_retry(node, &call.service, *end)
+            }),
+            _ => None,
+        };
+        match gone {
+            Some(instance) => call.excluded.push(instance),
+            None => return with_in_flight(outcome, in_flight),
         }
     }
 }
