Tell other regions of cached prefixes only where they can be used

Cause: each region's news of cached prefixes went to all VMs of the other regions through their relays, some 1,000 pieces a second at a peak of the largest fleet (worked out), where the list of upstreams covers the own region only and nobody can import from those engines.

Change: a VM whose list covers its own region tells and takes no news of others.

Result: covered by a test of both scopes; bytes at full size not measured on this commit.

--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -197,14 +197,19 @@
     }
 
     /// Takes the newly cached prefixes to be sent to other regions; one VM of each region is
-    /// enough.
+    /// enough. If the list covers the own region only, there are none: no VM knows the engines of
+    /// another region that it could import from.
     pub fn take_caches_for_regions(&mut self) -> Vec<CachedPrefix> {
-        self.caches.take_for_other_regions()
+        let mut cached = self.caches.take_for_other_regions();
+        if !self.lists_other_regions() {
+            cached.clear();
+        }
+        cached
     }
 
     /// Records the cached prefixes that a VM of another region reports.
     pub fn receive_region_caches(&mut self, now: Duration, cached: Vec<CachedPrefix>) {
-        if self.is_enabled(Mechanism::ToldCaches) {
+        if self.is_enabled(Mechanism::ToldCaches) && self.lists_other_regions() {
             self.caches
                 .record_reported(now, cached, CacheNewsOrigin::OtherRegion);
         }
--- a/crates/ebonystand-core/tests/gateway/caches.rs
+++ b/crates/ebonystand-core/tests/gateway/caches.rs
@@ -362,3 +362,30 @@
     let (_, source) = import(&book, ms(1), &sets, &short);
     assert_eq!(source.expect("a source").tokens, 90);
 }
+
+/// Guards against news of cached prefixes that fill the links of a large fleet, although no VM can
+/// use them: the list of a large region does not cover the engines of others.
+#[rstest]
+#[case::covers_all_regions(ListScope::AllRegions, true)]
+#[case::covers_the_own_region(ListScope::OwnRegion, false)]
+fn regions_tell_one_another_of_caches_if_they_know_their_engines(
+    #[case] scope: ListScope,
+    #[case] tells: bool,
+) {
+    let sets = Sets::default();
+    let mut book = book(two_regions());
+    book.update_list(ms(0), scope, two_regions()[..2].to_vec());
+    let prompt = prompt(7, 1);
+    keep(&mut book, ms(0), &sets, "u1", &prompt);
+    assert_eq!(!book.take_caches_for_regions().is_empty(), tells);
+    let of_other_region = CachedPrefix {
+        homes: None,
+        instance: "v1".into(),
+        prefix: SharedPrefix::list_in(&prompt)[0].id,
+    };
+    book.receive_region_caches(ms(1), vec![of_other_region]);
+    let reports = cache_reports(&mut book, ms(2));
+    let told = reports.iter().flat_map(|(_, cached)| cached);
+    let has_other = told.clone().any(|cached| cached.instance == "v1".into());
+    assert!(!has_other || tells);
+}
