Tell a cold time that begins again while the one before lasts

Cause: the reader of the list took a cold time that is no longer than the one of the read before for the same one. An upstream that becomes cold again within a second of having become cold was then sent to as if warm up to a second early.

Change: the reader compares the ends of the cold times, with 250 ms for the time that a read takes.

Result: the test of cold times has this case; by the former comparison, 2,700 ms after 2,950 ms, it told nothing (worked out, not run).

--- a/crates/ebonystand-core/src/gateway/upstream_list.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_list.rs
@@ -8,8 +8,8 @@
 /// of them and does not depend on the order of the changes.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamList {
-    /// Cold times of the upstreams that were cold at the last read by this VM.
-    cold_at_read: FxHashMap<UpstreamId, Duration>,
+    /// Times until which upstreams are cold by the last read of this VM.
+    cold_until: FxHashMap<UpstreamId, Duration>,
     /// Sum of the hashes of the entries.
     digest: u64,
     entries: BTreeMap<UpstreamId, ListedUpstream>,
@@ -17,6 +17,10 @@
 }
 
 impl UpstreamList {
+    /// Difference between the expected and the read end of a cold time from which it counts as a new
+    /// one; covers the time that a read takes.
+    const COLD_TOLERANCE: Duration = Duration::from_millis(250);
+
     /// Creates a list of these upstreams.
     #[must_use]
     pub fn new(scope: ListScope, upstreams: Vec<ListedUpstream>) -> Self {
@@ -70,15 +74,20 @@
     ///
     /// An entry keeps the cold time with which its upstream became cold until the upstream is warm:
     /// the time that is left changes with each read, and the other VMs count it down by themselves.
-    pub fn replace(&mut self, scope: ListScope, read: Vec<ListedUpstream>) -> ListUpdate {
+    pub fn replace(
+        &mut self,
+        now: Duration,
+        scope: ListScope,
+        read: Vec<ListedUpstream>,
+    ) -> ListUpdate {
         let is_cold = |entry: &&ListedUpstream| !entry.cold_for.is_zero();
         let cold = read.iter().filter(is_cold);
-        let cold = cold.map(|entry| (entry.instance.clone(), entry.cold_for));
-        let cold_before = std::mem::replace(&mut self.cold_at_read, cold.collect());
+        let cold = cold.map(|entry| (entry.instance.clone(), now + entry.cold_for));
+        let cold_before = std::mem::replace(&mut self.cold_until, cold.collect());
         if scope != self.scope || self.is_empty() {
-            let cold_at_read = std::mem::take(&mut self.cold_at_read);
+            let cold_until = std::mem::take(&mut self.cold_until);
             *self = Self {
-                cold_at_read,
+                cold_until,
                 ..Self::new(scope, read)
             };
             return self.to_whole();
@@ -91,7 +100,7 @@
             let kept = known.filter(|known| {
                 let counted_down = cold_before
                     .get(&entry.instance)
-                    .is_some_and(|before| entry.cold_for <= *before);
+                    .is_some_and(|until| now + entry.cold_for <= *until + Self::COLD_TOLERANCE);
                 let is_same_cold = known.cold_for == entry.cold_for
                     || counted_down && !known.cold_for.is_zero() && !entry.cold_for.is_zero();
                 let cold_for = known.cold_for;
--- a/crates/ebonystand-core/tests/gateway/list.rs
+++ b/crates/ebonystand-core/tests/gateway/list.rs
@@ -45,12 +45,12 @@
 fn what_a_change_costs_does_not_grow_with_the_list() {
     let cost = |count: u16| {
         let mut list = UpstreamList::default();
-        list.replace(ListScope::OwnRegion, upstreams(count, 0, ms(0)));
+        list.replace(ms(0), ListScope::OwnRegion, upstreams(count, 0, ms(0)));
         let mut read = upstreams(count, 0, ms(0));
         read[3].leaving = true;
         read.swap_remove(5);
         read.push(listed("new", "a-2", 1));
-        encoded_len(&list.replace(ListScope::OwnRegion, read))
+        encoded_len(&list.replace(ms(1_000), ListScope::OwnRegion, read))
     };
     let (small, large) = (cost(1_000), cost(20_000));
     assert!(large <= small + 8, "{small} and {large} bytes");
@@ -61,8 +61,10 @@
 #[test]
 fn the_cold_time_of_an_upstream_is_told_when_it_begins_and_ends() {
     let mut list = UpstreamList::default();
+    let mut now = ms(0);
     let mut read = |cold, cold_for| {
-        let update = list.replace(ListScope::OwnRegion, upstreams(1_000, cold, cold_for));
+        now += ms(1_000);
+        let update = list.replace(now, ListScope::OwnRegion, upstreams(1_000, cold, cold_for));
         match update {
             ListUpdate::Changes { changed, .. } => changed.len(),
             ListUpdate::Unchanged { .. } => 0,
@@ -74,7 +76,12 @@
     assert_eq!(read(500, ms(1_900)), 0, "it goes on");
     assert_eq!(read(500, ms(900)), 0, "it goes on");
     assert_eq!(read(500, ms(2_950)), 500, "it begins again");
-    assert_eq!(read(500, ms(1_900)), 0, "it goes on");
+    assert_eq!(
+        read(500, ms(2_700)),
+        500,
+        "it begins again before it has ended"
+    );
+    assert_eq!(read(500, ms(1_700)), 0, "it goes on");
     assert_eq!(read(0, ms(0)), 500, "it ends");
     assert_eq!(read(0, ms(0)), 0);
 }
@@ -94,7 +101,7 @@
             read.remove(usize::from(step % 40));
         }
         read[usize::from(step % 30)].leaving = step % 2 == 0;
-        let update = reader.replace(ListScope::OwnRegion, read);
+        let update = reader.replace(ms(u64::from(step) * 1_000), ListScope::OwnRegion, read);
         apply(&mut follower, update).expect("it fits");
         assert_eq!(follower.digest(), reader.digest());
         assert!(follower.iter().eq(reader.iter()));
@@ -122,12 +129,12 @@
 })]
 fn changes_that_do_not_fit_are_refused(#[case] spoil: fn(&mut ListUpdate)) {
     let mut reader = UpstreamList::default();
-    let whole = reader.replace(ListScope::OwnRegion, upstreams(10, 0, ms(0)));
+    let whole = reader.replace(ms(0), ListScope::OwnRegion, upstreams(10, 0, ms(0)));
     let mut follower = UpstreamList::default();
     apply(&mut follower, whole).expect("it fits");
     let mut read = upstreams(9, 0, ms(0));
     read[2].address.set_port(77);
-    let update = reader.replace(ListScope::OwnRegion, read);
+    let update = reader.replace(ms(1_000), ListScope::OwnRegion, read);
     let mut spoilt = update.clone();
     spoil(&mut spoilt);
     let before = follower.clone();
@@ -145,15 +152,16 @@
 #[test]
 fn readers_of_the_same_list_agree() {
     let mut first = UpstreamList::default();
-    let whole = first.replace(ListScope::OwnRegion, upstreams(100, 0, ms(0)));
+    let whole = first.replace(ms(0), ListScope::OwnRegion, upstreams(100, 0, ms(0)));
     let mut second = UpstreamList::default();
     let mut follower = UpstreamList::default();
     apply(&mut second, whole.clone()).expect("it fits");
     apply(&mut follower, whole).expect("it fits");
-    for (cold, left) in [(10, 2_900), (10, 1_900), (0, 0)] {
-        let by_first = first.replace(ListScope::OwnRegion, upstreams(100, cold, ms(left)));
-        let later = ms(left.saturating_sub(40));
-        let by_second = second.replace(ListScope::OwnRegion, upstreams(100, cold, later));
+    for (at, cold, left) in [(1_000, 10, 2_900), (2_000, 10, 1_900), (3_000, 0, 0)] {
+        let scope = ListScope::OwnRegion;
+        let by_first = first.replace(ms(at), scope, upstreams(100, cold, ms(left)));
+        let later = upstreams(100, cold, ms(left.saturating_sub(40)));
+        let by_second = second.replace(ms(at + 40), scope, later);
         apply(&mut follower, by_first).expect("it fits");
         apply(&mut follower, by_second).expect("it fits");
         assert_eq!(follower.digest(), second.digest());
--- a/crates/ebonystand/src/gateway/list_controller.rs
+++ b/crates/ebonystand/src/gateway/list_controller.rs
@@ -103,8 +103,8 @@
     fn install(&self, node: &Node, scope: ListScope, read: Vec<ListedUpstream>) -> ListUpdate {
         let mut listed = self.listed.borrow_mut();
         let list = listed.get_or_insert_default();
-        let update = list.replace(scope, read);
         let now = node.clock.now();
+        let update = list.replace(now, scope, read);
         let mut book = node.gateway.book.borrow_mut();
         match &update {
             ListUpdate::Changes {
