--- a/crates/ebonystand/tests/integration/routes.rs
+++ b/crates/ebonystand/tests/integration/routes.rs
@@ -539,9 +539,53 @@
     assert!(!bytes.ends_with("0\r\n\r\n"), "{bytes}");
 }
 
-/// All bytes that come back on a connection of its own.
-async fn raw(vm: &Vm, path: &str) -> String {
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+/// Guards against a VM that runs out of memory because callers read slowly: what it holds of an answer must not
+/// grow with the answer.
+#[actix_rt::test]
+async fn an_answer_that_is_read_slowly_is_not_held_in_memory() {
+    const CHUNK: usize = 1 << 20;
+    const CHUNKS: usize = 96;
+    const MAX_HELD_BYTES: u64 = 32 << 20;
+    let long = |received: &Received| {
+        if !received.head.contains("/stream/") {
+            return echo(received);
+        }
+        let request = received.request();
+        let chunk = format!("{CHUNK:x}\r\n{}\r\n", "x".repeat(CHUNK));
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nx-ebonystand-request: {request}\r\ntransfer-encoding: chunked\r\n\r\n"
+        );
+        Reply {
+            bytes: head + &chunk.repeat(CHUNKS) + "0\r\n\r\n",
+            then: Then::Keep,
+        }
+    };
+    let fleet = Setting::new(vec![("a", vec![Scripted::start(long)])])
+        .start()
+        .await;
+    put(&fleet, routing(1)).await;
+    served(&fleet.vms[0], "/look/first").await;
+    let before = fleet.vms[0].resident_bytes();
+    let mut io = request(&fleet.vms[0], "/stream/x").await;
+    let (mut read, mut most) = (0, 0);
+    let mut buf = vec![0; CHUNK];
+    while read < CHUNK * CHUNKS {
+        // The upstream and the VM have the time to fill whatever takes their bytes.
+        actix_rt::time::sleep(Duration::from_millis(5)).await;
+        let len = tokio::io::AsyncReadExt::read(&mut io, &mut buf)
+            .await
+            .unwrap();
+        assert!(len > 0, "it ended after {read} bytes");
+        read += len;
+        most = most.max(fleet.vms[0].resident_bytes());
+    }
+    let held = most.saturating_sub(before);
+    assert!(held < MAX_HELD_BYTES, "{held} bytes are held");
+}
+
+/// Sends a request on a connection of its own, and returns that.
+async fn request(vm: &Vm, path: &str) -> tokio::net::TcpStream {
+    use tokio::io::AsyncWriteExt;
     let mut io = tokio::net::TcpStream::connect(vm.addresses.callers)
         .await
         .unwrap();
@@ -549,6 +593,13 @@
         "GET {path} HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer {KEY}\r\nx-ebonystand-request: raw\r\n\r\n"
     );
     io.write_all(request.as_bytes()).await.unwrap();
+    io
+}
+
+/// All bytes that come back on a connection of its own.
+async fn raw(vm: &Vm, path: &str) -> String {
+    use tokio::io::AsyncReadExt;
+    let mut io = request(vm, path).await;
     let mut bytes = Vec::new();
     io.read_to_end(&mut bytes).await.unwrap();
     String::from_utf8(bytes).unwrap()
--- a/crates/ebonystand/tests/integration/vm.rs
+++ b/crates/ebonystand/tests/integration/vm.rs
@@ -164,6 +164,15 @@
         child.is_some_and(|child| child.try_wait().unwrap().is_none())
     }
 
+    /// Resident memory of the process, in bytes.
+    pub(crate) fn resident_bytes(&self) -> u64 {
+        let pid = self.child.as_ref().unwrap().id();
+        let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kib = line.unwrap().trim().trim_end_matches(" kB");
+        kib.parse::<u64>().unwrap() * 1_024
+    }
+
     /// Sends a signal, by its name.
     pub(crate) fn signal(&self, name: &str) {
         let pid = self.child.as_ref().unwrap().id();
