Log which requests ran on an upstream that went down

A broken run now leaves a line with a fingerprint of workspace, path and body, and with the result of one new connection to its upstream: refused means down. Upstreams that are leaving, or off the list, are left out. Nothing is hashed or opened while no run breaks.

--- a/crates/ebonystand-core/src/gateway/upstream_listing.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_listing.rs
@@ -74,6 +74,13 @@
         self.upstreams.values().map(|known| &known.listed)
     }
 
+    /// Returns whether an upstream was going to end: it is leaving, or is no longer on the list.
+    #[must_use]
+    pub fn is_end_expected(&self, instance: &str) -> bool {
+        let known = self.upstreams.get(instance);
+        known.is_none_or(|known| known.listed.leaving)
+    }
+
     /// Treats the upstreams of a zone as cold after its evacuation ends, since they may have cooled
     /// down meanwhile.
     pub fn record_zone_return(&mut self, now: Duration, zone: &str) {
--- a/crates/ebonystand/src/gateway/attempt.rs
+++ b/crates/ebonystand/src/gateway/attempt.rs
@@ -1,6 +1,9 @@
 use super::*;
 use {
+    call::{Call, Destination},
+    crash_watch::{CrashWatch, LostRun},
     ebonystand_core::{AnswerLimit, AttemptEnd, ChoiceQuery, SharedPrefix},
+    request_content::RequestContent,
     std::collections::BTreeSet,
 };
 
@@ -8,7 +11,9 @@
 /// [`UpstreamBook`](ebonystand_core::UpstreamBook). An attempt that is dropped before it ends
 /// counts as cancelled.
 pub(crate) struct Attempt {
+    address: SocketAddr,
     aim: Duration,
+    content: RequestContent,
     ended: bool,
     first_byte: Option<Duration>,
     /// Time of the latest event of a streamed answer; `None` before the first event and for other
@@ -20,6 +25,7 @@
     node: Rc<Node>,
     /// Prefixes of the prompt that the upstream has cached once its answer has begun.
     prefixes: Vec<SharedPrefix>,
+    request: Box<str>,
     started: Duration,
     unread: Tokens,
 }
@@ -28,18 +34,26 @@
     /// Records in the book that a request is sent to an upstream.
     pub(crate) fn begin(
         node: &Rc<Node>,
+        call: &Call,
         query: &ChoiceQuery,
-        instance: &UpstreamId,
-        unread: Tokens,
+        to: &Destination,
     ) -> Self {
         let started = node.clock.now();
+        let Destination {
+            address,
+            ref instance,
+            unread,
+            ..
+        } = *to;
         let mut book = node.gateway.book.borrow_mut();
         book.record_sent(started, query, instance, unread);
         let prompt = query.prompt;
         let prefixes = prompt.map(SharedPrefix::list_in);
         let prefixes = prefixes.unwrap_or_default();
         Self {
+            address,
             aim: query.first_byte_target,
+            content: call.content(),
             ended: false,
             first_byte: None,
             last_event: None,
@@ -47,6 +61,7 @@
             instance: instance.clone(),
             node: Rc::clone(node),
             prefixes,
+            request: call.request.clone(),
             started,
             unread,
         }
@@ -115,6 +130,13 @@
         let waited = now.saturating_sub(self.started);
         book.record_attempt_end(now, &self.instance, end, waited);
         drop(book);
+        if end == AttemptEnd::Lost {
+            let run = LostRun {
+                content: self.content.clone(),
+                request: self.request.clone(),
+            };
+            CrashWatch::check(&self.node, &self.instance, self.address, run);
+        }
         RoomQueues::advance(&self.node);
     }
 }
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -4,6 +4,7 @@
     ebonystand_core::{AttemptEnd, CacheSource, ChoiceQuery, ColdTerms, Prompt, TargetChoice},
     node::Node,
     relay::Relay,
+    request_content::RequestContent,
     room_queues::RoomQueues,
     std::collections::BTreeSet,
 };
@@ -102,6 +103,14 @@
         RoomQueues::wait(node, service, rank, prompt.is_some(), work, max_wait).await
     }
 
+    pub(crate) fn content(&self) -> RequestContent {
+        RequestContent {
+            body: self.body.clone(),
+            path: self.path.clone(),
+            workspace: self.workspace.clone(),
+        }
+    }
+
     /// Returns the time left until the whole answer is due.
     pub(crate) fn remaining_time(&self, node: &Node) -> Duration {
         self.end.saturating_sub(node.clock.now())
@@ -163,13 +172,13 @@
             address,
             ref import,
             ref instance,
-            unread,
+            ..
         } = *to;
         let mut attempt = {
             let document = node.document();
             let none = BTreeSet::new();
             let query = self.query(node, &document, &none);
-            Attempt::begin(node, &query, instance, unread)
+            Attempt::begin(node, self, &query, to)
         };
         let mut headers = self.headers.clone();
         let outgoing = OutgoingCall {
--- a/crates/ebonystand/src/gateway/connection.rs
+++ b/crates/ebonystand/src/gateway/connection.rs
@@ -75,6 +75,13 @@
     Truncated,
 }
 
+impl ConnectionFault {
+    /// Returns whether nothing listens at the address.
+    pub(crate) fn is_refused(&self) -> bool {
+        matches!(self, Self::Connect { source } if source.kind() == ErrorKind::ConnectionRefused)
+    }
+}
+
 /// Builds the head of a request. The path is sent unchanged, or as `/` if it is not a valid URI.
 pub(crate) fn head(method: Method, path: &str, headers: HeaderMap) -> RequestHead {
     let mut head = RequestHead::default();
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -1,6 +1,7 @@
 use super::*;
 use {
     allowance_controller::AllowanceController,
+    crash_watch::CrashWatch,
     ebonystand_core::{
         AttemptEnd, Confirmation, LoadMessage, Place, Preset, RegionVm, RelayPlan, RetryBudget,
         Retryable, RouteTable, UpstreamBook, UpstreamLimit, VmEntry,
@@ -19,6 +20,7 @@
 pub(crate) struct GatewayController {
     pub(crate) book: RefCell<UpstreamBook>,
     confirmation: RefCell<Confirmation>,
+    pub(crate) crashes: CrashWatch,
     pub(crate) dialect: Rc<dyn Dialect>,
     /// Whether a program embeds the daemon with a dialect of its own, so that all callers are
     /// served by routes.
@@ -84,6 +86,7 @@
             book: RefCell::new(book.with_disabled_mechanisms(gateway.without.clone())),
             confirmation: RefCell::new(Confirmation::new(gateway.confirmed_for)),
             embedded: dialect.is_some(),
+            crashes: CrashWatch::default(),
             dialect: dialect.unwrap_or_else(|| Rc::new(native_dialect::NativeDialect)),
             evacuated: RefCell::default(),
             forwarders: RefCell::default(),
--- /dev/null
+++ b/crates/ebonystand/src/gateway/crash_watch.rs
@@ -0,0 +1,51 @@
+use super::*;
+use {node::Node, request_content::RequestContent};
+
+/// Finds out whether an upstream went down when connections to it broke during a run.
+///
+/// A broken connection alone does not tell: the network, a faulty answer or the upstream's own limit
+/// on connections break them too. An upstream that has gone down refuses new connections.
+#[derive(Default)]
+pub(crate) struct CrashWatch {
+    /// Runs that await the check of their upstream. One check serves all runs that end together.
+    lost: RefCell<FxHashMap<UpstreamId, Vec<LostRun>>>,
+}
+
+/// A run whose connection broke.
+pub(crate) struct LostRun {
+    pub(crate) content: RequestContent,
+    pub(crate) request: Box<str>,
+}
+
+impl CrashWatch {
+    /// Longest time to wait until the upstream accepts or refuses a connection.
+    const CONNECT_TIME: Duration = Duration::from_millis(250);
+
+    /// Checks the upstream of a run whose connection broke.
+    pub(crate) fn check(node: &Rc<Node>, upstream: &UpstreamId, address: SocketAddr, run: LostRun) {
+        if node.gateway.book.borrow().is_end_expected(upstream) {
+            return;
+        }
+        let mut lost = node.gateway.crashes.lost.borrow_mut();
+        let runs = lost.entry(upstream.clone()).or_default();
+        runs.push(run);
+        if runs.len() == 1 {
+            let node = Rc::clone(node);
+            actix_rt::spawn(Self::probe(node, upstream.clone(), address));
+        }
+    }
+
+    async fn probe(node: Rc<Node>, upstream: UpstreamId, address: SocketAddr) {
+        let opened = Connection::open(address, Self::CONNECT_TIME).await;
+        let is_down = opened.is_err_and(|fault| fault.is_refused());
+        let runs = node.gateway.crashes.lost.borrow_mut().remove(&upstream);
+        for LostRun { content, request } in runs.unwrap_or_default() {
+            let fingerprint = content.fingerprint();
+            log::warn!(
+                request:% = request, upstream:% = upstream, is_down = is_down,
+                fingerprint:% = format_args!("{fingerprint:032x}");
+                "connection to an upstream broke during a run"
+            );
+        }
+    }
+}
