--- /dev/null
+++ b/crates/ebonystand/tests/integration/crashes.rs
@@ -0,0 +1,70 @@
+//! Requests that crash the upstreams which run them, through real processes.
+
+use {
+    crate::{
+        routes::{Setting, call, echo, put, routing, served},
+        scripted::{Received, Reply, Scripted, Then},
+    },
+    std::time::Duration,
+};
+
+/// Time after which all VMs that are in touch must know of a third crash.
+const CONTACT_TIME: Duration = Duration::from_secs(5);
+/// Crashes from which a request must not be sent on.
+const MAX_CRASHES: usize = 3;
+/// Requests with the same content that may still reach upstreams after [`CONTACT_TIME`].
+const MAX_LATE: usize = 3;
+
+/// Runs requests, and ends with the upstream on one whose body is "crash".
+fn fragile(received: &Received) -> Reply {
+    match &*received.body {
+        "crash" => Reply {
+            bytes: String::new(),
+            then: Then::Die,
+        },
+        _ => echo(received),
+    }
+}
+
+fn dead(upstreams: &[Scripted]) -> usize {
+    upstreams.iter().filter(|up| up.has_died()).count()
+}
+
+/// Guards against a caller that takes down one upstream after another by repeating a request at all VMs of two
+/// regions.
+#[actix_rt::test]
+async fn a_request_that_has_crashed_three_upstreams_is_kept_from_the_others() {
+    let upstreams = (0..16).map(|_| Scripted::start(fragile));
+    let upstreams = upstreams.collect::<Vec<_>>();
+    let (a, b) = upstreams.split_at(8);
+    let mut setting = Setting::new(vec![("a", a.to_vec()), ("b", b.to_vec())]);
+    setting.vms = 2;
+    let fleet = setting.start().await;
+    put(&fleet, routing(1)).await;
+    for vm in &fleet.vms {
+        served(vm, "/look/first").await;
+    }
+    let mut n = 0;
+    let mut repeat = async || {
+        let vm = &fleet.vms[n % fleet.vms.len()];
+        n += 1;
+        call(vm, "POST", "/look/x", &format!("repeat-{n}"), "crash").await
+    };
+    while dead(&upstreams) < MAX_CRASHES {
+        repeat().await;
+    }
+    actix_rt::time::sleep(CONTACT_TIME).await;
+    let before = dead(&upstreams);
+    let mut last = repeat().await;
+    for _ in 0..16 {
+        last = repeat().await;
+    }
+    let late = dead(&upstreams) - before;
+    assert!(late <= MAX_LATE, "{late} more upstreams crashed");
+    assert_eq!(last.status, 422, "{}", last.body);
+    // Other requests of the same caller are served.
+    for vm in &fleet.vms {
+        let other = call(vm, "POST", "/look/x", &format!("other-{}", vm.name), "o").await;
+        assert_eq!(other.status, 200, "{}", other.body);
+    }
+}
--- a/crates/ebonystand/tests/integration/main.rs
+++ b/crates/ebonystand/tests/integration/main.rs
@@ -6,6 +6,7 @@
 mod answer;
 mod bad_input;
 mod callers;
+mod crashes;
 mod failures;
 mod faults;
 mod fleet;
--- a/crates/ebonystand/tests/integration/routes.rs
+++ b/crates/ebonystand/tests/integration/routes.rs
@@ -23,11 +23,11 @@
 const HOST: &str = "shop.example";
 
 /// Regions with their upstreams, and the VMs of each.
-struct Setting {
+pub(crate) struct Setting {
     list_every_ms: u64,
     regions: Vec<(&'static str, Vec<Scripted>)>,
     start_takes_ms: u64,
-    vms: usize,
+    pub(crate) vms: usize,
     withdrawn_within_ms: u64,
 }
 
@@ -47,7 +47,7 @@
 }
 
 impl Setting {
-    fn new(regions: Vec<(&'static str, Vec<Scripted>)>) -> Self {
+    pub(crate) fn new(regions: Vec<(&'static str, Vec<Scripted>)>) -> Self {
         Self {
             list_every_ms: 50,
             regions,
@@ -57,7 +57,7 @@
         }
     }
 
-    async fn start(self) -> Fleet {
+    pub(crate) async fn start(self) -> Fleet {
         let zones = self.regions.iter();
         let zones = zones.map(|(region, _)| (format!("{region}-a"), *region));
         let zones = zones.collect::<BTreeMap<_, _>>();
@@ -87,7 +87,7 @@
     }
 }
 
-fn route(prefix: &str, kind: CallKind) -> GatewayRoute {
+pub(crate) fn route(prefix: &str, kind: CallKind) -> GatewayRoute {
     GatewayRoute {
         aim_ms: 5_000,
         attempts: 2,
@@ -109,7 +109,7 @@
     }
 }
 
-fn routing(revision: u64) -> Routing {
+pub(crate) fn routing(revision: u64) -> Routing {
     let workspace = GatewayWorkspace {
         call_tokens: 1,
         homes: BTreeSet::new(),
@@ -142,7 +142,7 @@
     }
 }
 
-async fn put(fleet: &Fleet, routing: Routing) {
+pub(crate) async fn put(fleet: &Fleet, routing: Routing) {
     let regions = ["a", "b"].map(|region| {
         let holders = vec!["vm0".into()];
         let links = BTreeMap::new();
@@ -159,14 +159,14 @@
     fleet.change(document.version, change).await;
 }
 
-async fn call(vm: &Vm, method: &str, path: &str, request: &str, body: &str) -> Answer {
+pub(crate) async fn call(vm: &Vm, method: &str, path: &str, request: &str, body: &str) -> Answer {
     let headers = [("host", HOST), ("x-ebonystand-request", request)];
     vm.call_with(KEY, method, path, body, &headers).await
 }
 
 /// Calls until the routes are served: the list of upstreams and the parts of the allowance take a
 /// moment after a start.
-async fn served(vm: &Vm, path: &str) -> Answer {
+pub(crate) async fn served(vm: &Vm, path: &str) -> Answer {
     for n in 0..2_000 {
         let answer = call(vm, "GET", path, &format!("first-{n}"), "").await;
         if answer.status < 500 && answer.status != 429 && answer.status != 404 {
@@ -177,7 +177,7 @@
     panic!("routes are not served: {}", vm.log());
 }
 
-fn echo(received: &Received) -> Reply {
+pub(crate) fn echo(received: &Received) -> Reply {
     received.answer("200 OK", "served")
 }
 
--- a/crates/ebonystand/tests/integration/scripted.rs
+++ b/crates/ebonystand/tests/integration/scripted.rs
@@ -2,12 +2,17 @@
     std::{
         collections::BTreeSet,
         net::SocketAddr,
-        sync::{Arc, Mutex, mpsc},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, Ordering},
+            mpsc,
+        },
         thread,
     },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
+        sync::Notify,
     },
 };
 
@@ -17,6 +22,7 @@
     pub(crate) address: SocketAddr,
     /// Numbers of the connections that have ended.
     closed: Arc<Mutex<BTreeSet<usize>>>,
+    has_died: Arc<AtomicBool>,
     seen: Arc<Mutex<Vec<Received>>>,
 }
 
@@ -38,6 +44,8 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Then {
     Close,
+    /// Ends the upstream: its connections break and it takes no others.
+    Die,
     Keep,
     /// Says nothing more until the other end closes.
     Wait,
@@ -76,18 +84,29 @@
         let seen = Arc::new(Mutex::new(Vec::new()));
         let (counted, recorded) = (Arc::clone(&closed), Arc::clone(&seen));
         let script = Arc::new(script);
+        let (death, has_died) = (Arc::new(Notify::new()), Arc::new(AtomicBool::new(false)));
+        let ended = Arc::clone(&has_died);
         thread::spawn(move || {
             actix_rt::System::new().block_on(async move {
                 let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
                 tx.send(listener.local_addr().unwrap()).unwrap();
                 let mut number = 0;
-                while let Ok((io, _)) = listener.accept().await {
+                loop {
+                    let io = tokio::select! {
+                        accepted = listener.accept() => accepted.unwrap().0,
+                        () = death.notified() => return,
+                    };
                     number += 1;
                     let (closed, seen) = (Arc::clone(&counted), Arc::clone(&recorded));
+                    let (death, ended) = (Arc::clone(&death), Arc::clone(&ended));
                     let script = Arc::clone(&script);
                     actix_rt::spawn(async move {
-                        converse(io, number, &*script, &seen).await;
+                        let then = converse(io, number, &*script, &seen).await;
                         closed.lock().unwrap().insert(number);
+                        if then == Some(Then::Die) {
+                            ended.store(true, Ordering::SeqCst);
+                            death.notify_one();
+                        }
                     });
                 }
             });
@@ -95,10 +114,16 @@
         Self {
             address: rx.recv().unwrap(),
             closed,
+            has_died,
             seen,
         }
     }
 
+    /// Whether a request has ended the upstream.
+    pub(crate) fn has_died(&self) -> bool {
+        self.has_died.load(Ordering::SeqCst)
+    }
+
     /// Whether the connection that carried a request has ended.
     pub(crate) fn ended(&self, request: &str) -> bool {
         let seen = self.seen();
@@ -117,24 +142,23 @@
     connection: usize,
     script: &(dyn Fn(&Received) -> Reply + Send + Sync),
     seen: &Mutex<Vec<Received>>,
-) {
+) -> Option<Then> {
     let mut buf = Vec::new();
     while let Some(received) = receive(&mut io, &mut buf, connection).await {
         seen.lock().unwrap().push(received.clone());
         let Reply { bytes, then } = script(&received);
-        if io.write_all(bytes.as_bytes()).await.is_err() {
-            return;
-        }
+        io.write_all(bytes.as_bytes()).await.ok()?;
         match then {
-            Then::Close => return,
+            Then::Close | Then::Die => return Some(then),
             Then::Keep => {}
             Then::Wait => {
                 let mut rest = [0; 64];
                 while io.read(&mut rest).await.is_ok_and(|len| len > 0) {}
-                return;
+                return Some(then);
             }
         }
     }
+    None
 }
 
 async fn receive(io: &mut TcpStream, buf: &mut Vec<u8>, connection: usize) -> Option<Received> {
