--- a/crates/ebonystand-core/src/lib.rs
+++ b/crates/ebonystand-core/src/lib.rs
@@ -26,8 +26,6 @@
     newer_peers::NewerPeers,
     observed_load::ObservedLoad,
     open_ask::OpenAsk,
-    pending_run_report::PendingRunReport,
-    permit_request::PermitRequest,
     prefix_hints::PrefixHints,
     prober::Prober,
     readiness::Readiness,
@@ -53,8 +51,6 @@
         net::SocketAddr,
         time::Duration,
     },
-    suspect::{CrashReport, RunGrant, Suspect, VmRun},
-    suspect_table::SuspectTable,
     token_bucket::{TokenBucket, accrual_time, mul_div},
     unsynced_batch::UnsyncedBatch,
     upstream_group::UpstreamGroup,
@@ -159,8 +155,6 @@
     route_query::RouteQuery,
     route_reason::RouteReason,
     router::Router,
-    run_end::RunEnd,
-    run_permit::RunPermit,
     run_state::RunState,
     service::Service,
     smoothed_rate::SmoothedRate,
@@ -277,8 +271,6 @@
 mod operator_status;
 mod order;
 mod order_permit;
-mod pending_run_report;
-mod permit_request;
 mod place;
 mod placement;
 mod prefix_cache;
@@ -313,8 +305,6 @@
 mod route_reason;
 mod route_refusal;
 mod router;
-mod run_end;
-mod run_permit;
 mod run_state;
 mod scored_upstream;
 mod seed_addresses;
@@ -330,8 +320,6 @@
 mod stream_framing;
 mod stream_guard;
 mod stream_verdict;
-mod suspect;
-mod suspect_table;
 mod target;
 mod ticket_id;
 mod token_bucket;
