--- a/crates/ebonystand-core/src/gateway/attempt_end.rs
+++ b/crates/ebonystand-core/src/gateway/attempt_end.rs
@@ -11,6 +11,8 @@
     Failed,
     /// The connection broke or the answer was malformed; the request may have run.
     Lost,
+    /// The request is quarantined, so nothing was sent to an upstream.
+    Quarantined,
     /// The upstream was full and answered that it did not run the request.
     Shed,
     /// Another server answered at the upstream's address and did not run the request.
@@ -26,20 +28,26 @@
     /// Returns whether the request has certainly not run and never will.
     #[must_use]
     pub fn is_known_not_run(self) -> bool {
-        matches!(self, Self::Shed | Self::AddressReused | Self::Unreachable)
+        matches!(
+            self,
+            Self::Shed | Self::AddressReused | Self::Quarantined | Self::Unreachable
+        )
     }
 
     /// Returns whether a server of the service received the request, even if it refused it, so that
     /// the attempt counts against the route's limit.
     #[must_use]
     pub fn is_counted_attempt(self) -> bool {
-        !matches!(self, Self::AddressReused | Self::Unreachable)
+        !matches!(
+            self,
+            Self::AddressReused | Self::Quarantined | Self::Unreachable
+        )
     }
 
     /// Returns whether any byte of the request can have reached an upstream.
     #[must_use]
     pub fn can_have_reached_upstream(self) -> bool {
-        self != Self::Unreachable
+        !matches!(self, Self::Quarantined | Self::Unreachable)
     }
 
     /// Returns whether the listed upstream was reached; `None` if the end does not tell.
@@ -49,7 +57,7 @@
             // The upstreams of a zone that lost power come back as new ones at the same addresses.
             Self::AddressReused | Self::Unreachable => Some(false),
             // A busy upstream may leave a request unanswered as well.
-            Self::Cancelled | Self::Lost | Self::TimedOut => None,
+            Self::Cancelled | Self::Lost | Self::Quarantined | Self::TimedOut => None,
         }
     }
 }
--- a/crates/ebonystand-core/src/gateway/next_step.rs
+++ b/crates/ebonystand-core/src/gateway/next_step.rs
@@ -35,7 +35,8 @@
         // An upstream that could not be connected to received nothing and does not count as an
         // attempt, nor does another server that answered at its address.
         let has_tries = !end.is_counted_attempt() || tried < route.attempts;
-        if end == AttemptEnd::Cancelled || !may_repeat || !has_tries || !budget() {
+        let is_final = matches!(end, AttemptEnd::Cancelled | AttemptEnd::Quarantined);
+        if is_final || !may_repeat || !has_tries || !budget() {
             return Self::GiveUp { run };
         }
         Self::Retry
--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -132,7 +132,7 @@
                 known.update_failure_rate(false);
                 known.measure_call(waited);
             }
-            AttemptEnd::Cancelled | AttemptEnd::Shed => {}
+            AttemptEnd::Cancelled | AttemptEnd::Quarantined | AttemptEnd::Shed => {}
             AttemptEnd::Failed | AttemptEnd::Lost => known.update_failure_rate(true),
             AttemptEnd::AddressReused => known.is_address_reused = true,
             AttemptEnd::TimedOut => known.start_backoff(now),
--- a/crates/ebonystand-core/src/quarantine/quarantine_message.rs
+++ b/crates/ebonystand-core/src/quarantine/quarantine_message.rs
@@ -22,13 +22,24 @@
         /// Run that the permit was requested for.
         run: RunId,
     },
-    /// Report to the owner that an upstream went down while it ran the request.
+    /// Announcement to all VMs of what they must do about a request.
+    Announced {
+        /// Fingerprint of the request.
+        fingerprint: Fingerprint,
+        /// Time until the entry expires.
+        remaining: Duration,
+        /// What the VMs must do.
+        stage: SuspectStage,
+    },
+    /// Report to a VM that counts the crashes of the request: an upstream went down while it ran it.
     Crashed {
         /// Fingerprint of the request that was running.
         fingerprint: Fingerprint,
         /// Whether other runs of the request are in progress on the sender, or have crashed without
         /// the owner's confirmation.
         is_running: bool,
+        /// Rule by which the crash counts.
+        rule: CrashRule,
         /// Run that ended with the crash.
         run: RunId,
         /// Upstream that went down.
@@ -44,33 +55,28 @@
         /// Run that ended.
         run: RunId,
     },
-    /// Announcement to all VMs that the request is refused from now on.
-    Quarantined {
-        /// Fingerprint of the quarantined request.
-        fingerprint: Fingerprint,
-        /// Time until the quarantine entry expires.
-        remaining: Duration,
-    },
     /// Owner's confirmation to the reporter of a run's end: the report is counted and, after a
     /// crash, every reachable VM knows of it.
     Recorded {
         /// Run whose end was reported.
         run: RunId,
     },
-    /// Announcement to all VMs that the request needs a permit before each run.
-    Suspected {
-        /// Fingerprint of the suspect request.
+    /// Report to a VM that counts the crashes of the request: an upstream has survived a run.
+    Survived {
+        /// Fingerprint of the request.
         fingerprint: Fingerprint,
-        /// Time until the suspect entry expires.
-        remaining: Duration,
+        /// Id that the sender allocated for the report.
+        run: RunId,
     },
-    /// Confirmation to the owner that the sender has recorded the suspect.
+    /// Confirmation that the sender has recorded an [`Self::Announced`].
     #[serde(rename = "told")]
     Acknowledged {
-        /// Fingerprint of the suspect request.
+        /// Fingerprint of the request.
         fingerprint: Fingerprint,
         /// Whether runs of the request are in progress on the sender, or have crashed without the
         /// owner's confirmation.
         is_running: bool,
+        /// Stage that was announced.
+        stage: SuspectStage,
     },
 }
--- a/crates/ebonystand-core/src/quarantine/quarantine_output.rs
+++ b/crates/ebonystand-core/src/quarantine/quarantine_output.rs
@@ -22,6 +22,12 @@
 }
 
 impl QuarantineOutput {
+    pub(crate) fn append(&mut self, other: Self) {
+        self.permit_answers.extend(other.permit_answers);
+        self.recorded_runs.extend(other.recorded_runs);
+        self.messages.extend(other.messages);
+    }
+
     pub(crate) fn send(&mut self, to: &VmId, message: QuarantineMessage) {
         self.messages.push(OutgoingQuarantineMessage {
             message,
--- a/crates/ebonystand-core/src/quarantine/state.rs
+++ b/crates/ebonystand-core/src/quarantine/state.rs
@@ -1,12 +1,17 @@
 use {super::*, xxhash_rust::xxh3::Xxh3Default};
 
 /// Stops a request that crashes the upstreams it runs on from being retried without limit,
-/// whichever VM its caller uses.
+/// whichever VM its caller uses. Its crashes count by one of two [`CrashRule`]s.
 ///
-/// A request whose upstream went down becomes a suspect, and the VM that owns it by rendezvous
-/// hashing announces it to all live VMs. Once they know of it, the owner grants one run at a time.
-/// A second crash quarantines the request. A request that has crashed nothing costs one table
-/// lookup.
+/// By [`CrashRule::Permits`], a request whose upstream went down becomes a suspect, and the VM that
+/// owns it by rendezvous hashing announces it to all live VMs. Once they know of it, the owner grants
+/// one run at a time. A second crash quarantines the request.
+///
+/// By [`CrashRule::Evidence`], two VMs count the crashes and announce the request to the others only
+/// when it becomes a suspect and when it is quarantined, so that the loss of many upstreams costs
+/// two messages for each run that was lost with them.
+///
+/// A request that has crashed nothing costs one table lookup.
 ///
 /// Messages may be lost, late or duplicated. While VMs disagree on which VMs are live, each side of
 /// a partition has its own owner and may lose one more upstream.
@@ -18,15 +23,23 @@
     next_run: RunId,
     pending_reports: BTreeMap<RunId, PendingRunReport>,
     active_runs: BTreeMap<RunId, Fingerprint>,
+    survivals: Survivals,
+    /// Time until which survivals are remembered, since an upstream went down.
+    watch_until: Duration,
 }
 
 impl Quarantine {
+    /// Largest number of reports that await confirmation. Beyond it, ends of runs go unreported.
+    const MAX_PENDING_REPORTS: usize = 4_096;
     /// Time after which VMs that have not acknowledged a crash count as unreachable.
     pub const CRASH_ACK_TIMEOUT: Duration = Duration::from_millis(500);
     /// Time for which a quarantined request is refused.
     pub const QUARANTINE_DURATION: Duration = Duration::from_secs(3_600);
     /// Time for which a suspect needs a permit for each run.
     pub const SUSPECT_DURATION: Duration = Duration::from_secs(600);
+    /// Time after the third crash of a request by [`CrashRule::Evidence`] within which another run of
+    /// it may show that upstreams survive it.
+    pub const SURVIVAL_TIMEOUT: Duration = Duration::from_millis(500);
     /// Time after the permit request within which a granted run must start. A run that started
     /// later could outlast its grant, so it is refused.
     pub const START_TIMEOUT: Duration = Duration::from_secs(2);
@@ -42,6 +55,8 @@
             next_run: first_run,
             pending_reports: BTreeMap::new(),
             active_runs: BTreeMap::new(),
+            survivals: Survivals::default(),
+            watch_until: Duration::ZERO,
         }
     }
 
@@ -128,6 +143,7 @@
                 let message = QuarantineMessage::Crashed {
                     fingerprint,
                     is_running,
+                    rule: CrashRule::Permits,
                     run,
                     upstream,
                 };
@@ -136,6 +152,78 @@
         }
     }
 
+    /// Reports that an upstream went down during a run by [`CrashRule::Evidence`].
+    pub fn report_crash(
+        &mut self,
+        now: Duration,
+        fingerprint: Fingerprint,
+        upstream: &UpstreamId,
+    ) -> QuarantineOutput {
+        self.watch_until = now + Self::SUSPECT_DURATION;
+        self.report_to_counters(now, fingerprint, |run| QuarantineMessage::Crashed {
+            fingerprint,
+            is_running: false,
+            rule: CrashRule::Evidence,
+            run,
+            upstream: upstream.clone(),
+        })
+    }
+
+    /// Records that an upstream has survived a run by [`CrashRule::Evidence`], and reports it if the
+    /// request is a suspect. Call it only while [`Self::is_watching`].
+    pub fn record_survival(&mut self, now: Duration, fingerprint: Fingerprint) -> QuarantineOutput {
+        if self.is_suspect(now, fingerprint) {
+            return self.report_survival(now, fingerprint);
+        }
+        self.survivals.record(now, fingerprint);
+        QuarantineOutput::default()
+    }
+
+    fn report_survival(&mut self, now: Duration, fingerprint: Fingerprint) -> QuarantineOutput {
+        self.report_to_counters(now, fingerprint, |run| QuarantineMessage::Survived {
+            fingerprint,
+            run,
+        })
+    }
+
+    /// Clears a request by order of an operator, on all VMs. Returns `None` if this VM does not know
+    /// it.
+    pub fn clear(&mut self, now: Duration, fingerprint: Fingerprint) -> Option<QuarantineOutput> {
+        self.suspects.get(now, fingerprint)?;
+        let mut output = QuarantineOutput::default();
+        self.suspects.clear(now, fingerprint, &mut output);
+        Some(output)
+    }
+
+    /// Returns whether a request is a suspect or quarantined.
+    #[must_use]
+    pub fn is_suspect(&self, now: Duration, fingerprint: Fingerprint) -> bool {
+        let suspect = self.suspects.get(now, fingerprint);
+        suspect.is_some_and(|suspect| suspect.stage.is_suspect())
+    }
+
+    /// Returns whether an upstream went down lately as far as this VM knows, so that the fingerprints
+    /// of requests matter.
+    #[must_use]
+    pub fn is_watching(&self, now: Duration) -> bool {
+        now < self.watch_until || !self.suspects.is_empty()
+    }
+
+    /// Returns the requests that this VM knows to be suspects or quarantined.
+    pub fn statuses(&self, now: Duration) -> impl Iterator<Item = SuspectStatus> {
+        let suspects = self.suspects.iter();
+        let suspects = suspects.filter(move |(_, suspect)| suspect.expires_at > now);
+        suspects
+            .filter(|(_, suspect)| suspect.stage.is_suspect())
+            .map(move |(fingerprint, suspect)| SuspectStatus {
+                crashed_upstreams: suspect.crashed_upstreams().cloned().collect(),
+                crashes: suspect.crashes(),
+                fingerprint: format!("{fingerprint:032x}").into(),
+                is_quarantined: suspect.is_quarantined(),
+                remaining_ms: suspect.expires_at.saturating_sub(now).as_millis() as u64,
+            })
+    }
+
     /// Returns a run id that this VM has not used before.
     pub fn allocate_run(&mut self) -> RunId {
         self.next_run += 1;
@@ -158,10 +246,10 @@
     #[must_use]
     pub fn refusal(&self, now: Duration, fingerprint: Fingerprint) -> Option<Refusal> {
         let suspect = self.suspects.get(now, fingerprint)?;
-        suspect.is_quarantined.then(|| {
+        suspect.is_quarantined().then(|| {
             Refusal::not_run(
                 RefusalCode::Quarantined,
-                "two upstreams went down while they ran this request",
+                "upstreams went down while they ran this request",
             )
             .with_retry_after(suspect.expires_at.saturating_sub(now))
         })
@@ -175,6 +263,11 @@
         output
     }
 
+    /// Sets the live VMs of the own region.
+    pub fn set_region_vms(&mut self, live: BTreeSet<VmId>) {
+        self.suspects.set_region_vms(live);
+    }
+
     /// Sets the list of live VMs. VMs with equal lists select the same owner for each request.
     pub fn set_live_vms(&mut self, now: Duration, live: BTreeSet<VmId>) {
         self.suspects.set_live_vms(now, live);
@@ -232,27 +325,62 @@
         message: QuarantineMessage,
     ) -> QuarantineOutput {
         let until = now + Self::SUSPECT_DURATION;
-        self.suspects.track_until(now, fingerprint, until);
+        self.suspects.track_until(now, fingerprint, until).suspect();
         let report = PendingRunReport {
             fingerprint,
             message: message.clone(),
             sent_at: now,
             resend_until: until,
+            to: None,
         };
         self.pending_reports.insert(run, report);
         self.send_to_owner(now, fingerprint, message)
     }
 
+    /// Reports the end of a run to the VMs that count the crashes of its request, and resends the
+    /// reports until they confirm them or are gone.
+    fn report_to_counters(
+        &mut self,
+        now: Duration,
+        fingerprint: Fingerprint,
+        message: impl Fn(RunId) -> QuarantineMessage,
+    ) -> QuarantineOutput {
+        let mut output = QuarantineOutput::default();
+        let counters = self.suspects.counters(fingerprint);
+        let counters = counters.into_iter().cloned().collect::<Vec<_>>();
+        for to in counters {
+            if self.pending_reports.len() >= Self::MAX_PENDING_REPORTS {
+                break;
+            }
+            let run = self.allocate_run();
+            let message = message(run);
+            output.send(&to, message.clone());
+            let report = PendingRunReport {
+                fingerprint,
+                message,
+                sent_at: now,
+                resend_until: now + Self::SUSPECT_DURATION,
+                to: Some(to),
+            };
+            self.pending_reports.insert(run, report);
+        }
+        self.handle_own_messages(now, output)
+    }
+
     fn resend_reports(&mut self, now: Duration, output: &mut QuarantineOutput) {
-        self.pending_reports
-            .retain(|_, report| now < report.resend_until);
+        let suspects = &self.suspects;
+        self.pending_reports.retain(|_, report| {
+            let is_receivable = report.to.as_ref().is_none_or(|to| suspects.is_live(to));
+            now < report.resend_until && is_receivable
+        });
         for report in self.pending_reports.values_mut() {
             if now < report.sent_at + SuspectTable::RESEND_INTERVAL {
                 continue;
             }
             report.sent_at = now;
-            if let Some(owner) = self.suspects.owner(report.fingerprint) {
-                output.send(owner, report.message.clone());
+            let owner = self.suspects.owner(report.fingerprint);
+            if let Some(to) = report.to.as_ref().or(owner) {
+                output.send(to, report.message.clone());
             }
         }
     }
@@ -295,30 +423,26 @@
             QuarantineMessage::Answer { permit, run } => {
                 self.handle_answer(now, run, permit, output)
             }
-            QuarantineMessage::Quarantined {
+            QuarantineMessage::Announced {
                 fingerprint,
                 remaining,
+                stage,
             } => {
-                let until = now + remaining;
                 self.suspects
-                    .track_until(now, fingerprint, until)
-                    .is_quarantined = true;
-                self.acknowledge(from, fingerprint, output);
+                    .record_announced(now, fingerprint, stage, remaining, output);
+                self.acknowledge(from, fingerprint, stage, output);
+                if stage.is_suspect() && self.survivals.contains(now, fingerprint) {
+                    output.append(self.report_survival(now, fingerprint));
+                }
             }
             QuarantineMessage::Recorded { run } => {
                 let report = self.pending_reports.remove(&run);
                 output.recorded_runs.extend(report.map(|_| run));
             }
-            QuarantineMessage::Suspected {
-                fingerprint,
-                remaining,
-            } => {
-                self.suspects.track_until(now, fingerprint, now + remaining);
-                self.acknowledge(from, fingerprint, output);
-            }
             QuarantineMessage::RequestPermit { .. }
             | QuarantineMessage::Crashed { .. }
             | QuarantineMessage::Ended { .. }
+            | QuarantineMessage::Survived { .. }
             | QuarantineMessage::Acknowledged { .. } => {
                 self.handle_as_owner(now, from, message, output)
             }
@@ -344,9 +468,7 @@
         }
         if let RunPermit::Quarantined { remaining } = permit {
             let until = now + remaining;
-            self.suspects
-                .track_until(now, fingerprint, until)
-                .is_quarantined = true;
+            self.suspects.track_until(now, fingerprint, until).stage = SuspectStage::Quarantined;
         }
         output.permit_answers.push(PermitAnswer { permit, run });
     }
@@ -374,11 +496,15 @@
             QuarantineMessage::Crashed {
                 fingerprint,
                 is_running,
+                rule,
                 run,
                 upstream,
             } => {
                 let runs_here = self.is_running(fingerprint);
-                let crash = CrashReport::new(is_running, VmRun { run, vm }, upstream);
+                let crash = CrashReport::new(is_running, rule, VmRun { run, vm }, upstream);
+                if crash.rule == CrashRule::Evidence && self.survivals.contains(now, fingerprint) {
+                    self.suspects.clear_survived(now, fingerprint, output);
+                }
                 self.suspects
                     .count_crash(now, fingerprint, crash, runs_here, output);
             }
@@ -391,20 +517,34 @@
                     .end_run(fingerprint, &VmRun { run, vm }, is_running);
                 output.send(from, QuarantineMessage::Recorded { run });
             }
+            QuarantineMessage::Survived { fingerprint, run } => {
+                self.suspects.clear_survived(now, fingerprint, output);
+                output.send(from, QuarantineMessage::Recorded { run });
+            }
             QuarantineMessage::Acknowledged {
                 fingerprint,
                 is_running,
-            } => self
-                .suspects
-                .handle_acknowledgement(now, fingerprint, from, is_running, output),
+                stage,
+            } => {
+                self.suspects
+                    .handle_acknowledgement(fingerprint, from, stage, is_running);
+                self.suspects.confirm_reports(now, fingerprint, output);
+            }
             _ => {}
         }
     }
 
-    fn acknowledge(&self, owner: &VmId, fingerprint: Fingerprint, output: &mut QuarantineOutput) {
+    fn acknowledge(
+        &self,
+        owner: &VmId,
+        fingerprint: Fingerprint,
+        stage: SuspectStage,
+        output: &mut QuarantineOutput,
+    ) {
         let message = QuarantineMessage::Acknowledged {
             fingerprint,
             is_running: self.is_running(fingerprint),
+            stage,
         };
         output.send(owner, message);
     }
--- a/crates/ebonystand-core/src/quarantine/suspect.rs
+++ b/crates/ebonystand-core/src/quarantine/suspect.rs
@@ -15,9 +15,13 @@
     /// Time at which VMs that have not acknowledged the suspect count as unreachable. Before it, no
     /// run is granted until all VMs have acknowledged.
     pub(crate) ack_deadline: Duration,
-    pub(crate) is_quarantined: bool,
-    /// Upstream and time of the last crash report.
-    last_crash: Option<(UpstreamId, Duration)>,
+    pub(crate) stage: SuspectStage,
+    /// Time until which crashes do not count, because an upstream has just survived the request.
+    pub(crate) innocent_until: Duration,
+    /// Time at which the request is quarantined unless an upstream has survived it by then.
+    quarantine_at: Option<Duration>,
+    /// Last upstreams that went down, with the time of the last report of each.
+    crashed: Vec<(UpstreamId, Duration)>,
     /// Runs whose crash report is confirmed to the reporter once all VMs have acknowledged.
     pub(crate) pending_reports: Vec<VmRun>,
     /// VMs with runs in progress that started without a grant.
@@ -26,7 +30,7 @@
     pub(crate) running_deadline: Duration,
     /// Time of the last announcement to the VMs.
     pub(crate) announced_at: Duration,
-    /// VMs that have not acknowledged the suspect or quarantine announcement.
+    /// VMs that have not acknowledged the announcement of the stage.
     pub(crate) unacked_vms: BTreeSet<VmId>,
     /// Time at which the entry is removed.
     pub(crate) expires_at: Duration,
@@ -52,13 +56,20 @@
 pub(crate) struct CrashReport {
     /// Whether other runs of the request are in progress on the reporting VM.
     pub(crate) is_running: bool,
+    pub(crate) rule: CrashRule,
     pub(crate) run: VmRun,
     pub(crate) upstream: UpstreamId,
 }
 
 impl Suspect {
-    /// Number of crashes that quarantines a request.
-    const QUARANTINE_THRESHOLD: u32 = 2;
+    /// Number of crashes that quarantines a request whose runs need no permit.
+    const EVIDENCE_QUARANTINE_THRESHOLD: u32 = 3;
+    /// Number of crashes that makes a request whose runs need no permit a suspect.
+    const EVIDENCE_SUSPECT_THRESHOLD: u32 = 2;
+    /// Largest number of crashed upstreams that are remembered by name.
+    const MAX_CRASHED: usize = 8;
+    /// Number of crashes that quarantines a request whose runs need permits.
+    const PERMIT_QUARANTINE_THRESHOLD: u32 = 2;
     /// Reports about one upstream within this time count as one crash, except for a granted run,
     /// which started after the previous crash.
     const SAME_CRASH_WINDOW: Duration = Duration::from_secs(5);
@@ -70,8 +81,10 @@
             grant: None,
             handover_until: Duration::ZERO,
             ack_deadline: Duration::ZERO,
-            is_quarantined: false,
-            last_crash: None,
+            stage: SuspectStage::Counted,
+            innocent_until: Duration::ZERO,
+            quarantine_at: None,
+            crashed: Vec::new(),
             pending_reports: Vec::new(),
             running_vms: BTreeSet::new(),
             running_deadline: Duration::ZERO,
@@ -82,18 +95,56 @@
     }
 
     /// Counts a crash report, unless this run's report was counted before.
-    pub(crate) fn record_crash(&mut self, now: Duration, run: &VmRun, upstream: &UpstreamId) {
-        if !self.counted_runs.insert(run.clone()) {
+    pub(crate) fn record_crash(&mut self, now: Duration, crash: &CrashReport) {
+        if now < self.innocent_until || !self.counted_runs.insert(crash.run.clone()) {
             return;
         }
-        let was_granted = self.release_grant(run);
-        let is_same = self.last_crash.as_ref().is_some_and(|(last_crash, at)| {
-            last_crash == upstream && now.saturating_sub(*at) < Self::SAME_CRASH_WINDOW
-        });
+        let was_granted = self.release_grant(&crash.run);
+        let is_same = self.record_crashed_upstream(now, &crash.upstream);
         if was_granted || !is_same {
-            self.add_crash(now);
+            self.crashes += 1;
         }
-        self.last_crash = Some((upstream.clone(), now));
+        match crash.rule {
+            CrashRule::Evidence => {
+                if self.crashes >= Self::EVIDENCE_SUSPECT_THRESHOLD {
+                    self.suspect();
+                }
+                if self.crashes >= Self::EVIDENCE_QUARANTINE_THRESHOLD
+                    && self.stage == SuspectStage::Suspected
+                {
+                    let at = now + Quarantine::SURVIVAL_TIMEOUT;
+                    self.quarantine_at.get_or_insert(at);
+                }
+            }
+            CrashRule::Permits => {
+                self.suspect();
+                self.check_permit_threshold(now);
+            }
+        }
+    }
+
+    /// Records the upstream of a crash report. Returns whether the report is of a crash that was
+    /// reported before.
+    fn record_crashed_upstream(&mut self, now: Duration, upstream: &UpstreamId) -> bool {
+        if let Some((_, at)) = self.crashed.iter_mut().find(|(known, _)| known == upstream) {
+            let last = std::mem::replace(at, now);
+            return now.saturating_sub(last) < Self::SAME_CRASH_WINDOW;
+        }
+        if self.crashed.len() == Self::MAX_CRASHED {
+            self.crashed.remove(0);
+        }
+        self.crashed.push((upstream.clone(), now));
+        false
+    }
+
+    /// Names of the last upstreams that went down.
+    pub(crate) fn crashed_upstreams(&self) -> impl Iterator<Item = &UpstreamId> {
+        self.crashed.iter().map(|(upstream, _)| upstream)
+    }
+
+    /// Number of crashes counted by this VM.
+    pub(crate) fn crashes(&self) -> u32 {
+        self.crashes
     }
 
     /// Removes the grant if it belongs to `run`. Returns whether it did.
@@ -113,11 +164,33 @@
             .is_some_and(|grant| now >= grant.expires);
         if is_expired {
             self.grant = None;
-            self.add_crash(now);
+            self.crashes += 1;
+            self.check_permit_threshold(now);
         }
         is_expired
     }
 
+    /// Puts the request under suspicion unless it is quarantined.
+    pub(crate) fn suspect(&mut self) {
+        if self.stage != SuspectStage::Quarantined {
+            self.stage = SuspectStage::Suspected;
+        }
+    }
+
+    pub(crate) fn is_quarantined(&self) -> bool {
+        self.stage == SuspectStage::Quarantined
+    }
+
+    /// Quarantines the request if that is due. Returns whether it did.
+    pub(crate) fn quarantine_if_due(&mut self, now: Duration) -> bool {
+        let is_due = self.quarantine_at.is_some_and(|at| now >= at);
+        if is_due {
+            self.quarantine_at = None;
+            self.quarantine(now);
+        }
+        is_due
+    }
+
     /// Whether the owner may grant the next run to a VM.
     pub(crate) fn can_grant(&self, now: Duration) -> bool {
         self.grant.is_none()
@@ -145,11 +218,14 @@
         }
     }
 
-    fn add_crash(&mut self, now: Duration) {
-        self.crashes += 1;
-        if self.crashes >= Self::QUARANTINE_THRESHOLD {
-            self.is_quarantined = true;
-            self.expires_at = now + Quarantine::QUARANTINE_DURATION;
+    fn check_permit_threshold(&mut self, now: Duration) {
+        if self.crashes >= Self::PERMIT_QUARANTINE_THRESHOLD {
+            self.quarantine(now);
         }
     }
+
+    fn quarantine(&mut self, now: Duration) {
+        self.stage = SuspectStage::Quarantined;
+        self.expires_at = now + Quarantine::QUARANTINE_DURATION;
+    }
 }
--- a/crates/ebonystand-core/src/quarantine/suspect_table.rs
+++ b/crates/ebonystand-core/src/quarantine/suspect_table.rs
@@ -5,6 +5,8 @@
 pub(crate) struct SuspectTable {
     live_vms: BTreeSet<VmId>,
     own_id: VmId,
+    /// Live VMs of the own region, this one included.
+    region_vms: BTreeSet<VmId>,
     suspects: BTreeMap<Fingerprint, Suspect>,
 }
 
@@ -12,7 +14,12 @@
     /// Longest run that an owner waits for. It limits the wait after a change of owner, for runs
     /// that started without a grant, and for a granted run.
     const MAX_RUN_DURATION: Duration = Duration::from_secs(120);
-    /// Largest number of suspects in the table. Beyond it the entry that expires first is evicted.
+    /// Time for which crashes of a request that an upstream has survived do not count.
+    const INNOCENT_DURATION: Duration = Duration::from_secs(10);
+    /// Time for which a cleared request is announced as such.
+    const CLEARED_DURATION: Duration = Duration::from_secs(60);
+    /// Largest number of requests in the table. Beyond it, one that has crashed the fewest upstreams
+    /// is evicted.
     const MAX_SUSPECTS: usize = 4_096;
     /// Interval between two sends of an unconfirmed message.
     pub(crate) const RESEND_INTERVAL: Duration = Duration::from_millis(200);
@@ -20,6 +27,7 @@
     pub(crate) fn new(own_id: VmId) -> Self {
         Self {
             live_vms: BTreeSet::from([own_id.clone()]),
+            region_vms: BTreeSet::from([own_id.clone()]),
             own_id,
             suspects: BTreeMap::new(),
         }
@@ -40,8 +48,9 @@
             // This VM has lost its memory, or evicted the suspect: a run that it granted before may
             // be in progress.
             suspect.handover_until = now + Self::MAX_RUN_DURATION;
+            suspect.suspect();
         }
-        if suspect.is_quarantined {
+        if suspect.is_quarantined() {
             return RunPermit::Quarantined {
                 remaining: suspect.expires_at.saturating_sub(now),
             };
@@ -79,8 +88,8 @@
         }
     }
 
-    /// Counts a crash and announces it to all VMs. `runs_here` says whether this VM has runs of the
-    /// request in progress.
+    /// Counts a crash, and announces it to all VMs if it changes what they must do. `runs_here` says
+    /// whether this VM has runs of the request in progress.
     pub(crate) fn count_crash(
         &mut self,
         now: Duration,
@@ -89,24 +98,99 @@
         runs_here: bool,
         output: &mut QuarantineOutput,
     ) {
-        let CrashReport {
-            is_running,
-            run,
-            upstream,
-        } = crash;
         let own_id = self.own_id.clone();
-        let mut unacked_vms = self.live_vms.clone();
-        unacked_vms.remove(&own_id);
-        unacked_vms.remove(&run.vm);
+        let mut others = self.live_vms.clone();
+        others.remove(&own_id);
         let suspect = self.track_until(now, fingerprint, now + Quarantine::SUSPECT_DURATION);
+        let was_suspect = suspect.stage.is_suspect();
         suspect.set_running(&own_id, runs_here);
-        suspect.set_running(&run.vm, is_running);
-        suspect.record_crash(now, &run, &upstream);
-        suspect.ack_deadline = now + Quarantine::CRASH_ACK_TIMEOUT;
-        suspect.pending_reports.push(run);
+        suspect.set_running(&crash.run.vm, crash.is_running);
+        suspect.record_crash(now, &crash);
         suspect.running_deadline = now + Self::MAX_RUN_DURATION;
-        suspect.unacked_vms = unacked_vms;
-        self.announce(now, fingerprint, output);
+        let is_announced = match crash.rule {
+            CrashRule::Evidence => !was_suspect && suspect.stage.is_suspect(),
+            CrashRule::Permits => {
+                others.remove(&crash.run.vm);
+                true
+            }
+        };
+        suspect.pending_reports.push(crash.run);
+        if is_announced {
+            suspect.ack_deadline = now + Quarantine::CRASH_ACK_TIMEOUT;
+            suspect.unacked_vms = others;
+            self.announce(now, fingerprint, output);
+        } else {
+            self.confirm_reports(now, fingerprint, output);
+        }
+    }
+
+    /// Forgets a request that an upstream has survived. Its crashes do not count for a while.
+    pub(crate) fn clear_survived(
+        &mut self,
+        now: Duration,
+        fingerprint: Fingerprint,
+        output: &mut QuarantineOutput,
+    ) {
+        self.clear(now, fingerprint, output);
+        let until = now + Self::INNOCENT_DURATION;
+        self.track_until(now, fingerprint, until).innocent_until = until;
+    }
+
+    /// Forgets a request, and has the other VMs forget it if they know of it.
+    pub(crate) fn clear(
+        &mut self,
+        now: Duration,
+        fingerprint: Fingerprint,
+        output: &mut QuarantineOutput,
+    ) {
+        let known = self.suspects.get(&fingerprint);
+        let Some(stage) = known.map(|suspect| suspect.stage) else {
+            return;
+        };
+        match stage {
+            SuspectStage::Cleared => {}
+            SuspectStage::Counted => {
+                self.suspects.remove(&fingerprint);
+            }
+            SuspectStage::Quarantined | SuspectStage::Suspected => {
+                let mut cleared = Suspect::new(now + Self::CLEARED_DURATION);
+                cleared.stage = SuspectStage::Cleared;
+                cleared.unacked_vms = self.live_vms.clone();
+                cleared.unacked_vms.remove(&self.own_id);
+                self.suspects.insert(fingerprint, cleared);
+                self.announce(now, fingerprint, output);
+            }
+        }
+    }
+
+    /// Records what another VM announces about a request.
+    pub(crate) fn record_announced(
+        &mut self,
+        now: Duration,
+        fingerprint: Fingerprint,
+        stage: SuspectStage,
+        remaining: Duration,
+        output: &mut QuarantineOutput,
+    ) {
+        match stage {
+            SuspectStage::Counted => {}
+            SuspectStage::Cleared => {
+                let known = self.suspects.get(&fingerprint);
+                // Other VMs may still get what this one has announced.
+                if known.is_some_and(|suspect| suspect.crashes() > 0) {
+                    self.clear(now, fingerprint, output);
+                } else if known.is_some_and(|suspect| suspect.stage.is_suspect()) {
+                    self.suspects.remove(&fingerprint);
+                }
+            }
+            SuspectStage::Quarantined => {
+                self.track_until(now, fingerprint, now + remaining).stage = stage;
+            }
+            SuspectStage::Suspected => {
+                self.track_until(now, fingerprint, now + remaining)
+                    .suspect();
+            }
+        }
     }
 
     /// Records the end of a run that did not crash its upstream.
@@ -123,30 +207,53 @@
             .filter(|suspect| suspect.expires_at > now)
     }
 
-    /// Records that a VM has acknowledged a suspect.
+    /// Records that a VM has acknowledged the announcement of a stage.
     pub(crate) fn handle_acknowledgement(
         &mut self,
-        now: Duration,
         fingerprint: Fingerprint,
         from: &VmId,
+        stage: SuspectStage,
         is_running: bool,
-        output: &mut QuarantineOutput,
     ) {
         if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
-            suspect.unacked_vms.remove(from);
+            if stage == suspect.stage {
+                suspect.unacked_vms.remove(from);
+            }
             suspect.set_running(from, is_running);
         }
-        self.confirm_reports(now, fingerprint, output);
+    }
+
+    pub(crate) fn is_live(&self, vm: &VmId) -> bool {
+        self.live_vms.contains(vm)
     }
 
     pub(crate) fn is_empty(&self) -> bool {
         self.suspects.is_empty()
     }
 
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (Fingerprint, &Suspect)> {
+        self.suspects
+            .iter()
+            .map(|(fingerprint, suspect)| (*fingerprint, suspect))
+    }
+
     pub(crate) fn owner(&self, fingerprint: Fingerprint) -> Option<&VmId> {
         RendezvousHash::new(fingerprint as u64).select_owner(&self.live_vms)
     }
 
+    /// Returns the VMs that count the crashes of a request whose runs need no permit: one of all
+    /// VMs, and one of the own region, which still counts when the other is out of reach or has
+    /// just lost its memory.
+    pub(crate) fn counters(&self, fingerprint: Fingerprint) -> BTreeSet<&VmId> {
+        let hash = RendezvousHash::new(fingerprint as u64);
+        let of_all = hash.select_owner(&self.live_vms);
+        let of_region = hash
+            .select_owners(&self.region_vms, 2)
+            .into_iter()
+            .find(|vm| Some(*vm) != of_all);
+        of_all.into_iter().chain(of_region).collect()
+    }
+
     /// Returns the suspect's entry, inserted if missing, with an expiry not before `until`.
     pub(crate) fn track_until(
         &mut self,
@@ -166,19 +273,18 @@
         suspect
     }
 
-    /// Announces the suspects that this VM owns to a VM that has lost its memory.
+    /// Announces the suspects that this VM counts to a VM that has lost its memory.
     pub(crate) fn announce_to_restarted(
         &mut self,
         now: Duration,
         vm: &VmId,
         output: &mut QuarantineOutput,
     ) {
-        let owned = self
-            .suspects
-            .keys()
-            .copied()
-            .filter(|fingerprint| self.owner(*fingerprint) == Some(&self.own_id))
-            .collect::<Vec<_>>();
+        let owned = self.suspects.iter().filter(|(fingerprint, suspect)| {
+            suspect.stage.is_suspect() && self.counters(**fingerprint).contains(&self.own_id)
+        });
+        let owned = owned.map(|(fingerprint, _)| *fingerprint);
+        let owned = owned.collect::<Vec<_>>();
         for fingerprint in owned {
             if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
                 suspect.unacked_vms.insert(vm.clone());
@@ -189,21 +295,37 @@
     }
 
     /// Sets the list of live VMs. A VM that becomes the owner of a suspect grants nothing until any
-    /// run granted by the previous owner must have ended, since it does not know of that grant.
+    /// run granted by the previous owner must have ended, since it does not know of that grant. VMs
+    /// that were not live before are told of the suspects.
     pub(crate) fn set_live_vms(&mut self, now: Duration, mut live_vms: BTreeSet<VmId>) {
         live_vms.insert(self.own_id.clone());
+        let stayed = &self.live_vms & &live_vms;
+        let joined = &live_vms - &self.live_vms;
+        let before = std::mem::replace(&mut self.live_vms, stayed);
+        let counted = self.suspects.keys().copied();
+        let counted = counted.filter(|of| self.counters(*of).contains(&self.own_id));
+        let counted = counted.collect::<BTreeSet<_>>();
         for (fingerprint, suspect) in &mut self.suspects {
             let rendezvous = RendezvousHash::new(*fingerprint as u64);
-            let was_mine = rendezvous.select_owner(&self.live_vms) == Some(&self.own_id);
+            let was_mine = rendezvous.select_owner(&before) == Some(&self.own_id);
             if !was_mine && rendezvous.select_owner(&live_vms) == Some(&self.own_id) {
                 suspect.handover_until = now + Self::MAX_RUN_DURATION;
             }
             suspect.running_vms.retain(|vm| live_vms.contains(vm));
             suspect.unacked_vms.retain(|vm| live_vms.contains(vm));
+            if suspect.stage.is_suspect() && counted.contains(fingerprint) {
+                suspect.unacked_vms.extend(joined.iter().cloned());
+            }
         }
         self.live_vms = live_vms;
     }
 
+    /// Sets the live VMs of the own region.
+    pub(crate) fn set_region_vms(&mut self, mut region_vms: BTreeSet<VmId>) {
+        region_vms.insert(self.own_id.clone());
+        self.region_vms = region_vms;
+    }
+
     /// Announces a suspect to the VMs that have not acknowledged it, and confirms its crash reports
     /// if all have.
     pub(crate) fn announce(
@@ -217,15 +339,10 @@
         };
         suspect.announced_at = now;
         let remaining = suspect.expires_at.saturating_sub(now);
-        let message = match suspect.is_quarantined {
-            true => QuarantineMessage::Quarantined {
-                fingerprint,
-                remaining,
-            },
-            false => QuarantineMessage::Suspected {
-                fingerprint,
-                remaining,
-            },
+        let message = QuarantineMessage::Announced {
+            fingerprint,
+            remaining,
+            stage: suspect.stage,
         };
         for vm in &suspect.unacked_vms {
             output.send(vm, message.clone());
@@ -240,7 +357,8 @@
         self.suspects.retain(|_, suspect| suspect.expires_at > now);
         let mut due = Vec::new();
         for (fingerprint, suspect) in &mut self.suspects {
-            if suspect.expire_grant(now) {
+            let has_expired = suspect.expire_grant(now);
+            if suspect.quarantine_if_due(now) || has_expired {
                 suspect.unacked_vms = self.live_vms.clone();
                 suspect.unacked_vms.remove(&self.own_id);
                 due.push(*fingerprint);
@@ -259,13 +377,16 @@
         if self.suspects.len() < Self::MAX_SUSPECTS {
             return;
         }
-        let first = self
+        let harmless = self
             .suspects
             .iter()
-            .min_by_key(|(_, suspect)| suspect.expires_at)
+            .min_by_key(|(_, suspect)| {
+                let is_suspect = suspect.stage.is_suspect();
+                (suspect.is_quarantined(), is_suspect, suspect.expires_at)
+            })
             .map(|(fingerprint, _)| *fingerprint);
-        if let Some(first) = first {
-            self.suspects.remove(&first);
+        if let Some(harmless) = harmless {
+            self.suspects.remove(&harmless);
         }
     }
 }
--- a/crates/ebonystand-wire/tests/frames.rs
+++ b/crates/ebonystand-wire/tests/frames.rs
@@ -106,6 +106,8 @@
 #[case(3)]
 #[case(6)]
 #[case(7)]
+#[case(8)]
+#[case(9)]
 fn a_frame_of_an_earlier_build_is_refused_by_its_form(#[case] form: u8) {
     let payload = [form, 6];
     let mac = Hmac::<Sha256>::new_from_slice(SECRET).expect("a secret");
--- a/crates/ebonystand/src/gateway/admitted.rs
+++ b/crates/ebonystand/src/gateway/admitted.rs
@@ -33,6 +33,7 @@
                 return Err(self.refusal(RefusalCode::Deadline, "its time is over"));
             }
             self.revalidate_key(node)?;
+            self.check_quarantine(node)?;
             let mut reachable = node.gateway.reachable(node);
             reachable.retain(|region| !self.call.full_regions.contains(region));
             let choice = self.call.choose(node, &reachable);
@@ -198,6 +199,14 @@
         ))
     }
 
+    /// Checks the quarantine again, because the request may have crashed upstreams meanwhile, under
+    /// this caller or another.
+    fn check_quarantine(&self, node: &Node) -> Result<(), Refusal> {
+        self.call
+            .check_quarantine(node)
+            .map_err(|refusal| self.with_run_state(refusal))
+    }
+
     /// Delay after which a caller refused for lack of room is asked to retry: the predicted wait,
     /// at most the first-byte target, plus a random part of the target so that callers don't return
     /// all at once.
@@ -258,6 +267,10 @@
             return Ok(answer);
         }
         let refusal = match end {
+            AttemptEnd::Quarantined => {
+                let message = "another region refuses it, because upstreams went down under it";
+                return Err(self.refusal(RefusalCode::Quarantined, message));
+            }
             AttemptEnd::TimedOut => self.refusal(RefusalCode::Deadline, "no answer came in time"),
             _ if self.not_run => self.refusal(RefusalCode::Overloaded, "the upstream is full"),
             _ => self.refusal(RefusalCode::UpstreamFailed, "the upstream broke off"),
@@ -275,7 +288,11 @@
     fn with_run_state(&self, mut refusal: Refusal) -> Refusal {
         if !self.not_run {
             refusal.run = RunState::Unknown;
-            if refusal.code != RefusalCode::Deadline {
+            let tells_no_run = matches!(
+                refusal.code,
+                RefusalCode::Deadline | RefusalCode::Quarantined
+            );
+            if !tells_no_run {
                 refusal.code = RefusalCode::UpstreamFailed;
             }
         }
--- a/crates/ebonystand/src/gateway/attempt.rs
+++ b/crates/ebonystand/src/gateway/attempt.rs
@@ -130,12 +130,19 @@
         let waited = now.saturating_sub(self.started);
         book.record_attempt_end(now, &self.instance, end, waited);
         drop(book);
-        if end == AttemptEnd::Lost {
-            let run = LostRun {
-                content: self.content.clone(),
-                request: self.request.clone(),
-            };
-            CrashWatch::check(&self.node, &self.instance, self.address, run);
+        match end {
+            AttemptEnd::Answered => {
+                let quarantine = &self.node.quarantine;
+                quarantine.record_survival(&self.node, || self.content.fingerprint());
+            }
+            AttemptEnd::Lost => {
+                let run = LostRun {
+                    content: self.content.clone(),
+                    request: self.request.clone(),
+                };
+                CrashWatch::check(&self.node, &self.instance, self.address, run);
+            }
+            _ => {}
         }
         RoomQueues::advance(&self.node);
     }
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -103,6 +103,13 @@
         RoomQueues::wait(node, service, rank, prompt.is_some(), work, max_wait).await
     }
 
+    /// Returns the refusal of the call if it is quarantined.
+    pub(crate) fn check_quarantine(&self, node: &Node) -> Result<(), Refusal> {
+        let quarantine = &node.quarantine;
+        let refusal = quarantine.check(node.clock.now(), || self.content().fingerprint());
+        refusal.map_or(Ok(()), Err)
+    }
+
     pub(crate) fn content(&self) -> RequestContent {
         RequestContent {
             body: self.body.clone(),
--- a/crates/ebonystand/src/gateway/crash_watch.rs
+++ b/crates/ebonystand/src/gateway/crash_watch.rs
@@ -1,7 +1,8 @@
 use super::*;
 use {node::Node, request_content::RequestContent};
 
-/// Finds out whether an upstream went down when connections to it broke during a run.
+/// Finds out whether an upstream went down when connections to it broke during a run, and reports
+/// that to the quarantine.
 ///
 /// A broken connection alone does not tell: the network, a faulty answer or the upstream's own limit
 /// on connections break them too. An upstream that has gone down refuses new connections.
@@ -46,6 +47,9 @@
                 fingerprint:% = format_args!("{fingerprint:032x}");
                 "connection to an upstream broke during a run"
             );
+            if is_down {
+                node.quarantine.report_crash(&node, fingerprint, &upstream);
+            }
         }
     }
 }
--- a/crates/ebonystand/src/gateway/dialect.rs
+++ b/crates/ebonystand/src/gateway/dialect.rs
@@ -11,6 +11,11 @@
     /// A refusal if the head is malformed.
     fn read(&self, req: &Request) -> Result<CallHead, Refusal>;
 
+    /// Returns the status that tells callers of a refusal; `None` if it is the code's own.
+    fn refusal_status(&self, _code: RefusalCode) -> Option<StatusCode> {
+        None
+    }
+
     /// Adds the gateway's metadata to the headers of a request to an upstream.
     fn write(&self, call: &OutgoingCall, headers: &mut HeaderMap);
 }
--- a/crates/ebonystand/src/gateway/forward.rs
+++ b/crates/ebonystand/src/gateway/forward.rs
@@ -22,6 +22,7 @@
 const LOST: &str = "lost";
 const TIMED_OUT: &str = "timed_out";
 const FAILED: &str = "failed";
+const QUARANTINED: &str = "quarantined";
 
 /// Returns the value of [`ATTEMPT_END`] for the end of an attempt.
 pub(crate) fn attempt_end_name(end: AttemptEnd) -> &'static str {
@@ -30,6 +31,7 @@
         AttemptEnd::Unreachable => NOT_SENT,
         AttemptEnd::TimedOut => TIMED_OUT,
         AttemptEnd::Failed => FAILED,
+        AttemptEnd::Quarantined => QUARANTINED,
         AttemptEnd::Answered | AttemptEnd::Cancelled | AttemptEnd::Lost => LOST,
     }
 }
@@ -42,6 +44,7 @@
         SHED => Some(AttemptEnd::Shed),
         TIMED_OUT => Some(AttemptEnd::TimedOut),
         FAILED => Some(AttemptEnd::Failed),
+        QUARANTINED => Some(AttemptEnd::Quarantined),
         _ => Some(AttemptEnd::Lost),
     }
 }
--- a/crates/ebonystand/src/gateway/receive_forward.rs
+++ b/crates/ebonystand/src/gateway/receive_forward.rs
@@ -132,6 +132,10 @@
     while waits && matches!(choice, TargetChoice::NoRoom { .. }) && call.wait_for_room(node).await {
         choice = call.choose(node, &none);
     }
+    if let Err(refusal) = call.check_quarantine(node) {
+        log::info!(request:% = call.request, reason:% = refusal.message; "forwarded request refused");
+        return (Outcome::ended(AttemptEnd::Quarantined), None);
+    }
     match choice {
         TargetChoice::Upstream {
             address,
--- a/crates/ebonystand/src/gateway/serve_call.rs
+++ b/crates/ebonystand/src/gateway/serve_call.rs
@@ -8,6 +8,7 @@
     ebonystand_core::{GatewayRoute, GatewayWorkspace, Prompt, RouteTable},
     in_flight::InFlight,
     node::Node,
+    request_content::RequestContent,
     std::collections::BTreeSet,
 };
 
@@ -35,7 +36,7 @@
         Err(refusal) => {
             node.count_refusal(&refusal);
             body::discard(&node, &mut payload).await;
-            refusal_response(&refusal)
+            refusal_response(&node, &refusal)
         }
     };
     if node.leaving() {
@@ -141,6 +142,17 @@
         Some(body) => body,
         None => body::read(node, req.headers(), payload).await?,
     };
+    let fingerprint = || {
+        let content = RequestContent {
+            body: body.clone(),
+            path: path_and_query(req),
+            workspace: workspace.as_ref().map(|workspace| workspace.name.clone()),
+        };
+        content.fingerprint()
+    };
+    if let Some(refusal) = node.quarantine.check(node.clock.now(), fingerprint) {
+        return Err(refusal);
+    }
     let longest = Duration::from_millis(route.timeout_ms);
     let tokens = workspace
         .as_ref()
@@ -327,8 +339,11 @@
 
 /// Builds the response for a refusal. Its `retry-after` has fractions of a second, because a whole
 /// second is most of the time that some requests have.
-fn refusal_response(refusal: &Refusal) -> Response<BoxBody> {
+fn refusal_response(node: &Node, refusal: &Refusal) -> Response<BoxBody> {
     let mut response = respond::refusal(refusal, None);
+    if let Some(status) = node.gateway.dialect.refusal_status(refusal.code) {
+        response.head_mut().status = status;
+    }
     if let Some(delay) = refusal.retry_after {
         let seconds = format!("{:.3}", delay.as_secs_f64());
         headers::set(response.headers_mut(), "retry-after", &seconds);
--- a/crates/ebonystand/src/membership_controller.rs
+++ b/crates/ebonystand/src/membership_controller.rs
@@ -187,8 +187,11 @@
             "live VMs changed"
         );
         node.peers.prune();
+        let records = live.iter().map(|entry| &entry.record);
+        let of_region = records.filter(|record| record.region == own.region);
+        let of_region = of_region.map(|record| record.vm.clone()).collect();
         node.quarantine
-            .set_live(now, now_live.keys().cloned().collect());
+            .set_live(now, now_live.keys().cloned().collect(), of_region);
         node.routes.share_links(node.vms_of_region());
         for (vm, incarnation) in &now_live {
             if known.get(vm).is_some_and(|old| old != incarnation) {
--- a/crates/ebonystand/src/metrics.rs
+++ b/crates/ebonystand/src/metrics.rs
@@ -20,11 +20,13 @@
     pub(crate) limit_refusals: Counter,
     pub(crate) limited_upstreams: Gauge,
     pub(crate) peer_refused: Counter,
+    pub(crate) quarantined: Gauge,
     pub(crate) refusals: Family<RefusalLabels, Counter>,
     pub(crate) requests: Family<WorkspaceLabel, Counter>,
     pub(crate) retries: Counter,
     pub(crate) sent_away: Counter,
     pub(crate) streams: Gauge,
+    pub(crate) suspects: Gauge,
     pub(crate) tokens: Family<WorkspaceLabel, Counter>,
     pub(crate) whole: Family<WorkspaceLabel, Histogram>,
     registry: Registry,
@@ -83,11 +85,13 @@
             limit_refusals: Counter::default(),
             limited_upstreams: Gauge::default(),
             peer_refused: Counter::default(),
+            quarantined: Gauge::default(),
             refusals: Family::default(),
             requests: Family::default(),
             retries: Counter::default(),
             sent_away: Counter::default(),
             streams: Gauge::default(),
+            suspects: Gauge::default(),
             tokens: Family::default(),
             whole: Family::new_with_constructor(histogram),
             registry: Registry::with_prefix("ebonystand"),
@@ -151,6 +155,11 @@
             "Frames and datagrams refused as not authentic or malformed",
             self.peer_refused.clone(),
         );
+        r.register(
+            "quarantined_requests",
+            "Requests that this VM refuses because they crash upstreams",
+            self.quarantined.clone(),
+        );
         r.register("refusals", "Requests refused", self.refusals.clone());
         r.register(
             "requests",
@@ -168,6 +177,11 @@
             self.sent_away.clone(),
         );
         r.register("streams", "Streams that run", self.streams.clone());
+        r.register(
+            "suspected_requests",
+            "Requests that may crash upstreams, quarantined ones included",
+            self.suspects.clone(),
+        );
         r.register("tokens", "Tokens used", self.tokens.clone());
         r.register(
             "whole_seconds",
--- a/crates/ebonystand/src/quarantine_controller.rs
+++ b/crates/ebonystand/src/quarantine_controller.rs
@@ -2,7 +2,7 @@
 use {
     ebonystand_core::{
         Fingerprint, Quarantine, QuarantineDecision, QuarantineMessage, QuarantineOutput, RunEnd,
-        RunId, RunPermit,
+        RunId, RunPermit, SuspectStatus,
     },
     node::Node,
     std::collections::BTreeSet,
@@ -12,6 +12,8 @@
 pub(crate) struct QuarantineController {
     asking: RefCell<FxHashMap<RunId, oneshot::Sender<RunPermit>>>,
     busy: tokio::sync::Notify,
+    /// Fingerprints of the quarantined requests that the log tells of.
+    logged: RefCell<BTreeSet<Box<str>>>,
     quarantine: RefCell<Quarantine>,
 }
 
@@ -63,6 +65,7 @@
         Self {
             asking: RefCell::default(),
             busy: tokio::sync::Notify::new(),
+            logged: RefCell::default(),
             quarantine: RefCell::new(Quarantine::new(vm, first_run)),
         }
     }
@@ -76,6 +79,51 @@
         self.take(node, step);
     }
 
+    /// Returns the refusal of a request of a route if it is quarantined. `fingerprint` is called only
+    /// if an upstream went down lately.
+    pub(crate) fn check(
+        &self,
+        now: Duration,
+        fingerprint: impl FnOnce() -> Fingerprint,
+    ) -> Option<Refusal> {
+        let quarantine = self.quarantine.borrow();
+        if !quarantine.is_watching(now) {
+            return None;
+        }
+        quarantine.refusal(now, fingerprint())
+    }
+
+    /// Reports that an upstream went down while it ran a request of a route.
+    pub(crate) fn report_crash(
+        &self,
+        node: &Node,
+        fingerprint: Fingerprint,
+        upstream: &UpstreamId,
+    ) {
+        let now = node.clock.now();
+        let mut quarantine = self.quarantine.borrow_mut();
+        let step = quarantine.report_crash(now, fingerprint, upstream);
+        drop(quarantine);
+        self.take(node, step);
+    }
+
+    /// Records that an upstream has survived a request of a route. `fingerprint` is called only if an
+    /// upstream went down lately.
+    pub(crate) fn record_survival(&self, node: &Node, fingerprint: impl FnOnce() -> Fingerprint) {
+        let now = node.clock.now();
+        let mut quarantine = self.quarantine.borrow_mut();
+        if quarantine.is_watching(now) {
+            let step = quarantine.record_survival(now, fingerprint());
+            drop(quarantine);
+            self.take(node, step);
+        }
+    }
+
+    /// Returns the requests that are suspects or quarantined.
+    pub(crate) fn statuses(&self, now: Duration) -> Vec<SuspectStatus> {
+        self.quarantine.borrow().statuses(now).collect()
+    }
+
     pub(crate) fn refusal(&self, now: Duration, fingerprint: Fingerprint) -> Option<Refusal> {
         self.quarantine.borrow().refusal(now, fingerprint)
     }
@@ -95,13 +143,18 @@
                 this.busy.notified().await;
             }
             actix_rt::time::sleep(Self::TICK).await;
-            let step = this.quarantine.borrow_mut().tick(node.clock.now());
+            let now = node.clock.now();
+            let step = this.quarantine.borrow_mut().tick(now);
             this.take(&node, step);
+            this.log_quarantined(&node, now);
         }
     }
 
-    pub(crate) fn set_live(&self, now: Duration, live: BTreeSet<VmId>) {
-        self.quarantine.borrow_mut().set_live_vms(now, live);
+    pub(crate) fn set_live(&self, now: Duration, live: BTreeSet<VmId>, region: BTreeSet<VmId>) {
+        let mut quarantine = self.quarantine.borrow_mut();
+        quarantine.set_region_vms(region);
+        quarantine.set_live_vms(now, live);
+        drop(quarantine);
         self.wake();
     }
 
@@ -115,6 +168,30 @@
         }
     }
 
+    /// Logs the requests that have been quarantined since the last call, and counts all of them.
+    fn log_quarantined(&self, node: &Node, now: Duration) {
+        let statuses = self.statuses(now);
+        let quarantined = statuses.iter().filter(|status| status.is_quarantined);
+        let quarantined = quarantined.map(|status| status.fingerprint.clone());
+        let quarantined = quarantined.collect::<BTreeSet<_>>();
+        node.metrics.suspects.set(statuses.len() as i64);
+        node.metrics.quarantined.set(quarantined.len() as i64);
+        let known = self.logged.replace(quarantined);
+        let logged = self.logged.borrow();
+        for status in statuses.iter().filter(|status| status.is_quarantined) {
+            if !known.contains(&status.fingerprint) {
+                log::warn!(
+                    fingerprint:% = status.fingerprint, crashes = status.crashes,
+                    upstreams:? = status.crashed_upstreams;
+                    "request quarantined"
+                );
+            }
+        }
+        for fingerprint in known.difference(&logged) {
+            log::info!(fingerprint:% = fingerprint; "request no longer quarantined");
+        }
+    }
+
     fn one_at_a_time(retry_after: Duration) -> Refusal {
         let message = "an upstream went down while it ran this request; one try at a time is made";
         Refusal::not_run(RefusalCode::Overloaded, message).with_retry_after(retry_after)
