--- a/crates/ebonystand/tests/integration/main.rs
+++ b/crates/ebonystand/tests/integration/main.rs
@@ -11,6 +11,7 @@
 mod faults;
 mod fleet;
 mod orders;
+mod pauses;
 mod routes;
 mod scripted;
 mod stand_in;
