Heed the pause that an upstream asks for, and its leaving in answers

An upstream that answered 503 with Retry-After of 3 s got up to 36 requests from that VM in the time, and all of them were turned away: the time was kept by the attempt for the caller's refusal alone, and an upstream that turns requests away looks idle, so that each next request preferred it. That an upstream leaves was taken from the list only.

Both are now kept with the upstream's instance, whatever the list says, and join the reasons for which an upstream gets no request, which had stood in two places and now stand in one. A shorter pause does not end a longer one, one request probes after it, values that are no decimal number are typed errors and change nothing, an hour is the longest. While all upstreams of a service pause, callers are refused at once with the earliest end and a random part. The daemon's own API heeds Retry-After too, its load questions included. Status, a metric and a line for each beginning show them.

--- a/crates/ebonystand-core/src/gateway/known_upstream.rs
+++ b/crates/ebonystand-core/src/gateway/known_upstream.rs
@@ -8,6 +8,8 @@
     pub(crate) cold_until: Duration,
     /// Rate limit for requests sent while the upstream is cold.
     pub(crate) cold_limiter: ColdStartLimiter,
+    /// Whether an answer of the upstream said that it leaves.
+    pub(crate) has_announced_leaving: bool,
     /// Whether another server answers at the address, so that this one is gone whatever the list
     /// says.
     pub(crate) is_address_reused: bool,
@@ -37,6 +39,8 @@
     pub(crate) backoff_until: Duration,
     /// Limit that the upstream has named, if any.
     pub(crate) limit: Option<NamedLimit>,
+    /// Pause that the upstream has asked this VM for, until a request after it is answered.
+    pub(crate) pause: Option<UpstreamPause>,
     /// Limit on the prompt tokens that wait in the engine, with those reserved by this VM's requests
     /// whose answers have not begun; calls to plain services reserve none.
     pub(crate) work_window: WorkWindow,
@@ -75,6 +79,7 @@
         Self {
             cold_until,
             cold_limiter: ColdStartLimiter::default(),
+            has_announced_leaving: false,
             is_address_reused: false,
             in_flight: 0,
             key: UpstreamKey::from(&*listed.instance),
@@ -89,10 +94,27 @@
             consecutive_failures: 0,
             backoff_until: Duration::ZERO,
             limit: None,
+            pause: None,
             work_window: WorkWindow::new(Self::INITIAL_WINDOW_TOKENS),
         }
     }
 
+    /// Returns whether the list or the upstream's answers say that it leaves.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.listed.leaving || self.has_announced_leaving
+    }
+
+    /// Returns whether the upstream gets no request because of a pause that it has asked for.
+    pub(crate) fn is_paused(&self, now: Duration) -> bool {
+        self.pause.is_some_and(|pause| !pause.allows_dispatch(now))
+    }
+
+    /// Returns the time until the pause ends that the upstream has asked for.
+    pub(crate) fn pause_remaining(&self, now: Duration) -> Duration {
+        self.pause
+            .map_or(Duration::ZERO, |pause| pause.remaining(now))
+    }
+
     /// Returns the number of requests that occupy or wait for a slot, from the upstream's last
     /// report and from the requests that this VM and its peers (`others`) have in flight, whichever
     /// is larger.
--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -5,6 +5,8 @@
 
 pub use {
     answer_limit::AnswerLimit,
+    answer_pause::AnswerPause,
+    answer_pause_error::AnswerPauseError,
     attempt_end::AttemptEnd,
     call_kind::CallKind,
     choice_query::ChoiceQuery,
@@ -37,17 +39,20 @@
     upstream_limit::UpstreamLimit,
     upstream_limit_error::UpstreamLimitError,
     upstream_list::UpstreamList,
+    upstream_notice_status::UpstreamNoticeStatus,
     weighted_fair_queue::WeightedFairQueue,
 };
 
 use {
     cold_start_limiter::ColdStartLimiter, event_gap_meter::EventGapMeter,
-    known_upstream::KnownUpstream, limit_share::LimitShare, named_limit::NamedLimit,
-    send_pacer::SendPacer, sent_prefixes::SentPrefixes, work_window::WorkWindow,
-    zone_health::ZoneHealth,
+    ineligibility::Ineligibility, known_upstream::KnownUpstream, limit_share::LimitShare,
+    named_limit::NamedLimit, send_pacer::SendPacer, sent_prefixes::SentPrefixes,
+    upstream_pause::UpstreamPause, work_window::WorkWindow, zone_health::ZoneHealth,
 };
 
 mod answer_limit;
+mod answer_pause;
+mod answer_pause_error;
 mod attempt_end;
 mod call_kind;
 mod choice_query;
@@ -60,6 +65,7 @@
 mod gateway_service;
 mod gateway_workspace;
 mod holder_plan;
+mod ineligibility;
 mod ineligible_upstreams;
 mod known_upstream;
 mod limit_share;
@@ -92,6 +98,9 @@
 mod upstream_limits;
 mod upstream_list;
 mod upstream_listing;
+mod upstream_notice_status;
+mod upstream_notices;
+mod upstream_pause;
 mod upstream_pressure;
 mod upstream_shortlist;
 mod weighted_fair_queue;
--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -21,6 +21,8 @@
     pub(super) busy: BTreeSet<UpstreamId>,
     /// Upstreams of which a limit is or was lately known.
     pub(super) limited: BTreeSet<UpstreamId>,
+    /// Upstreams that have announced a pause or their leaving in an answer.
+    pub(super) noticed: BTreeSet<UpstreamId>,
     /// State of each upstream on the list.
     pub(super) upstreams: BTreeMap<UpstreamId, KnownUpstream>,
     /// Upstreams by the short name that messages use.
@@ -67,6 +69,7 @@
             list_scope: ListScope::default(),
             busy: BTreeSet::new(),
             limited: BTreeSet::new(),
+            noticed: BTreeSet::new(),
             upstreams: BTreeMap::new(),
             instances_by_key: FxHashMap::default(),
             region_latencies: FxHashMap::default(),
@@ -126,6 +129,9 @@
         if known.under_way().is_idle() {
             self.busy.remove(instance);
         }
+        if let Some(pause) = &mut known.pause {
+            pause.record_end();
+        }
         match end {
             AttemptEnd::Answered => {
                 known.reset_backoff();
@@ -160,6 +166,7 @@
             return;
         };
         if let Some(waited) = waited {
+            known.pause = known.pause.filter(|pause| !pause.remaining(now).is_zero());
             let others = self.exchange.load_at(known.key).unread;
             known.measure_reading(known.work_window.used().max(unread) + others, waited);
             let target = first_byte_target * Self::START_TARGET_PERMILLE / 1_000;
@@ -305,7 +312,7 @@
         let here = upstreams.any(|known| {
             *known.listed.service == *service
                 && self.is_local(known)
-                && !known.listed.leaving
+                && !known.is_leaving()
                 && self.can_accept(now, known, is_engine, work)
         });
         let mut regions = self.region_latencies.iter();
@@ -349,6 +356,9 @@
         if let Some(named) = &mut known.limit {
             named.record_sent(now);
         }
+        if let Some(pause) = &mut known.pause {
+            pause.record_sent(now);
+        }
         if let Some(prompt) = query.prompt {
             known.sent_prefixes.record_prompt(prompt);
         }
--- a/crates/ebonystand-core/src/gateway/upstream_eligibility.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_eligibility.rs
@@ -25,14 +25,35 @@
         query: &ChoiceQuery,
         known: &KnownUpstream,
     ) -> bool {
-        let is_warm = now >= known.cold_until || query.cold.per_s <= 0.0;
-        let is_open = is_warm || self.cold_opens_at(known).is_some_and(|at| now >= at);
-        self.is_local(known)
+        *known.listed.service == *query.service
             && query.is_region_allowed(&self.own_region)
-            && self.is_usable(query, known)
-            && is_open
-            && known.limit_opens_at().is_some()
-            && !query.excluded.contains(&known.listed.instance)
+            && self.ineligibility(now, query, known).is_none()
+    }
+
+    /// Returns why an upstream of the request's service gets no request now, regardless of its
+    /// backoff and load; `None` if it may get one.
+    fn ineligibility(
+        &self,
+        now: Duration,
+        query: &ChoiceQuery,
+        known: &KnownUpstream,
+    ) -> Option<Ineligibility> {
+        let is_cold = || {
+            now < known.cold_until
+                && query.cold.per_s > 0.0
+                && self.cold_opens_at(known).is_none_or(|at| now < at)
+        };
+        match () {
+            () if !self.is_local(known) => Some(Ineligibility::OtherRegion),
+            () if known.is_leaving() => Some(Ineligibility::Leaving),
+            () if query.evacuated.contains(&known.listed.zone) => Some(Ineligibility::Evacuated),
+            () if known.is_address_reused => Some(Ineligibility::AddressReused),
+            () if query.excluded.contains(&known.listed.instance) => Some(Ineligibility::Excluded),
+            () if is_cold() => Some(Ineligibility::Cold),
+            () if known.limit_opens_at().is_none() => Some(Ineligibility::Limited),
+            () if known.is_paused(now) => Some(Ineligibility::Paused),
+            () => None,
+        }
     }
 
     /// Returns whether an upstream serves the request's service and is neither gone, leaving nor
@@ -40,7 +61,7 @@
     pub(super) fn is_usable(&self, query: &ChoiceQuery, known: &KnownUpstream) -> bool {
         *known.listed.service == *query.service
             && !known.is_address_reused
-            && !known.listed.leaving
+            && !known.is_leaving()
             && !query.evacuated.contains(&known.listed.zone)
     }
 
@@ -68,12 +89,13 @@
             let limited = known
                 .limit_opens_at()
                 .unwrap_or(now + Self::MAX_RETRY_AFTER);
-            gate.max(limited)
-                .max(known.backoff_until)
+            let opens = gate.max(limited).max(known.backoff_until);
+            opens
                 .saturating_sub(now)
+                .clamp(Self::MIN_RETRY_AFTER, Self::MAX_RETRY_AFTER)
+                .max(known.pause_remaining(now))
         });
-        let opens = opens.min().unwrap_or(Self::MAX_RETRY_AFTER);
-        opens.clamp(Self::MIN_RETRY_AFTER, Self::MAX_RETRY_AFTER)
+        opens.min().unwrap_or(Self::MAX_RETRY_AFTER)
     }
 
     /// Returns the earliest time at which this VM may send to a cold upstream; `None` if it may not
@@ -91,7 +113,7 @@
         is_engine: bool,
         work: u64,
     ) -> bool {
-        if known.limit_opens_at().is_none_or(|at| now < at) {
+        if known.is_paused(now) || known.limit_opens_at().is_none_or(|at| now < at) {
             return false;
         }
         let others = self.peer_load(known);
@@ -115,16 +137,15 @@
         let of_service = of_service.filter(|known| *known.listed.service == *query.service);
         for known in of_service {
             counts.listed += 1;
-            let is_closed = self.cold_opens_at(known).is_none_or(|at| now < at);
-            let is_cold = now < known.cold_until && is_closed;
-            let count = match () {
-                () if !self.is_local(known) => &mut counts.elsewhere,
-                () if known.listed.leaving => &mut counts.leaving,
-                () if query.evacuated.contains(&known.listed.zone) => &mut counts.evacuated,
-                () if query.excluded.contains(&known.listed.instance) => &mut counts.excluded,
-                () if is_cold => &mut counts.cold,
-                () if known.limit_opens_at().is_none() => &mut counts.limited,
-                () => continue,
+            let count = match self.ineligibility(now, query, known) {
+                Some(Ineligibility::OtherRegion) => &mut counts.elsewhere,
+                Some(Ineligibility::Leaving) => &mut counts.leaving,
+                Some(Ineligibility::Evacuated) => &mut counts.evacuated,
+                Some(Ineligibility::Excluded) => &mut counts.excluded,
+                Some(Ineligibility::Cold) => &mut counts.cold,
+                Some(Ineligibility::Limited) => &mut counts.limited,
+                Some(Ineligibility::Paused) => &mut counts.paused,
+                Some(Ineligibility::AddressReused) | None => continue,
             };
             *count += 1;
         }
--- a/crates/ebonystand-core/src/gateway/upstream_listing.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_listing.rs
@@ -78,7 +78,7 @@
     #[must_use]
     pub fn is_end_expected(&self, instance: &str) -> bool {
         let known = self.upstreams.get(instance);
-        known.is_none_or(|known| known.listed.leaving)
+        known.is_none_or(KnownUpstream::is_leaving)
     }
 
     /// Treats the upstreams of a zone as cold after its evacuation ends, since they may have cooled
@@ -91,10 +91,11 @@
         }
     }
 
-    /// Forgets the requests and the limit of an upstream that is gone.
+    /// Forgets the requests, the limit and the notices of an upstream that is gone.
     fn forget_requests(&mut self, instance: &str) {
         self.busy.remove(instance);
         self.limited.remove(instance);
+        self.noticed.remove(instance);
     }
 
     /// Creates the state of an upstream that is new on the list; it counts as cold at first, unless
--- a/crates/ebonystand-core/src/operator_status.rs
+++ b/crates/ebonystand-core/src/operator_status.rs
@@ -12,6 +12,9 @@
     /// Limits that upstreams name, with this VM's share of each.
     #[serde(default)]
     pub limits: Vec<UpstreamLimitStatus>,
+    /// What upstreams have said of themselves in answers to this VM.
+    #[serde(default)]
+    pub notices: Vec<UpstreamNoticeStatus>,
     /// Name of the preset in force.
     pub preset: PresetName,
     /// Whether this VM is ready to serve requests.
--- a/crates/ebonystand-core/src/router.rs
+++ b/crates/ebonystand-core/src/router.rs
@@ -125,6 +125,25 @@
         }
     }
 
+    /// Records that an upstream wants no request from this VM for a time. Returns whether that begins
+    /// a pause.
+    pub fn record_pause(&mut self, now: Duration, upstream: &str, pause: Duration) -> bool {
+        let Some(index) = self.upstreams.find_index(upstream) else {
+            return false;
+        };
+        let state = self.upstreams.get_mut(index);
+        let was_paused = now < state.paused_until;
+        state.paused_until = state.paused_until.max(now + pause);
+        !was_paused && now < state.paused_until
+    }
+
+    /// Returns whether an upstream has asked this VM to send nothing now.
+    #[must_use]
+    pub fn is_paused(&self, now: Duration, upstream: &str) -> bool {
+        let index = self.upstreams.find_index(upstream);
+        index.is_some_and(|index| now < self.upstreams.get(index).paused_until)
+    }
+
     /// Bandwidth budget of the link to another region, for traffic other than requests.
     pub fn link_budget_mut(&mut self, region: &str) -> Option<&mut LinkBudget> {
         self.links.find_mut(region)
@@ -437,7 +456,11 @@
         let reopens_in = groups
             .iter()
             .flat_map(|group| group.members.iter().take(UpstreamGroup::MAX_SCANNED))
-            .map(|&index| self.upstreams.get(index).circuit.time_until_probe(now))
+            .map(|&index| {
+                let state = self.upstreams.get(index);
+                let pause = state.paused_until.saturating_sub(now);
+                state.circuit.time_until_probe(now).max(pause)
+            })
             .filter(|delay| !delay.is_zero())
             .min();
         RouteRefusal::NoneAvailable { reopens_in, target }
--- a/crates/ebonystand-core/src/upstream_index.rs
+++ b/crates/ebonystand-core/src/upstream_index.rs
@@ -161,6 +161,9 @@
             None => UpstreamState::new(id, upstream),
         };
         let returns = self.find_index(id).is_none() || (state.leaving && !upstream.leaving);
+        if state.address != upstream.address {
+            state.paused_until = Duration::ZERO;
+        }
         state.address = upstream.address;
         state.cost = upstream.cost;
         state.leaving = upstream.leaving;
--- a/crates/ebonystand-core/src/upstream_state.rs
+++ b/crates/ebonystand-core/src/upstream_state.rs
@@ -16,6 +16,8 @@
     pub(crate) is_in_own_zone: bool,
     pub(crate) leaving: bool,
     pub(crate) load: ObservedLoad,
+    /// Time until which the upstream has asked this VM to send nothing.
+    pub(crate) paused_until: Duration,
     pub(crate) region: u32,
     pub(crate) speed: u64,
     /// Time at which the upstream became available with cold caches; none if it was never cold.
@@ -26,10 +28,13 @@
     /// Share of its speed that a cold upstream starts with.
     const COLD_SPEED_SHARE: f64 = 0.2;
 
-    /// Whether the upstream may get a request: it is neither leaving nor `excluded`, and its circuit
-    /// breaker allows a dispatch.
+    /// Whether the upstream may get a request: it is neither leaving, pausing nor `excluded`, and its
+    /// circuit breaker allows a dispatch.
     pub(crate) fn allows_dispatch(&self, now: Duration, excluded: &[UpstreamId]) -> bool {
-        !self.leaving && self.circuit.allows_dispatch(now) && !excluded.contains(&self.id)
+        !self.leaving
+            && now >= self.paused_until
+            && self.circuit.allows_dispatch(now)
+            && !excluded.contains(&self.id)
     }
 
     pub(crate) fn new(id: &UpstreamId, upstream: &Upstream) -> Self {
@@ -45,6 +50,7 @@
             is_in_own_zone: false,
             leaving: upstream.leaving,
             load: ObservedLoad::default(),
+            paused_until: Duration::ZERO,
             region: 0,
             speed: upstream.speed,
         }
--- a/crates/ebonystand-core/tests/gateway/main.rs
+++ b/crates/ebonystand-core/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod list;
 mod load;
 mod next_step;
+mod notices;
 mod shortlist;
 mod upstreams;
 mod zone_loss;
--- a/crates/ebonystand/src/call_service.rs
+++ b/crates/ebonystand/src/call_service.rs
@@ -177,7 +177,7 @@
         }
         let attempt = Attempt::begin(node, &call.req, route, run);
         let upstream = attempt.upstream().clone();
-        let failure = match call.send(node, attempt.address(), false).await {
+        let failure = match call.send(node, &attempt, false).await {
             Ok(answer) => {
                 attempt.answered(1);
                 return Ok(answer);
@@ -198,13 +198,13 @@
     pub(crate) async fn send(
         &self,
         node: &Node,
-        address: SocketAddr,
+        attempt: &Attempt,
         once: bool,
     ) -> Result<Answer, DispatchFailure> {
         let first_byte = Duration::from_millis(node.document().preset().first_byte_ms);
         let left = self.req.left(node);
         let outgoing = Outgoing {
-            address,
+            address: attempt.address(),
             body: self.req.body.clone(),
             content_type: &self.content_type,
             method: self.method.clone(),
@@ -213,6 +213,7 @@
             priority: Priority::default(),
             request_id: &self.req.id,
             timeout: if once { left } else { left.min(first_byte) },
+            upstream: attempt.upstream(),
             workspace: &self.req.caller.workspace,
         };
         let response = dispatch::send(node, &outgoing).await?;
--- a/crates/ebonystand/src/complete.rs
+++ b/crates/ebonystand/src/complete.rs
@@ -135,6 +135,7 @@
         priority: node.queue.priority(&req.caller.workspace),
         request_id: &req.id,
         timeout: if stream { left.min(first_byte) } else { left },
+        upstream: attempt.upstream(),
         workspace: &req.caller.workspace,
     };
     let answered = dispatch::send(node, &outgoing).await;
--- a/crates/ebonystand/src/dispatch.rs
+++ b/crates/ebonystand/src/dispatch.rs
@@ -6,7 +6,7 @@
         ClientResponse,
         error::{ConnectError, SendRequestError},
     },
-    ebonystand_core::{OrderAnswer, Priority, StreamFault},
+    ebonystand_core::{AnswerPause, OrderAnswer, Priority, StreamFault},
     node::Node,
 };
 
@@ -26,6 +26,7 @@
     pub(crate) priority: Priority,
     pub(crate) request_id: &'a str,
     pub(crate) timeout: Duration,
+    pub(crate) upstream: &'a UpstreamId,
     pub(crate) workspace: &'a str,
 }
 
@@ -184,7 +185,14 @@
     if let (Err(SendRequestError::Timeout), false) = (&sent, outgoing.fresh) {
         node.clients.give_up(&pooled);
     }
-    Ok(sent?)
+    let response = sent?;
+    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        let values = response.headers().get_all("retry-after");
+        let pause = AnswerPause::parse(values.map(|value| value.to_str().unwrap_or_default()));
+        node.routes
+            .record_pause(node.clock.now(), outgoing.upstream, &pause);
+    }
+    Ok(response)
 }
 
 /// Reads the rest of an answer whose head has come.
--- a/crates/ebonystand/src/gateway/admitted.rs
+++ b/crates/ebonystand/src/gateway/admitted.rs
@@ -9,6 +9,9 @@
     serve_call::{UNCONFIRMED_RETRY, unconfirmed_refusal},
 };
 
+/// Longest retry delay for a caller whose request an upstream has turned away.
+const MAX_SHED_RETRY: Duration = Duration::from_secs(2);
+
 /// A request that has been routed, authorized and admitted to its workspace's quota.
 pub(crate) struct Admitted {
     pub(crate) call: Call,
@@ -51,7 +54,11 @@
                     );
                     self.count_limit_refusal(node);
                     let refusal = self.refusal(RefusalCode::NoUpstream, &message);
-                    return Err(refusal.with_retry_after(retry_after));
+                    let spread = match because.paused {
+                        0 => Duration::ZERO,
+                        _ => self.retry_spread(node),
+                    };
+                    return Err(refusal.with_retry_after(retry_after + spread));
                 }
                 TargetChoice::NoRoom { predicted } => {
                     if self.call.wait_for_room(node).await {
@@ -208,12 +215,15 @@
     }
 
     /// Delay after which a caller refused for lack of room is asked to retry: the predicted wait,
-    /// at most the first-byte target, plus a random part of the target so that callers don't return
-    /// all at once.
+    /// at most the first-byte target, plus [`Self::retry_spread`].
     fn retry_delay(&self, node: &Node, predicted: Duration) -> Duration {
+        predicted.min(self.call.aim) + self.retry_spread(node)
+    }
+
+    /// Random part of the first-byte target, so that refused callers don't return all at once.
+    fn retry_spread(&self, node: &Node) -> Duration {
         let spread = node.gateway.draw() % 1_000;
-        let spread = self.call.aim * u32::try_from(spread).unwrap_or_default() / 1_000;
-        predicted.min(self.call.aim) + spread
+        self.call.aim * u32::try_from(spread).unwrap_or_default() / 1_000
     }
 
     /// Counts a refusal if the limit of an upstream of the service keeps a request from it, and
@@ -275,7 +285,8 @@
             _ if self.not_run => self.refusal(RefusalCode::Overloaded, "the upstream is full"),
             _ => self.refusal(RefusalCode::UpstreamFailed, "the upstream broke off"),
         };
-        let delay = retry_after.unwrap_or(UNCONFIRMED_RETRY);
+        // A long pause of this upstream does not keep others from serving the caller.
+        let delay = retry_after.map_or(UNCONFIRMED_RETRY, |delay| delay.min(MAX_SHED_RETRY));
         Err(refusal.with_retry_after(delay))
     }
 
--- a/crates/ebonystand/src/gateway/answer_marks.rs
+++ b/crates/ebonystand/src/gateway/answer_marks.rs
@@ -4,6 +4,8 @@
 /// server.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct AnswerMarks {
+    /// Whether the upstream says that it leaves and takes no new requests.
+    pub is_leaving: bool,
     /// Whether the server at the address is another instance than the one the request was sent to.
     pub is_stranger: bool,
     /// Rate at which the upstream takes requests from all VMs together, if the answer names one.
--- a/crates/ebonystand/src/gateway/attempt.rs
+++ b/crates/ebonystand/src/gateway/attempt.rs
@@ -2,7 +2,7 @@
 use {
     call::{Call, Destination},
     crash_watch::{CrashWatch, LostRun},
-    ebonystand_core::{AnswerLimit, AttemptEnd, ChoiceQuery, SharedPrefix},
+    ebonystand_core::{AnswerLimit, AnswerPause, AttemptEnd, ChoiceQuery, SharedPrefix},
     request_content::RequestContent,
     std::collections::BTreeSet,
 };
@@ -98,6 +98,29 @@
         }
     }
 
+    /// Records what the head of an answer says of the upstream itself: that it leaves, or wants a
+    /// pause.
+    pub(crate) fn record_notices(&self, is_leaving: bool, pause: &AnswerPause) {
+        let now = self.node.clock.now();
+        let mut book = self.node.gateway.book.borrow_mut();
+        if is_leaving && book.record_leaving(&self.instance) {
+            log::info!(upstream:% = self.instance; "upstream says that it leaves");
+            self.node.gateway.pool.close_idle(self.address);
+        }
+        match pause {
+            AnswerPause::Absent => {}
+            AnswerPause::Invalid(error) => {
+                log::warn!(upstream:% = self.instance, error:% = error; "pause of an upstream ignored");
+            }
+            AnswerPause::Requested(pause) => {
+                if book.record_pause(now, &self.instance, *pause) {
+                    let pause_ms = pause.as_millis() as u64;
+                    log::info!(upstream:% = self.instance, pause_ms = pause_ms; "upstream asks for a pause");
+                }
+            }
+        }
+    }
+
     /// Records the arrival of one or more events of a streamed answer.
     pub(crate) fn record_event(&mut self) {
         let now = self.node.clock.now();
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -1,7 +1,9 @@
 use super::*;
 use {
     attempt::Attempt,
-    ebonystand_core::{AttemptEnd, CacheSource, ChoiceQuery, ColdTerms, Prompt, TargetChoice},
+    ebonystand_core::{
+        AnswerPause, AttemptEnd, CacheSource, ChoiceQuery, ColdTerms, Prompt, TargetChoice,
+    },
     node::Node,
     relay::Relay,
     request_content::RequestContent,
@@ -219,6 +221,9 @@
         if marks.request.as_ref() == Some(&self.request) && !marks.is_stranger {
             attempt.record_limit(&marks.limit);
         }
+        if !marks.is_stranger {
+            attempt.record_notices(marks.is_leaving, &requested_pause(head));
+        }
         if let Some(end) = self.end_by_head(head, &marks) {
             attempt.end(end);
             return self
@@ -356,7 +361,19 @@
 
 /// Parses the delay of a `retry-after` header, in seconds and fractions of a second.
 pub(crate) fn retry_after(headers: &HeaderMap) -> Option<Duration> {
-    let text = headers::text(headers, "retry-after")?;
-    let seconds = text.parse::<f64>().ok()?;
-    Duration::try_from_secs_f64(seconds).ok()
+    parse_retry_after(headers).requested()
+}
+
+/// Returns the pause that an answer asks for. Of other answers than a 503, `retry-after` concerns
+/// the request and not the upstream.
+fn requested_pause(head: &actix_http::ResponseHead) -> AnswerPause {
+    match head.status {
+        StatusCode::SERVICE_UNAVAILABLE => parse_retry_after(&head.headers),
+        _ => AnswerPause::Absent,
+    }
+}
+
+fn parse_retry_after(headers: &HeaderMap) -> AnswerPause {
+    let values = headers.get_all("retry-after");
+    AnswerPause::parse(values.map(|value| value.to_str().unwrap_or_default()))
 }
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -338,6 +338,8 @@
             let messages = this.book.borrow_mut().build_load_messages(now);
             let limited = this.book.borrow().limits(now).count();
             node.metrics.limited_upstreams.set(limited as i64);
+            let noticed = this.book.borrow().notices(now).count();
+            node.metrics.noticed_upstreams.set(noticed as i64);
             for (vm, message) in messages {
                 node.send(&vm, PeerMessage::Load(message));
             }
--- a/crates/ebonystand/src/gateway/native_dialect.rs
+++ b/crates/ebonystand/src/gateway/native_dialect.rs
@@ -10,6 +10,8 @@
 const IMPORT_FROM: &str = "x-ebonystand-import-from";
 const INSTANCE: &str = "x-ebonystand-instance";
 const DEADLINE: &str = "x-ebonystand-deadline-ms";
+/// Header of an answer, with the value 1, by which an upstream says that it leaves.
+const LEAVING: &str = "x-ebonystand-leaving";
 /// Header of an answer with the requests per second that the upstream takes from all VMs together.
 const LIMIT: &str = "x-ebonystand-limit";
 const RUN_STATE: &str = "x-ebonystand-run";
@@ -32,6 +34,7 @@
         let limits = headers.get_all(LIMIT);
         AnswerMarks {
             limit: AnswerLimit::parse(limits.map(|value| value.to_str().unwrap_or_default())),
+            is_leaving: headers::text(headers, LEAVING) == Some("1"),
             is_stranger: status == StatusCode::MISDIRECTED_REQUEST,
             not_run: headers::text(headers, RUN_STATE) == Some("not_run"),
             request: headers::text(headers, REQUEST).map(Into::into),
--- a/crates/ebonystand/src/metrics.rs
+++ b/crates/ebonystand/src/metrics.rs
@@ -19,6 +19,7 @@
     pub(crate) first_token: Family<WorkspaceLabel, Histogram>,
     pub(crate) limit_refusals: Counter,
     pub(crate) limited_upstreams: Gauge,
+    pub(crate) noticed_upstreams: Gauge,
     pub(crate) peer_refused: Counter,
     pub(crate) quarantined: Gauge,
     pub(crate) refusals: Family<RefusalLabels, Counter>,
@@ -84,6 +85,7 @@
             first_token: Family::new_with_constructor(histogram),
             limit_refusals: Counter::default(),
             limited_upstreams: Gauge::default(),
+            noticed_upstreams: Gauge::default(),
             peer_refused: Counter::default(),
             quarantined: Gauge::default(),
             refusals: Family::default(),
@@ -150,6 +152,11 @@
             "Upstreams whose limit is in force on this VM",
             self.limited_upstreams.clone(),
         );
+        r.register(
+            "noticed_upstreams",
+            "Upstreams that have told this VM that they leave or want a pause",
+            self.noticed_upstreams.clone(),
+        );
         r.register(
             "peer_refused",
             "Frames and datagrams refused as not authentic or malformed",
--- a/crates/ebonystand/src/operator_status.rs
+++ b/crates/ebonystand/src/operator_status.rs
@@ -25,6 +25,7 @@
         draining: node.leaving(),
         groups: node.group.status().iter().map(group).collect(),
         limits: node.gateway.book.borrow().limits(now).collect(),
+        notices: node.gateway.book.borrow().notices(now).collect(),
         preset: document.preset,
         ready: node.ready(),
         upstreams: upstreams
--- a/crates/ebonystand/src/order_controller.rs
+++ b/crates/ebonystand/src/order_controller.rs
@@ -207,7 +207,7 @@
                     return OrderEvent::Unsent(sending.into_unsent());
                 }
             };
-            match self.call.send(node, attempt.address(), true).await {
+            match self.call.send(node, &attempt, true).await {
                 Ok(answer) => {
                     attempt.answered(1);
                     return OrderEvent::Answered(sending, answer.into());
--- a/crates/ebonystand/src/route_controller.rs
+++ b/crates/ebonystand/src/route_controller.rs
@@ -1,7 +1,8 @@
 use super::*;
 use {
     ebonystand_core::{
-        DispatchEnd, LoadReport, Place, RetryBudget, Retryable, Route, RouteQuery, Router, Target,
+        AnswerPause, DispatchEnd, LoadReport, Place, RetryBudget, Retryable, Route, RouteQuery,
+        Router, Target,
     },
     node::Node,
     std::collections::BTreeSet,
@@ -88,6 +89,23 @@
         self.router.borrow_mut().route(now, query)
     }
 
+    /// Records the pause that an upstream asks for in an answer.
+    pub(crate) fn record_pause(&self, now: Duration, upstream: &str, pause: &AnswerPause) {
+        match pause {
+            AnswerPause::Absent => {}
+            AnswerPause::Invalid(error) => {
+                log::warn!(upstream:% = upstream, error:% = error; "pause of an upstream ignored");
+            }
+            AnswerPause::Requested(pause) => {
+                let mut router = self.router.borrow_mut();
+                if router.record_pause(now, upstream, *pause) {
+                    let pause_ms = pause.as_millis() as u64;
+                    log::info!(upstream:% = upstream, pause_ms = pause_ms; "upstream asks for a pause");
+                }
+            }
+        }
+    }
+
     /// Asks the upstreams for their load until the task is dropped.
     pub(crate) async fn run(node: Rc<Node>) {
         loop {
@@ -169,6 +187,9 @@
     }
 
     async fn poll(&self, node: &Node, id: &UpstreamId, address: SocketAddr) {
+        if self.router.borrow().is_paused(node.clock.now(), id) {
+            return;
+        }
         let url = format!("http://{address}/load");
         let req = node
             .clients
--- a/crates/ebonystandctl/src/status.rs
+++ b/crates/ebonystandctl/src/status.rs
@@ -50,6 +50,12 @@
             limit.upstream, limit.per_s, limit.age_ms, limit.share_per_s
         )
     }));
+    let notices = status.notices.iter().map(|notice| {
+        let leaves = if notice.is_leaving { ", leaves" } else { "" };
+        let (upstream, pause_ms) = (&notice.upstream, notice.pause_ms);
+        format!("  upstream {upstream}: wants a pause of {pause_ms} ms more{leaves}")
+    });
+    lines.extend(listed(notices, "notices of upstreams"));
     lines.extend(status.allowances.iter().map(|allowance| {
         format!(
             "  allowance {}: {} of {} tokens/s, {} available of burst {}",
--- a/crates/ebonystandctl/tests/status.rs
+++ b/crates/ebonystandctl/tests/status.rs
@@ -25,6 +25,7 @@
         draining: false,
         groups: Vec::new(),
         limits: Vec::new(),
+        notices: Vec::new(),
         preset: PresetName::default(),
         ready: true,
         upstreams: Vec::new(),
