Show operators the requests that crash upstreams, and let them clear one

A quarantine lasts an hour, and nothing showed it or ended it before: a request that a new release survives stayed refused. Status lists suspects with their crashes, last upstreams and time left; `ebonystandctl quarantine clear` has all VMs count anew. Covered by the process test of crashing requests and a test of the printed status.

--- a/crates/ebonystand-core/src/lib.rs
+++ b/crates/ebonystand-core/src/lib.rs
@@ -139,6 +139,7 @@
     proposal_error::ProposalError,
     pull_outcome::PullOutcome,
     quarantine::*,
+    quarantine_clear_status::QuarantineClearStatus,
     queue_entry::QueueEntry,
     queue_outcome::QueueOutcome,
     refusal::Refusal,
@@ -283,6 +284,7 @@
 mod proposal_error;
 mod pull_outcome;
 mod quarantine;
+mod quarantine_clear_status;
 mod queue_entry;
 mod queue_outcome;
 mod readiness;
--- a/crates/ebonystand-core/src/operator_error.rs
+++ b/crates/ebonystand-core/src/operator_error.rs
@@ -33,6 +33,12 @@
         /// Name of the missing key.
         key: KeyId,
     },
+    /// The VM knows no suspected or quarantined request with this fingerprint.
+    #[snafu(display("no suspected or quarantined request `{fingerprint}`"))]
+    UnknownSuspect {
+        /// Fingerprint as it was given.
+        fingerprint: Box<str>,
+    },
     /// The API has no such path, or not with this method.
     #[snafu(display("no such path or method"))]
     UnknownPath,
@@ -45,7 +51,7 @@
         match self {
             Self::BadBody { .. } => 400,
             Self::Unauthorized => 401,
-            Self::UnknownKey { .. } | Self::UnknownPath => 404,
+            Self::UnknownKey { .. } | Self::UnknownPath | Self::UnknownSuspect { .. } => 404,
             Self::NoLeader { .. } => 503,
         }
     }
--- a/crates/ebonystand-core/src/operator_path.rs
+++ b/crates/ebonystand-core/src/operator_path.rs
@@ -8,6 +8,9 @@
 pub const OPERATOR_DOCUMENT: &str = "/v1/operator/document";
 /// Path to `POST` to drain the VM; answers with a [`DrainStatus`](crate::DrainStatus).
 pub const OPERATOR_DRAIN: &str = "/v1/operator/drain";
+/// Prefix of the path to `POST`, followed by a request's fingerprint, to clear a request that is
+/// quarantined or suspected; answers with a [`QuarantineClearStatus`](crate::QuarantineClearStatus).
+pub const OPERATOR_QUARANTINE_CLEAR: &str = "/v1/operator/quarantine/clear/";
 /// Path to `GET` the VM's [`OperatorStatus`](crate::OperatorStatus).
 pub const OPERATOR_STATUS: &str = "/v1/operator/status";
 /// Prefix of the path to `POST`, followed by a key's name, to withdraw the key; answers with a
--- a/crates/ebonystand-core/src/operator_status.rs
+++ b/crates/ebonystand-core/src/operator_status.rs
@@ -19,6 +19,9 @@
     pub preset: PresetName,
     /// Whether this VM is ready to serve requests.
     pub ready: bool,
+    /// Requests that crash upstreams, as far as this VM knows.
+    #[serde(default)]
+    pub suspects: Vec<SuspectStatus>,
     /// Status of each upstream of the configuration.
     pub upstreams: Vec<UpstreamStatus>,
     /// Version of the configuration in force on this VM.
--- a/crates/ebonystand/src/operator_api.rs
+++ b/crates/ebonystand/src/operator_api.rs
@@ -3,8 +3,9 @@
 use super::*;
 use {
     ebonystand_core::{
-        Command, CommandOutcome, DrainStatus, FeedInput, OPERATOR_CHANGES, OPERATOR_DOCUMENT,
-        OPERATOR_DRAIN, OPERATOR_STATUS, OPERATOR_WITHDRAW, OperatorError, WithdrawalStatus,
+        Command, CommandOutcome, DrainStatus, FeedInput, Fingerprint, OPERATOR_CHANGES,
+        OPERATOR_DOCUMENT, OPERATOR_DRAIN, OPERATOR_QUARANTINE_CLEAR, OPERATOR_STATUS,
+        OPERATOR_WITHDRAW, OperatorError, QuarantineClearStatus, WithdrawalStatus,
     },
     group_controller::GroupController,
     node::Node,
@@ -57,10 +58,15 @@
         (&Method::GET, OPERATOR_STATUS) => {
             Ok(respond::json(StatusCode::OK, &operator_status::of(node)))
         }
-        (&Method::POST, path) => match path.strip_prefix(OPERATOR_WITHDRAW) {
-            Some(key) => withdraw(node, key).await,
-            None => Err(OperatorError::UnknownPath),
-        },
+        (&Method::POST, path) => {
+            if let Some(key) = path.strip_prefix(OPERATOR_WITHDRAW) {
+                withdraw(node, key).await
+            } else if let Some(fingerprint) = path.strip_prefix(OPERATOR_QUARANTINE_CLEAR) {
+                clear_quarantine(node, fingerprint)
+            } else {
+                Err(OperatorError::UnknownPath)
+            }
+        }
         _ => Err(OperatorError::UnknownPath),
     }
 }
@@ -141,6 +147,19 @@
     Ok(respond::json(StatusCode::OK, &status))
 }
 
+/// Serves a request again that is quarantined or suspected, on all VMs.
+fn clear_quarantine(node: &Node, fingerprint: &str) -> Answer {
+    let number = Fingerprint::from_str_radix(fingerprint, 16).ok();
+    if !number.is_some_and(|number| node.quarantine.clear(node, number)) {
+        let fingerprint = fingerprint.into();
+        return Err(OperatorError::UnknownSuspect { fingerprint });
+    }
+    log::info!(fingerprint:% = fingerprint; "request cleared by an operator");
+    let fingerprint = fingerprint.into();
+    let status = QuarantineClearStatus { fingerprint };
+    Ok(respond::json(StatusCode::OK, &status))
+}
+
 async fn wait_until_in_force(node: &Node, version: Version) {
     const LOOK: Duration = Duration::from_millis(5);
     let end = node.clock.now() + IN_FORCE_WITHIN;
--- a/crates/ebonystand/src/quarantine_controller.rs
+++ b/crates/ebonystand/src/quarantine_controller.rs
@@ -93,6 +93,17 @@
         quarantine.refusal(now, fingerprint())
     }
 
+    /// Clears a request by order of an operator. Returns false if this VM does not know it.
+    pub(crate) fn clear(&self, node: &Node, fingerprint: Fingerprint) -> bool {
+        let now = node.clock.now();
+        let step = self.quarantine.borrow_mut().clear(now, fingerprint);
+        let is_known = step.is_some();
+        if let Some(step) = step {
+            self.take(node, step);
+        }
+        is_known
+    }
+
     /// Reports that an upstream went down while it ran a request of a route.
     pub(crate) fn report_crash(
         &self,
--- a/crates/ebonystand/tests/integration/crashes.rs
+++ b/crates/ebonystand/tests/integration/crashes.rs
@@ -5,6 +5,7 @@
         routes::{Setting, call, echo, put, routing, served},
         scripted::{Received, Reply, Scripted, Then},
     },
+    ebonystand_core::OperatorStatus,
     std::time::Duration,
 };
 
@@ -67,4 +68,17 @@
         let other = call(vm, "POST", "/look/x", &format!("other-{}", vm.name), "o").await;
         assert_eq!(other.status, 200, "{}", other.body);
     }
+    let status = fleet.vms[0].operate("GET", "/v1/operator/status", "").await;
+    let status = status.json::<OperatorStatus>();
+    let suspect = &status.suspects[0];
+    assert!(suspect.is_quarantined);
+    let path = format!("/v1/operator/quarantine/clear/{}", suspect.fingerprint);
+    assert_eq!(fleet.vms[0].operate("POST", &path, "").await.status, 200);
+    let mut answer = repeat().await;
+    while answer.status == 422 {
+        answer = repeat().await;
+    }
+    let unknown = "/v1/operator/quarantine/clear/00ff";
+    let unknown = fleet.vms[0].operate("POST", unknown, "").await;
+    assert_eq!(unknown.status, 404, "{}", unknown.body);
 }
--- a/crates/ebonystandctl/src/client.rs
+++ b/crates/ebonystandctl/src/client.rs
@@ -66,6 +66,15 @@
         }
     }
 
+    pub(crate) async fn clear_quarantine(
+        &self,
+        fingerprint: &str,
+    ) -> Result<QuarantineClearStatus> {
+        let path = format!("{OPERATOR_QUARANTINE_CLEAR}{}", percent_encode(fingerprint));
+        self.send_with_failover(&Method::POST, &path, None::<&()>)
+            .await
+    }
+
     pub(crate) async fn document(&self) -> Result<Document> {
         self.send_with_failover(&Method::GET, OPERATOR_DOCUMENT, None::<&()>)
             .await
--- a/crates/ebonystandctl/src/lib.rs
+++ b/crates/ebonystandctl/src/lib.rs
@@ -21,8 +21,8 @@
 use {
     apply::Apply, attempt_error::AttemptError, change_args::ChangeArgs, check::Check,
     client::Client, config::Config, context::Context, drain::Drain, error::Error, explain::Explain,
-    key::KeyCommand, preset::PresetCommand, secret::random_hex, subcommand::Subcommand,
-    upstream::UpstreamCommand, workspace::WorkspaceCommand,
+    key::KeyCommand, preset::PresetCommand, quarantine::QuarantineClear, secret::random_hex,
+    subcommand::Subcommand, upstream::UpstreamCommand, workspace::WorkspaceCommand,
 };
 
 mod apply;
@@ -39,6 +39,7 @@
 mod explain;
 mod key;
 mod preset;
+mod quarantine;
 mod region;
 mod run;
 mod secret;
--- a/crates/ebonystandctl/src/status.rs
+++ b/crates/ebonystandctl/src/status.rs
@@ -56,6 +56,20 @@
         format!("  upstream {upstream}: wants a pause of {pause_ms} ms more{leaves}")
     });
     lines.extend(listed(notices, "notices of upstreams"));
+    let suspects = status.suspects.iter().map(|suspect| {
+        format!(
+            "  request {}: {}, {} crashes counted here ({}), for {} s",
+            suspect.fingerprint,
+            match suspect.is_quarantined {
+                true => "quarantined",
+                false => "suspected",
+            },
+            suspect.crashes,
+            suspect.crashed_upstreams.join(" "),
+            suspect.remaining_ms / 1_000
+        )
+    });
+    lines.extend(listed(suspects, "requests that crash upstreams"));
     lines.extend(status.allowances.iter().map(|allowance| {
         format!(
             "  allowance {}: {} of {} tokens/s, {} available of burst {}",
--- a/crates/ebonystandctl/tests/status.rs
+++ b/crates/ebonystandctl/tests/status.rs
@@ -1,7 +1,9 @@
 //! Tests that the printed state of a fleet stays readable, however large the fleet is.
 
 use {
-    ebonystand_core::{OperatorStatus, PresetName, VmHealth, VmStatus},
+    ebonystand_core::{
+        OperatorStatus, PresetName, SuspectStatus, UpstreamNoticeStatus, VmHealth, VmStatus,
+    },
     ebonystandctl::format_status,
 };
 
@@ -28,6 +30,7 @@
         notices: Vec::new(),
         preset: PresetName::default(),
         ready: true,
+        suspects: Vec::new(),
         upstreams: Vec::new(),
         version: 7,
         vm: "vm-0000".into(),
@@ -54,3 +57,30 @@
     assert!(text.contains("and 380 more VMs"), "{text}");
     assert!(text.lines().count() <= 30, "{text}");
 }
+
+/// Guards against operators who cannot find the fingerprint to clear, or the upstreams that a request ended.
+#[test]
+fn requests_that_crash_upstreams_are_listed_with_their_fingerprints() {
+    let suspect = SuspectStatus {
+        crashed_upstreams: vec!["i-1".into(), "i-2".into(), "i-3".into()],
+        crashes: 3,
+        fingerprint: "00ff".into(),
+        is_quarantined: true,
+        remaining_ms: 3_600_000,
+    };
+    let notice = UpstreamNoticeStatus {
+        is_leaving: true,
+        pause_ms: 250,
+        upstream: "i-4".into(),
+    };
+    let status = OperatorStatus {
+        notices: vec![notice],
+        suspects: vec![suspect],
+        ..status(1, 0)
+    };
+    let text = format_status(&status);
+    let request = "request 00ff: quarantined, 3 crashes counted here (i-1 i-2 i-3), for 3600 s";
+    assert!(text.contains(request), "{text}");
+    let upstream = "upstream i-4: wants a pause of 250 ms more, leaves";
+    assert!(text.contains(upstream), "{text}");
+}
