Show what lost runs and a quarantine cost VMs of a large fleet

A VM that counts crashes ranked all VMs of its region by hash for each entry of its table when the fleet changed; it now picks the first, and for suspects only.

--- a/crates/ebonystand-core/src/quarantine/suspect_table.rs
+++ b/crates/ebonystand-core/src/quarantine/suspect_table.rs
@@ -247,10 +247,8 @@
     pub(crate) fn counters(&self, fingerprint: Fingerprint) -> BTreeSet<&VmId> {
         let hash = RendezvousHash::new(fingerprint as u64);
         let of_all = hash.select_owner(&self.live_vms);
-        let of_region = hash
-            .select_owners(&self.region_vms, 2)
-            .into_iter()
-            .find(|vm| Some(*vm) != of_all);
+        let of_region = self.region_vms.iter().filter(|vm| Some(*vm) != of_all);
+        let of_region = hash.select_owner(of_region);
         of_all.into_iter().chain(of_region).collect()
     }
 
@@ -302,8 +300,10 @@
         let stayed = &self.live_vms & &live_vms;
         let joined = &live_vms - &self.live_vms;
         let before = std::mem::replace(&mut self.live_vms, stayed);
-        let counted = self.suspects.keys().copied();
-        let counted = counted.filter(|of| self.counters(*of).contains(&self.own_id));
+        let counted = self.suspects.iter().filter(|(fingerprint, suspect)| {
+            suspect.stage.is_suspect() && self.counters(**fingerprint).contains(&self.own_id)
+        });
+        let counted = counted.map(|(fingerprint, _)| *fingerprint);
         let counted = counted.collect::<BTreeSet<_>>();
         for (fingerprint, suspect) in &mut self.suspects {
             let rendezvous = RendezvousHash::new(*fingerprint as u64);
@@ -313,7 +313,7 @@
             }
             suspect.running_vms.retain(|vm| live_vms.contains(vm));
             suspect.unacked_vms.retain(|vm| live_vms.contains(vm));
-            if suspect.stage.is_suspect() && counted.contains(fingerprint) {
+            if counted.contains(fingerprint) {
                 suspect.unacked_vms.extend(joined.iter().cloned());
             }
         }
--- a/crates/ebonystand-core/src/rendezvous_hash.rs
+++ b/crates/ebonystand-core/src/rendezvous_hash.rs
@@ -21,18 +21,6 @@
             .max_by_key(|name| self.weight(name.as_ref()))
     }
 
-    /// Selects the first `count` names in the order in which they would become owners.
-    pub(crate) fn select_owners<'a, T: AsRef<str>>(
-        self,
-        names: impl IntoIterator<Item = &'a T>,
-        count: usize,
-    ) -> Vec<&'a T> {
-        let mut names = names.into_iter().collect::<Vec<_>>();
-        names.sort_by_cached_key(|name| std::cmp::Reverse(self.weight(name.as_ref())));
-        names.truncate(count);
-        names
-    }
-
     pub(crate) fn weight(self, name: &str) -> u64 {
         xxh3_64_with_seed(name.as_bytes(), self.key)
     }
--- a/crates/ebonystand-core/tests/crash_evidence/main.rs
+++ b/crates/ebonystand-core/tests/crash_evidence/main.rs
@@ -4,11 +4,13 @@
 #![allow(clippy::unwrap_used)]
 
 mod fleet;
+mod large_fleet;
 mod trio;
 
 use {
     ebonystand_core::Quarantine,
     fleet::{Fleet, Load, Outcome},
+    large_fleet::LargeFleet,
     rstest::rstest,
     std::time::Duration,
     trio::{FINGERPRINT, Trio},
@@ -164,3 +166,28 @@
     trio.pass(Duration::from_secs(2));
     assert_eq!(trio.refusals(), [false; 3]);
 }
+
+/// Guards against messages that grow with the fleet when many upstreams are lost with their requests.
+#[test]
+fn the_loss_of_many_upstreams_costs_a_vm_the_same_in_any_fleet() {
+    const LOST_RUNS_PER_VM: u64 = 30;
+    /// Report, confirmation, and each of both for two VMs that count; spread unevenly by the hash.
+    const MOST: usize = 2 * 4 * LOST_RUNS_PER_VM as usize;
+    for vms in [100, 300, 1_000] {
+        let busiest = LargeFleet::new(vms).lose_runs(LOST_RUNS_PER_VM);
+        println!("{vms} VMs: the busiest gets {busiest} messages");
+        assert!(busiest <= MOST, "{vms} VMs: {busiest}");
+    }
+}
+
+/// Guards against a fleet that tells each VM of one request more than a few times.
+#[test]
+fn a_quarantine_costs_each_vm_a_few_messages() {
+    /// Two stages, each announced by a VM of all and one of the region, with as many confirmations.
+    const MOST: usize = 8;
+    for vms in [100, 1_000] {
+        let (busiest, median) = LargeFleet::new(vms).quarantine_one();
+        println!("{vms} VMs: {busiest} messages at the busiest, {median} at the middle");
+        assert!(median <= MOST, "{vms} VMs: {median}");
+    }
+}
