Release large bodies once an answer has begun

An attempt kept its request's body until the answer had ended, to hash it if the upstream went down: a stream of minutes would hold a prompt in memory.

--- a/crates/ebonystand-core/src/gateway/upstream_notices.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_notices.rs
@@ -26,8 +26,11 @@
         let Some(known) = self.upstreams.get_mut(instance) else {
             return false;
         };
-        self.noticed.insert(instance.into());
-        !std::mem::replace(&mut known.has_announced_leaving, true)
+        let is_new = !std::mem::replace(&mut known.has_announced_leaving, true);
+        if is_new {
+            self.noticed.insert(instance.into());
+        }
+        is_new
     }
 
     /// Returns what upstreams have said in answers to this VM and still holds.
--- a/crates/ebonystand/src/gateway/attempt.rs
+++ b/crates/ebonystand/src/gateway/attempt.rs
@@ -72,6 +72,7 @@
         if self.first_byte.is_none() {
             let waited = self.node.clock.now().saturating_sub(self.started);
             self.first_byte = Some(waited);
+            self.content.release_large_body();
             let now = self.node.clock.now();
             let mut book = self.node.gateway.book.borrow_mut();
             book.record_first_byte(now, &self.instance, self.unread, self.aim, Some(waited));
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -113,7 +113,7 @@
     }
 
     pub(crate) fn content(&self) -> RequestContent {
-        RequestContent {
+        RequestContent::Whole {
             body: self.body.clone(),
             path: self.path.clone(),
             workspace: self.workspace.clone(),
--- a/crates/ebonystand/src/gateway/serve_call.rs
+++ b/crates/ebonystand/src/gateway/serve_call.rs
@@ -143,7 +143,7 @@
         None => body::read(node, req.headers(), payload).await?,
     };
     let fingerprint = || {
-        let content = RequestContent {
+        let content = RequestContent::Whole {
             body: body.clone(),
             path: path_and_query(req),
             workspace: workspace.as_ref().map(|workspace| workspace.name.clone()),
