Name what VMs report to one another in the field's terms

untold, take_untold, record_told, told_at, is_told, tell_limit, tell_contacts and retell_limits become pending, take_pending, record_reported, reported_at, is_reported, report_limit, report_contacts and report_limits_again. The filter of the suspects that a VM counts stood twice.

--- a/crates/ebonystand-core/src/gateway/named_limit.rs
+++ b/crates/ebonystand-core/src/gateway/named_limit.rs
@@ -10,7 +10,7 @@
     /// Time of the latest answer that the knowledge rests on.
     pub(crate) named_at: Duration,
     /// Time at which this VM last told others of it.
-    pub(crate) told_at: Option<Duration>,
+    pub(crate) reported_at: Option<Duration>,
     /// Time between two requests of this VM; `None` if it must not send.
     pub(crate) interval: Option<Duration>,
     pub(crate) pacer: SendPacer,
@@ -23,7 +23,7 @@
     /// part of the limit. Otherwise a VM that missed the end would never use the upstream again.
     pub(crate) const STALE_AFTER: Duration = Duration::from_secs(60);
     /// Time between two messages about an unchanged limit.
-    const TELL_INTERVAL: Duration = Duration::from_secs(1);
+    const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
     /// Creates the knowledge of an upstream without a limit so far.
     pub(crate) fn new(now: Duration) -> Self {
@@ -31,7 +31,7 @@
             limit: None,
             changed_at: now,
             named_at: now,
-            told_at: None,
+            reported_at: None,
             interval: None,
             pacer: SendPacer::default(),
         }
@@ -47,20 +47,20 @@
     }
 
     /// Returns whether what another VM has heard adds nothing to this knowledge. The same limit has to
-    /// be younger by half of [`Self::TELL_INTERVAL`]: the time of a message under way is not part
+    /// be younger by half of [`Self::REPORT_INTERVAL`]: the time of a message under way is not part
     /// of its age, so that two VMs would otherwise keep telling each other of one answer.
     pub(crate) fn covers(&self, heard: HeardLimit) -> bool {
         let needed = match self.limit == heard.limit {
-            true => self.named_at + Self::TELL_INTERVAL / 2,
+            true => self.named_at + Self::REPORT_INTERVAL / 2,
             false => self.named_at,
         };
         heard.named_at <= needed
     }
 
     /// Returns whether this VM has told others of the limit recently.
-    pub(crate) fn is_told(&self, now: Duration) -> bool {
-        self.told_at
-            .is_some_and(|at| now < at + Self::TELL_INTERVAL)
+    pub(crate) fn is_reported(&self, now: Duration) -> bool {
+        self.reported_at
+            .is_some_and(|at| now < at + Self::REPORT_INTERVAL)
     }
 
     /// Records that this VM sends a request.
--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -229,7 +229,7 @@
     ) -> Vec<(UpstreamId, Option<UpstreamLimit>)> {
         match message {
             LoadMessage::Contacts { zones } => {
-                self.zone_health.record_told(now, &zones);
+                self.zone_health.record_reported(now, &zones);
                 self.exchange.forward_contacts(from, &zones);
                 return Vec::new();
             }
@@ -266,9 +266,9 @@
     pub fn build_load_messages(&mut self, now: Duration) -> Vec<(VmId, LoadMessage)> {
         self.caches.remove_expired(now);
         self.expire_shares(now);
-        self.retell_limits(now);
-        let contacts = self.zone_health.take_untold(now);
-        self.exchange.tell_contacts(&contacts);
+        self.report_limits_again(now);
+        let contacts = self.zone_health.take_pending(now);
+        self.exchange.report_contacts(&contacts);
         let cached = self.caches.take_for_region();
         let latencies = self.recent_region_latencies(now);
         let messages = self
--- a/crates/ebonystand-core/src/gateway/upstream_limits.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_limits.rs
@@ -41,10 +41,10 @@
         self.limited.insert(instance.into());
         let is_changed = Self::adopt_limit(now, known, heard, &self.vms);
         if let Some(named) = &mut known.limit
-            && (is_changed || !named.is_told(now))
+            && (is_changed || !named.is_reported(now))
         {
-            named.told_at = Some(now);
-            self.exchange.tell_limit(heard);
+            named.reported_at = Some(now);
+            self.exchange.report_limit(heard);
         }
         is_changed
     }
@@ -153,7 +153,7 @@
 
     /// Tells the other VMs again, on a relay, of the limits that it knows: one of them may have
     /// started since, or may have had another relay.
-    pub(super) fn retell_limits(&mut self, now: Duration) {
+    pub(super) fn report_limits_again(&mut self, now: Duration) {
         if !self.exchange.is_relay() {
             return;
         }
@@ -162,11 +162,11 @@
             let Some((key, named)) = known.and_then(KnownUpstream::limit_mut) else {
                 continue;
             };
-            if named.is_told(now) || !self.exchange.has_room_for_limits() {
+            if named.is_reported(now) || !self.exchange.has_room_for_limits() {
                 continue;
             }
-            named.told_at = Some(now);
-            self.exchange.tell_limit(HeardLimit {
+            named.reported_at = Some(now);
+            self.exchange.report_limit(HeardLimit {
                 limit: named.limit,
                 named_at: named.named_at,
                 upstream: key,
--- a/crates/ebonystand-core/src/gateway/zone_health.rs
+++ b/crates/ebonystand-core/src/gateway/zone_health.rs
@@ -10,8 +10,8 @@
     own: VmId,
     /// Counts of all VMs by zone and interval, the newest last.
     recent: BTreeMap<ZoneId, VecDeque<(u64, ContactCounts)>>,
-    /// Counts of this VM that the others have not been told.
-    untold: ZoneContacts,
+    /// Counts of this VM that have not been sent to the others.
+    pending: ZoneContacts,
 }
 
 impl ZoneHealth {
@@ -34,7 +34,7 @@
         Self {
             own,
             recent: BTreeMap::new(),
-            untold: ZoneContacts::new(),
+            pending: ZoneContacts::new(),
         }
     }
 
@@ -45,21 +45,21 @@
             missed: u32::from(!is_reached),
         };
         self.add(now, zone, counts);
-        self.untold.entry(zone.clone()).or_default().add(counts);
+        self.pending.entry(zone.clone()).or_default().add(counts);
     }
 
-    /// Records contacts that other VMs have told of.
-    pub(crate) fn record_told(&mut self, now: Duration, contacts: &ZoneContacts) {
+    /// Records contacts that other VMs report.
+    pub(crate) fn record_reported(&mut self, now: Duration, contacts: &ZoneContacts) {
         for (zone, counts) in contacts {
             self.add(now, zone, *counts);
         }
     }
 
-    /// Takes the counts of this VM to be told to the others: those of zones with a recent miss. Of
+    /// Takes the counts of this VM to be sent to the others: those of zones with a recent miss. Of
     /// any other zone there is nothing to decide.
-    pub(crate) fn take_untold(&mut self, now: Duration) -> ZoneContacts {
-        let untold = std::mem::take(&mut self.untold);
-        let with_misses = untold.into_iter();
+    pub(crate) fn take_pending(&mut self, now: Duration) -> ZoneContacts {
+        let pending = std::mem::take(&mut self.pending);
+        let with_misses = pending.into_iter();
         with_misses
             .filter(|(zone, _)| self.recent_counts(now, zone).missed > 0)
             .collect()
--- a/crates/ebonystand-core/src/load_exchange/state.rs
+++ b/crates/ebonystand-core/src/load_exchange/state.rs
@@ -171,7 +171,7 @@
     }
 
     /// Queues contacts of this VM to be told to the other VMs of the region.
-    pub(crate) fn tell_contacts(&mut self, contacts: &ZoneContacts) {
+    pub(crate) fn report_contacts(&mut self, contacts: &ZoneContacts) {
         add_contacts(&mut self.contacts_for_relays, contacts);
         add_contacts(&mut self.contacts_for_reporters, contacts);
     }
@@ -188,7 +188,7 @@
     }
 
     /// Queues a limit to be told to the other VMs of the region.
-    pub(crate) fn tell_limit(&mut self, heard: HeardLimit) {
+    pub(crate) fn report_limit(&mut self, heard: HeardLimit) {
         Self::queue_limit(&mut self.limits_for_relays, heard);
         Self::queue_limit(&mut self.limits_for_reporters, heard);
     }
--- a/crates/ebonystand-core/src/quarantine/suspect_table.rs
+++ b/crates/ebonystand-core/src/quarantine/suspect_table.rs
@@ -278,12 +278,7 @@
         vm: &VmId,
         output: &mut QuarantineOutput,
     ) {
-        let owned = self.suspects.iter().filter(|(fingerprint, suspect)| {
-            suspect.stage.is_suspect() && self.counters(**fingerprint).contains(&self.own_id)
-        });
-        let owned = owned.map(|(fingerprint, _)| *fingerprint);
-        let owned = owned.collect::<Vec<_>>();
-        for fingerprint in owned {
+        for fingerprint in self.suspects_counted_here() {
             if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
                 suspect.unacked_vms.insert(vm.clone());
                 suspect.ack_deadline = now + Quarantine::CRASH_ACK_TIMEOUT;
@@ -300,11 +295,7 @@
         let stayed = &self.live_vms & &live_vms;
         let joined = &live_vms - &self.live_vms;
         let before = std::mem::replace(&mut self.live_vms, stayed);
-        let counted = self.suspects.iter().filter(|(fingerprint, suspect)| {
-            suspect.stage.is_suspect() && self.counters(**fingerprint).contains(&self.own_id)
-        });
-        let counted = counted.map(|(fingerprint, _)| *fingerprint);
-        let counted = counted.collect::<BTreeSet<_>>();
+        let counted = self.suspects_counted_here();
         for (fingerprint, suspect) in &mut self.suspects {
             let rendezvous = RendezvousHash::new(*fingerprint as u64);
             let was_mine = rendezvous.select_owner(&before) == Some(&self.own_id);
@@ -373,6 +364,16 @@
         }
     }
 
+    /// Returns the suspects whose crashes this VM counts.
+    fn suspects_counted_here(&self) -> BTreeSet<Fingerprint> {
+        let suspects = self.suspects.iter();
+        let suspects = suspects.filter(|(_, suspect)| suspect.stage.is_suspect());
+        let counted = suspects.map(|(fingerprint, _)| *fingerprint);
+        counted
+            .filter(|fingerprint| self.counters(*fingerprint).contains(&self.own_id))
+            .collect()
+    }
+
     fn evict_if_full(&mut self) {
         if self.suspects.len() < Self::MAX_SUSPECTS {
             return;
