Log and count by what a retry is granted, and how long after that it is sent

Neither the log nor a metric told a paid retry from a free one, or when it left. Now 'attempt ended' has the grant (budget, free, refused), 'sent' and 'sent away' the time since the grant, and ebonystand_retry_grants_total counts by grant. No decision changes.

--- a/crates/ebonystand-core/src/lib.rs
+++ b/crates/ebonystand-core/src/lib.rs
@@ -150,6 +150,7 @@
     reservation::Reservation,
     resumption::Resumption,
     retry_budget::RetryBudget,
+    retry_grant::RetryGrant,
     retryable::Retryable,
     route::Route,
     route_candidate::RouteCandidate,
@@ -300,6 +301,7 @@
 mod reservation;
 mod resumption;
 mod retry_budget;
+mod retry_grant;
 mod retryable;
 mod route;
 mod route_candidate;
--- a/crates/ebonystand-core/src/retry_budget.rs
+++ b/crates/ebonystand-core/src/retry_budget.rs
@@ -58,17 +58,22 @@
         self.interval_at(now).requests += 1;
     }
 
-    /// Takes a retry from the budget; returns false if the request must not be repeated or the
-    /// share of [`Preset::retry_budget_permille`] is used up.
+    /// Takes a retry from the budget; refuses it if the request must not be repeated or the share of
+    /// [`Preset::retry_budget_permille`] is used up.
     ///
     /// A request of which nothing was sent has put no load on the upstream, which refused the
     /// connection, so another attempt costs no budget. Otherwise, requests within their rate would
     /// fail while most upstreams are up.
-    pub fn try_retry(&mut self, now: Duration, retryable: Retryable, preset: &Preset) -> bool {
+    pub fn try_retry(
+        &mut self,
+        now: Duration,
+        retryable: Retryable,
+        preset: &Preset,
+    ) -> RetryGrant {
         match retryable {
             Retryable::Idempotent => {}
-            Retryable::Never => return false,
-            Retryable::NotStarted => return true,
+            Retryable::Never => return RetryGrant::Refused,
+            Retryable::NotStarted => return RetryGrant::Free,
         }
         let current = self.interval_at(now).number;
         let interval_count =
@@ -84,10 +89,10 @@
         let requests = requests.map(|interval| interval.requests).sum::<u64>();
         let allowed = requests * preset.retry_budget_permille / 1_000;
         if retries >= allowed.max(self.min_retries) {
-            return false;
+            return RetryGrant::Refused;
         }
         self.interval_at(now).retries += 1;
-        true
+        RetryGrant::Budget
     }
 
     /// Counts of the interval that contains `now`; drops intervals that no longer matter.
--- a/crates/ebonystand-core/tests/request_policy.rs
+++ b/crates/ebonystand-core/tests/request_policy.rs
@@ -20,7 +20,11 @@
     let mut retries = 0;
     for n in 0..20_000 {
         budget.record_request(ms(n));
-        retries += u64::from(budget.try_retry(ms(n), Retryable::Idempotent, &preset));
+        retries += u64::from(
+            budget
+                .try_retry(ms(n), Retryable::Idempotent, &preset)
+                .is_granted(),
+        );
     }
     assert!((1_000..=2_100).contains(&retries), "{retries}");
 }
@@ -40,7 +44,11 @@
     for n in 0..25_000 {
         budget.record_request(ms(n));
         let fails = n < first_end || n >= second_start;
-        if fails && budget.try_retry(ms(n), Retryable::Idempotent, &preset) {
+        if fails
+            && budget
+                .try_retry(ms(n), Retryable::Idempotent, &preset)
+                .is_granted()
+        {
             retried.push(n);
         }
     }
@@ -60,7 +68,11 @@
 fn a_quiet_vm_may_retry_a_few_times() {
     let mut budget = RetryBudget::default();
     budget.record_request(ms(0));
-    let mut retry = || budget.try_retry(ms(1), Retryable::Idempotent, &Preset::default());
+    let mut retry = || {
+        budget
+            .try_retry(ms(1), Retryable::Idempotent, &Preset::default())
+            .is_granted()
+    };
     let granted = (0..10).filter(|_| retry()).count();
     assert_eq!(granted as u64, RetryBudget::MIN_RETRIES);
 }
@@ -78,7 +90,11 @@
         let mut budget = RetryBudget::default();
         budget.set_fleet_minimum(FLEET_RETRIES, vms);
         budget.record_request(ms(0));
-        let mut retry = || budget.try_retry(ms(1), Retryable::Idempotent, &Preset::default());
+        let mut retry = || {
+            budget
+                .try_retry(ms(1), Retryable::Idempotent, &Preset::default())
+                .is_granted()
+        };
         (0..10).filter(|_| retry()).count() as u64
     };
     let retries = (0..vms).map(|_| retries_of_a_vm()).sum::<u64>();
@@ -99,7 +115,11 @@
 fn a_request_that_was_not_sent_costs_no_budget() {
     let mut budget = RetryBudget::default();
     budget.record_request(ms(0));
-    let mut retry = |retryable| budget.try_retry(ms(1), retryable, &Preset::default());
+    let mut retry = |retryable| {
+        budget
+            .try_retry(ms(1), retryable, &Preset::default())
+            .is_granted()
+    };
     assert!((0..10).all(|_| retry(Retryable::NotStarted)));
     let granted = (0..10).filter(|_| retry(Retryable::Idempotent)).count();
     assert_eq!(granted as u64, RetryBudget::MIN_RETRIES);
@@ -122,7 +142,9 @@
     let retryable = Retryable::classify(once, sent, relayed);
     assert_eq!(retryable, expected);
     let mut budget = RetryBudget::default();
-    let granted = budget.try_retry(ms(0), retryable, &Preset::default());
+    let granted = budget
+        .try_retry(ms(0), retryable, &Preset::default())
+        .is_granted();
     assert_eq!(granted, expected != Retryable::Never);
 }
 
--- a/crates/ebonystand/src/gateway/admitted.rs
+++ b/crates/ebonystand/src/gateway/admitted.rs
@@ -16,6 +16,8 @@
 pub(crate) struct Admitted {
     pub(crate) call: Call,
     pub(crate) in_flight: InFlight,
+    /// Time at which the latest retry was granted.
+    pub(crate) granted: Option<Duration>,
     pub(crate) key: Option<KeyHash>,
     /// Whether no upstream can have run the request so far.
     pub(crate) not_run: bool,
@@ -92,7 +94,8 @@
                         import_tokens = import.as_ref().map_or(0, |source| source.tokens),
                         predicted_ms = predicted.as_millis() as u64,
                         report_age_ms:? = report_age.map(|age| age.as_millis() as u64),
-                        left_ms = left.as_millis() as u64, tried = self.tried;
+                        left_ms = left.as_millis() as u64, tried = self.tried,
+                        since_grant_ms:? = self.since_grant(node);
                         "sent"
                     );
                     self.consume_reservation();
@@ -115,7 +118,8 @@
                         workspace:? = self.call.workspace, region:% = region, tokens = self.tokens,
                         here_ms:? = here.map(|here| here.as_millis() as u64),
                         predicted_ms = predicted.as_millis() as u64,
-                        left_ms = left.as_millis() as u64, tried = self.tried;
+                        left_ms = left.as_millis() as u64, tried = self.tried,
+                        since_grant_ms:? = self.since_grant(node);
                         "sent away"
                     );
                     node.metrics.sent_away.inc();
@@ -236,6 +240,12 @@
         is_held
     }
 
+    /// Milliseconds since the latest retry was granted; `None` for a first attempt.
+    fn since_grant(&self, node: &Node) -> Option<u64> {
+        let granted = self.granted?;
+        Some(node.clock.now().saturating_sub(granted).as_millis() as u64)
+    }
+
     /// Charges the request to its reservation, because an upstream may now run it.
     fn consume_reservation(&mut self) {
         if let Some(reserved) = &mut self.reserved {
@@ -261,15 +271,22 @@
             reserved.use_up(0);
         }
         self.call.excluded.extend(instance);
-        let budget = || node.gateway.may_retry(node, &self.call.service, end);
+        let grant = Cell::new(None);
+        let budget = || {
+            let granted = node.gateway.try_retry(node, &self.call.service, end);
+            grant.set(Some(granted));
+            granted.is_granted()
+        };
         let step = NextStep::decide(&self.route, end, self.tried, self.not_run, budget);
         log::info!(
             request:% = self.call.request, end:? = end, tried = self.tried,
-            attempts = self.route.attempts, not_run = self.not_run, step:? = step;
+            attempts = self.route.attempts, not_run = self.not_run, step:? = step,
+            grant:? = grant.get();
             "attempt ended"
         );
         if step == NextStep::Retry {
             node.metrics.retries.inc();
+            self.granted = Some(node.clock.now());
             return Ok(None);
         }
         if answer.is_some() {
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -4,11 +4,12 @@
     crash_watch::CrashWatch,
     ebonystand_core::{
         AttemptEnd, Confirmation, LoadMessage, Place, Preset, RegionVm, RelayPlan, RetryBudget,
-        Retryable, RouteTable, UpstreamBook, UpstreamLimit, VmEntry,
+        RetryGrant, Retryable, RouteTable, UpstreamBook, UpstreamLimit, VmEntry,
     },
     forwarders::Forwarders,
     list_controller::ListController,
     membership_controller::MembershipController,
+    metrics::GrantLabel,
     node::Node,
     rand::{RngExt as _, SeedableRng as _},
     rand_pcg::Pcg64Mcg,
@@ -188,9 +189,9 @@
         node.state.ready() && self.table.borrow().routing().revision > 0
     }
 
-    /// Whether an attempt that ended with `end` may be retried. A retry is taken from the service's
-    /// budget, unless the attempt cannot have reached an upstream.
-    pub(crate) fn may_retry(&self, node: &Node, service: &str, end: AttemptEnd) -> bool {
+    /// Asks for a retry of an attempt that ended with `end`. It is taken from the service's budget,
+    /// unless the attempt cannot have reached an upstream.
+    pub(crate) fn try_retry(&self, node: &Node, service: &str, end: AttemptEnd) -> RetryGrant {
         let now = node.clock.now();
         let retryable = match end.can_have_reached_upstream() {
             true => Retryable::Idempotent,
@@ -202,7 +203,12 @@
             // VMs that are out of sight may serve on the other side of a partition.
             budget.set_fleet_minimum(fleet_retries, node.membership.known_count());
         }
-        budget.try_retry(now, retryable, &self.preset)
+        let grant = budget.try_retry(now, retryable, &self.preset);
+        let label = GrantLabel {
+            grant: grant.to_string(),
+        };
+        node.metrics.retry_grants.get_or_create(&label).inc();
+        grant
     }
 
     /// Counts a request towards the retry budget of its service.
--- a/crates/ebonystand/src/gateway/receive_forward.rs
+++ b/crates/ebonystand/src/gateway/receive_forward.rs
@@ -108,7 +108,11 @@
                 end: end @ (AttemptEnd::AddressReused | AttemptEnd::Unreachable),
                 ..
             } => tried.filter(|_| {
-                call.excluded.len() < MAX_GONE && node.gateway.may_retry(node, &call.service, *end)
+                call.excluded.len() < MAX_GONE
+                    && node
+                        .gateway
+                        .try_retry(node, &call.service, *end)
+                        .is_granted()
             }),
             _ => None,
         };
--- a/crates/ebonystand/src/gateway/serve_call.rs
+++ b/crates/ebonystand/src/gateway/serve_call.rs
@@ -191,6 +191,7 @@
     };
     Ok(Admitted {
         call,
+        granted: None,
         in_flight,
         key: head.key,
         not_run: true,
--- a/crates/ebonystand/src/metrics.rs
+++ b/crates/ebonystand/src/metrics.rs
@@ -25,6 +25,7 @@
     pub(crate) refusals: Family<RefusalLabels, Counter>,
     pub(crate) requests: Family<WorkspaceLabel, Counter>,
     pub(crate) retries: Counter,
+    pub(crate) retry_grants: Family<GrantLabel, Counter>,
     pub(crate) sent_away: Counter,
     pub(crate) streams: Gauge,
     pub(crate) suspects: Gauge,
@@ -41,6 +42,12 @@
     pub(crate) upstream: String,
 }
 
+/// By what a retry on a route was granted, or that it was refused.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct GrantLabel {
+    pub(crate) grant: String,
+}
+
 /// Why a request was refused.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct RefusalLabels {
@@ -91,6 +98,7 @@
             refusals: Family::default(),
             requests: Family::default(),
             retries: Counter::default(),
+            retry_grants: Family::default(),
             sent_away: Counter::default(),
             streams: Gauge::default(),
             suspects: Gauge::default(),
@@ -178,6 +186,11 @@
             "Requests sent to another upstream",
             self.retries.clone(),
         );
+        r.register(
+            "retry_grants",
+            "Retries on routes that the budget or nothing sent before allowed, or that were refused",
+            self.retry_grants.clone(),
+        );
         r.register(
             "sent_away",
             "Requests sent to another region",
--- a/crates/ebonystand/src/route_controller.rs
+++ b/crates/ebonystand/src/route_controller.rs
@@ -69,7 +69,7 @@
 
     pub(crate) fn may_retry(&self, now: Duration, retryable: Retryable, doc: &Document) -> bool {
         let mut retries = self.retries.borrow_mut();
-        retries.try_retry(now, retryable, doc.preset())
+        retries.try_retry(now, retryable, doc.preset()).is_granted()
     }
 
     pub(crate) fn new(here: Place, seed: u64) -> Self {
