Bound the retries that arrive from a fleet, over restarts and late arrivals

Cause: each VM counted what it had granted in its own memory, against the requests of the last ten seconds, or three however few there were. A VM that starts knows nothing of its grants and had three anew, and its share of the former requests a second time. A retry counted for half a second beyond the window and may arrive 1.5 s after its grant (measured), or whenever a stopped process wakes. The class: a bound on what arrives from all VMs over time, kept as what one incarnation granted at an instant.

Change: the budget is a bucket. Requests earn a part of the ratio, time a part of the slack, and it holds a reserve. In a fleet with a common slack it starts empty. A granted retry keeps its place in the reserve until its attempt has ended or its answer has begun, and is given back if nothing of it was sent. So in any window: arrivals <= earned in it + one reserve, whatever restarts and however late. VMs divide the slack among those that serve routes. The part of the ratio that was left unused (15 %) is gone, since the bucket's own parts add up to 95 %.

request_policy.rs: record_request takes the preset, and granted retries are recorded as arrived; all expectations stay.

--- a/crates/ebonystand-core/tests/request_policy.rs
+++ b/crates/ebonystand-core/tests/request_policy.rs
@@ -11,6 +11,15 @@
     std::{collections::BTreeSet, time::Duration},
 };
 
+/// Whether a VM's budget grants a retry of an idempotent request, which then arrives at once.
+fn is_retried(budget: &mut RetryBudget, now: Duration, preset: &Preset) -> bool {
+    let grant = budget.try_retry(now, Retryable::Idempotent, preset);
+    if grant == RetryGrant::Budget {
+        budget.record_arrival();
+    }
+    grant.is_granted()
+}
+
 /// Every request fails at the same time. Each one is worth a retry, but all retries together would
 /// double the load on upstreams that are failing because of it.
 #[test]
@@ -19,12 +28,8 @@
     let mut budget = RetryBudget::default();
     let mut retries = 0;
     for n in 0..20_000 {
-        budget.record_request(ms(n));
-        retries += u64::from(
-            budget
-                .try_retry(ms(n), Retryable::Idempotent, &preset)
-                .is_granted(),
-        );
+        budget.record_request(ms(n), &preset);
+        retries += u64::from(is_retried(&mut budget, ms(n), &preset));
     }
     assert!((1_000..=2_100).contains(&retries), "{retries}");
 }
@@ -42,13 +47,9 @@
     let mut budget = RetryBudget::default();
     let mut retried = Vec::new();
     for n in 0..25_000 {
-        budget.record_request(ms(n));
+        budget.record_request(ms(n), &preset);
         let fails = n < first_end || n >= second_start;
-        if fails
-            && budget
-                .try_retry(ms(n), Retryable::Idempotent, &preset)
-                .is_granted()
-        {
+        if fails && is_retried(&mut budget, ms(n), &preset) {
             retried.push(n);
         }
     }
@@ -67,16 +68,44 @@
 #[test]
 fn a_quiet_vm_may_retry_a_few_times() {
     let mut budget = RetryBudget::default();
-    budget.record_request(ms(0));
-    let mut retry = || {
-        budget
-            .try_retry(ms(1), Retryable::Idempotent, &Preset::default())
-            .is_granted()
-    };
+    budget.record_request(ms(0), &Preset::default());
+    let mut retry = || is_retried(&mut budget, ms(1), &Preset::default());
     let granted = (0..10).filter(|_| retry()).count();
     assert_eq!(granted as u64, RetryBudget::MIN_RETRIES);
 }
 
+/// Guards against a VM that restarts again and again, and each time has the retries of a quiet VM anew.
+#[test]
+fn a_vm_that_has_just_started_in_a_fleet_may_not_retry() {
+    let preset = Preset::default();
+    let mut budget = RetryBudget::of_fleet(ms(60_000));
+    budget.set_fleet_minimum(1_000, 7);
+    budget.record_request(ms(60_100), &preset);
+    assert!(!is_retried(&mut budget, ms(60_100), &preset));
+    assert!(is_retried(&mut budget, ms(70_000), &preset));
+}
+
+/// Guards against a retry that arrives long after its grant and by then counts in no window.
+#[test]
+fn a_retry_on_its_way_takes_the_place_of_others() {
+    let preset = Preset::default();
+    let mut budget = RetryBudget::default();
+    let retry = |budget: &mut RetryBudget, now| {
+        let grant = budget.try_retry(now, Retryable::Idempotent, &preset);
+        grant.is_granted()
+    };
+    let window = RetryBudget::WINDOW;
+    let granted = (0..10).filter(|_| retry(&mut budget, window)).count();
+    assert_eq!(granted as u64, RetryBudget::MIN_RETRIES);
+    assert!(!retry(&mut budget, 4 * window));
+    budget.record_arrival();
+    assert!(!retry(&mut budget, 4 * window));
+    let granted = (0..10).filter(|_| retry(&mut budget, 5 * window)).count();
+    assert_eq!(granted, 1);
+    budget.give_back();
+    assert!(retry(&mut budget, 5 * window), "nothing of it was sent");
+}
+
 /// Each VM of a fleet has few requests, and all of them fail. Guards against a minimum that each VM
 /// may retry and that adds up, over hundreds of VMs, to more than the fleet may.
 #[rstest]
@@ -89,12 +118,8 @@
     let retries_of_a_vm = || {
         let mut budget = RetryBudget::default();
         budget.set_fleet_minimum(FLEET_RETRIES, vms);
-        budget.record_request(ms(0));
-        let mut retry = || {
-            budget
-                .try_retry(ms(1), Retryable::Idempotent, &Preset::default())
-                .is_granted()
-        };
+        budget.record_request(ms(0), &Preset::default());
+        let mut retry = || is_retried(&mut budget, ms(1), &Preset::default());
         (0..10).filter(|_| retry()).count() as u64
     };
     let retries = (0..vms).map(|_| retries_of_a_vm()).sum::<u64>();
@@ -114,7 +139,7 @@
 #[test]
 fn a_request_that_was_not_sent_costs_no_budget() {
     let mut budget = RetryBudget::default();
-    budget.record_request(ms(0));
+    budget.record_request(ms(0), &Preset::default());
     let mut retry = |retryable| {
         budget
             .try_retry(ms(1), retryable, &Preset::default())
@@ -142,9 +167,8 @@
     let retryable = Retryable::classify(once, sent, relayed);
     assert_eq!(retryable, expected);
     let mut budget = RetryBudget::default();
-    let granted = budget
-        .try_retry(ms(0), retryable, &Preset::default())
-        .is_granted();
+    let grant = budget.try_retry(ms(0), retryable, &Preset::default());
+    let granted = grant.is_granted();
     assert_eq!(granted, expected != Retryable::Never);
 }
 
--- a/crates/ebonystand/src/admitted_request.rs
+++ b/crates/ebonystand/src/admitted_request.rs
@@ -6,6 +6,7 @@
         Deadline, Fingerprint, Quarantine, Retryable, Route, RouteQuery, Target, Tokens,
     },
     node::Node,
+    retry_permit::RetryPermit,
 };
 
 /// A request that passed the filters, on its way to an upstream.
@@ -21,6 +22,8 @@
     pub(crate) fingerprint: Fingerprint,
     pub(crate) id: Box<str>,
     pub(crate) max_tokens: Tokens,
+    /// Permit of the retry that is under way.
+    pub(crate) permit: Option<RetryPermit>,
     pub(crate) prefix: u64,
     pub(crate) prefix_tokens: Tokens,
     pub(crate) prompt_tokens: Tokens,
@@ -104,13 +107,14 @@
             self.failure = Some(failure.refusal());
         }
         let retryable = Retryable::classify(false, !not_started, false);
+        RetryPermit::end_attempt(&mut self.permit, !not_started);
         let document = node.document();
-        if !node
-            .routes
-            .may_retry(node.clock.now(), retryable, &document)
-        {
+        let now = node.clock.now();
+        let (grant, permit) = node.routes.try_retry(now, retryable, document.preset());
+        if !grant.is_granted() {
             return Err(self.final_refusal(failure.refusal()));
         }
+        self.permit = permit.or(self.permit.take());
         node.metrics.retries.inc();
         // With the connection that was silent all idle ones were given up, so that the same
         // upstream may answer over a new one. A second silence is the upstream's own.
--- a/crates/ebonystand/src/call_service.rs
+++ b/crates/ebonystand/src/call_service.rs
@@ -9,6 +9,7 @@
     ebonystand_core::{Priority, Target},
     node::Node,
     order_controller::OrderController,
+    retry_permit::RetryPermit,
 };
 
 /// A call as the caller made it.
@@ -110,6 +111,7 @@
             failure: None,
             id: id.into(),
             max_tokens: 1,
+            permit: None,
             prefix: 0,
             prefix_tokens: 0,
             prompt_tokens: 0,
@@ -177,6 +179,7 @@
         }
         let attempt = Attempt::begin(node, &call.req, route, run);
         let upstream = attempt.upstream().clone();
+        RetryPermit::begin_attempt(&mut call.req.permit);
         let failure = match call.send(node, &attempt, false).await {
             Ok(answer) => {
                 attempt.answered(1);
--- a/crates/ebonystand/src/complete.rs
+++ b/crates/ebonystand/src/complete.rs
@@ -12,6 +12,7 @@
     node::Node,
     queue_controller::{QueueController, Slot},
     relay::Relay,
+    retry_permit::RetryPermit,
 };
 
 /// Answer of an upstream as far as it has come.
@@ -64,6 +65,7 @@
         fingerprint,
         id: id.into(),
         max_tokens: chat.max_tokens,
+        permit: None,
         prefix: chat.prefix,
         prefix_tokens: chat.prefix_tokens,
         prompt_tokens: chat.prompt_tokens,
@@ -109,6 +111,7 @@
         }
         let attempt = Attempt::begin(node, req, route, run);
         let upstream = attempt.upstream().clone();
+        RetryPermit::begin_attempt(&mut req.permit);
         let failure = match send(node, req, attempt, stream).await {
             Ok(begun) => return Ok(begun),
             Err(failure) => failure,
--- a/crates/ebonystand/src/gateway/admitted.rs
+++ b/crates/ebonystand/src/gateway/admitted.rs
@@ -6,6 +6,7 @@
     in_flight::InFlight,
     node::Node,
     relay::RequestResources,
+    retry_permit::RetryPermit,
     serve_call::{UNCONFIRMED_RETRY, unconfirmed_refusal},
 };
 
@@ -16,11 +17,11 @@
 pub(crate) struct Admitted {
     pub(crate) call: Call,
     pub(crate) in_flight: InFlight,
-    /// Time at which the latest retry was granted.
-    pub(crate) granted: Option<Duration>,
     pub(crate) key: Option<KeyHash>,
     /// Whether no upstream can have run the request so far.
     pub(crate) not_run: bool,
+    /// Permit of the retry that is under way.
+    pub(crate) permit: Option<RetryPermit>,
     /// Tokens taken from the allowance of the workspace, if it has a quota.
     pub(crate) reserved: Option<Reserved>,
     pub(crate) route: GatewayRoute,
@@ -105,6 +106,7 @@
                         instance,
                         unread,
                     };
+                    RetryPermit::begin_attempt(&mut self.permit);
                     let outcome = self.call.send_here(node, &to, wait).await;
                     (outcome, Some(to.instance))
                 }
@@ -124,6 +126,7 @@
                     );
                     node.metrics.sent_away.inc();
                     self.consume_reservation();
+                    RetryPermit::begin_attempt(&mut self.permit);
                     let outcome = forward::send(node, &self.call, &region, wait).await;
                     if let Outcome::Ended {
                         end: AttemptEnd::Unreachable,
@@ -141,6 +144,11 @@
                     (outcome, None)
                 }
             };
+            let is_sent = match &outcome {
+                Outcome::Answered(_) => true,
+                Outcome::Ended { end, .. } => end.can_have_reached_upstream(),
+            };
+            RetryPermit::end_attempt(&mut self.permit, is_sent);
             match outcome {
                 Outcome::Answered(answered) => match self.respond(node, *answered).await {
                     Ok(response) => return Ok(response),
@@ -240,9 +248,9 @@
         is_held
     }
 
-    /// Milliseconds since the latest retry was granted; `None` for a first attempt.
+    /// Milliseconds since the budget granted the retry that is under way, if there is one.
     fn since_grant(&self, node: &Node) -> Option<u64> {
-        let granted = self.granted?;
+        let granted = self.permit.as_ref()?.granted();
         Some(node.clock.now().saturating_sub(granted).as_millis() as u64)
     }
 
@@ -271,22 +279,22 @@
             reserved.use_up(0);
         }
         self.call.excluded.extend(instance);
-        let grant = Cell::new(None);
+        let mut asked = None;
         let budget = || {
-            let granted = node.gateway.try_retry(node, &self.call.service, end);
-            grant.set(Some(granted));
-            granted.is_granted()
+            let (grant, permit) = node.gateway.try_retry(node, &self.call.service, end);
+            asked = Some(grant);
+            self.permit = permit.or(self.permit.take());
+            grant.is_granted()
         };
         let step = NextStep::decide(&self.route, end, self.tried, self.not_run, budget);
         log::info!(
             request:% = self.call.request, end:? = end, tried = self.tried,
             attempts = self.route.attempts, not_run = self.not_run, step:? = step,
-            grant:? = grant.get();
+            grant:? = asked;
             "attempt ended"
         );
         if step == NextStep::Retry {
             node.metrics.retries.inc();
-            self.granted = Some(node.clock.now());
             return Ok(None);
         }
         if answer.is_some() {
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -13,6 +13,7 @@
     node::Node,
     rand::{RngExt as _, SeedableRng as _},
     rand_pcg::Pcg64Mcg,
+    retry_permit::{RetryPermit, SharedRetryBudget},
     room_queues::RoomQueues,
     std::collections::{BTreeMap, BTreeSet},
 };
@@ -34,7 +35,11 @@
     pub(crate) pool: ConnectionPool,
     /// Retry budgets by service, so that the requests of one service don't pay for the retries of
     /// another.
-    retries: RefCell<FxHashMap<Box<str>, RetryBudget>>,
+    retries: RefCell<FxHashMap<Box<str>, SharedRetryBudget>>,
+    /// Whether the retries of all VMs together have a limit of their own.
+    limits_fleet_retries: bool,
+    /// Time at which this VM started, from which its retry budgets fill.
+    started: Duration,
     rng: RefCell<Pcg64Mcg>,
     /// VMs that left a forwarded request unanswered, and until when they get no others.
     suspects: RefCell<FxHashMap<VmId, Duration>>,
@@ -54,9 +59,6 @@
     const PRESSURE_INTERVAL: Duration = Duration::from_millis(250);
     /// Number of relays in other regions that get each message about this region's load.
     const PRESSURE_FAN_OUT: usize = 6;
-    /// Part of the configured retry ratio that VMs use, in permille. The rest covers the minimum of
-    /// retries that each VM may make however few requests it has.
-    const RETRY_SHARE_PERMILLE: u64 = 850;
     /// Largest number of VMs that a new leader notifies of its election.
     const MAX_LEADER_NOTICES: usize = 256;
     /// Time for which a VM gets no forwarded requests after it left one unanswered.
@@ -96,12 +98,14 @@
             list: ListController::new(source, gateway.list_every, now),
             pool: ConnectionPool::default(),
             retries: RefCell::default(),
+            limits_fleet_retries: gateway.retry_slack.is_some(),
+            started: now,
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
             suspects: RefCell::default(),
             table: RefCell::default(),
             room_queues: RoomQueues::default(),
             preset: Preset {
-                retry_budget_permille: gateway.retry_permille * Self::RETRY_SHARE_PERMILLE / 1_000,
+                retry_budget_permille: gateway.retry_permille,
                 ..Preset::default()
             },
             needs_confirmation: !gateway.confirmed_for.is_zero(),
@@ -191,33 +195,49 @@
 
     /// Asks for a retry of an attempt that ended with `end`. It is taken from the service's budget,
     /// unless the attempt cannot have reached an upstream.
-    pub(crate) fn try_retry(&self, node: &Node, service: &str, end: AttemptEnd) -> RetryGrant {
+    pub(crate) fn try_retry(
+        &self,
+        node: &Node,
+        service: &str,
+        end: AttemptEnd,
+    ) -> (RetryGrant, Option<RetryPermit>) {
         let now = node.clock.now();
         let retryable = match end.can_have_reached_upstream() {
             true => Retryable::Idempotent,
             false => Retryable::NotStarted,
         };
-        let mut retries = self.retries.borrow_mut();
-        let budget = retries.entry(service.into()).or_default();
+        let budget = self.retry_budget(service);
         if let Some(fleet_retries) = node.settings.gateway.retry_slack {
             // VMs that are out of sight may serve on the other side of a partition.
-            budget.set_fleet_minimum(fleet_retries, node.membership.known_count());
+            let vms = node.membership.known_serving_count();
+            budget.borrow_mut().set_fleet_minimum(fleet_retries, vms);
         }
-        let grant = budget.try_retry(now, retryable, &self.preset);
+        let (grant, permit) = RetryPermit::request(&budget, now, retryable, &self.preset);
         let label = GrantLabel {
             grant: grant.to_string(),
         };
         node.metrics.retry_grants.get_or_create(&label).inc();
-        grant
+        (grant, permit)
     }
 
     /// Counts a request towards the retry budget of its service.
     pub(crate) fn on_request(&self, now: Duration, service: &str) {
+        let budget = self.retry_budget(service);
+        budget.borrow_mut().record_request(now, &self.preset);
+    }
+
+    fn retry_budget(&self, service: &str) -> SharedRetryBudget {
         let mut retries = self.retries.borrow_mut();
-        retries
-            .entry(service.into())
-            .or_default()
-            .record_request(now);
+        if let Some(budget) = retries.get(service) {
+            return Rc::clone(budget);
+        }
+        let budget = match self.limits_fleet_retries {
+            true => RetryBudget::of_fleet(self.started),
+            false => RetryBudget::default(),
+        };
+        let budget = SharedRetryBudget::new(RefCell::new(budget));
+        retries.insert(service.into(), Rc::clone(&budget));
+        budget
     }
 
     /// Whether new callers may be directed to this VM.
--- a/crates/ebonystand/src/gateway/receive_forward.rs
+++ b/crates/ebonystand/src/gateway/receive_forward.rs
@@ -8,6 +8,7 @@
     in_flight::InFlight,
     node::Node,
     relay::RequestResources,
+    retry_permit::RetryPermit,
     std::collections::BTreeSet,
 };
 
@@ -101,25 +102,25 @@
     };
     // The request has not run, so another upstream of this region is tried before it travels between
     // regions again.
+    let mut permit = None;
     loop {
+        RetryPermit::begin_attempt(&mut permit);
         let (outcome, tried) = serve_here(node, &call).await;
-        let gone = match &outcome {
-            Outcome::Ended {
-                end: end @ (AttemptEnd::AddressReused | AttemptEnd::Unreachable),
-                ..
-            } => tried.filter(|_| {
-                call.excluded.len() < MAX_GONE
-                    && node
-                        .gateway
-                        .try_retry(node, &call.service, *end)
-                        .is_granted()
-            }),
-            _ => None,
+        let Outcome::Ended { end, .. } = &outcome else {
+            return with_in_flight(outcome, in_flight);
         };
-        match gone {
-            Some(instance) => call.excluded.push(instance),
-            None => return with_in_flight(outcome, in_flight),
+        RetryPermit::end_attempt(&mut permit, end.can_have_reached_upstream());
+        let is_gone = matches!(end, AttemptEnd::AddressReused | AttemptEnd::Unreachable);
+        let gone = tried.filter(|_| is_gone && call.excluded.len() < MAX_GONE);
+        let Some(instance) = gone else {
+            return outcome;
+        };
+        let (grant, granted) = node.gateway.try_retry(node, &call.service, *end);
+        if !grant.is_granted() {
+            return outcome;
         }
+        permit = granted.or(permit);
+        call.excluded.push(instance);
     }
 }
 
--- a/crates/ebonystand/src/gateway/serve_call.rs
+++ b/crates/ebonystand/src/gateway/serve_call.rs
@@ -191,10 +191,10 @@
     };
     Ok(Admitted {
         call,
-        granted: None,
         in_flight,
         key: head.key,
         not_run: true,
+        permit: None,
         reserved,
         route,
         tokens,
--- a/crates/ebonystand/src/lib.rs
+++ b/crates/ebonystand/src/lib.rs
@@ -117,6 +117,7 @@
 mod relay;
 mod reload;
 mod respond;
+mod retry_permit;
 mod route_controller;
 mod run;
 mod serve;
--- a/crates/ebonystand/src/membership_controller.rs
+++ b/crates/ebonystand/src/membership_controller.rs
@@ -28,9 +28,12 @@
         self.membership.borrow().entries().cloned().collect()
     }
 
-    /// Number of VMs that are known, live or not.
-    pub(crate) fn known_count(&self) -> usize {
-        self.membership.borrow().entries().count()
+    /// Number of VMs that serve requests on routes, as far as they are known, live or not.
+    pub(crate) fn known_serving_count(&self) -> usize {
+        let membership = self.membership.borrow();
+        let serves =
+            |entry: &&VmEntry| entry.record.forwards.is_some() || entry.record.takes_callers;
+        membership.entries().filter(serves).count()
     }
 
     /// Adds addresses of VMs to meet.
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -75,7 +75,8 @@
     pub(crate) fn count_request(&self, workspace: &WorkspaceId) {
         let label = self.metrics.workspace(workspace);
         self.metrics.requests.get_or_create(&label).inc();
-        self.routes.on_request(self.clock.now());
+        let document = self.document();
+        self.routes.on_request(self.clock.now(), document.preset());
     }
 
     /// The configuration in force. Not to be held while waiting.
--- a/crates/ebonystand/src/route_controller.rs
+++ b/crates/ebonystand/src/route_controller.rs
@@ -1,16 +1,17 @@
 use super::*;
 use {
     ebonystand_core::{
-        AnswerPause, DispatchEnd, LoadReport, Place, RetryBudget, Retryable, Route, RouteQuery,
-        Router, Target,
+        AnswerPause, DispatchEnd, LoadReport, Place, Preset, RetryGrant, Retryable, Route,
+        RouteQuery, Router, Target,
     },
     node::Node,
+    retry_permit::{RetryPermit, SharedRetryBudget},
     std::collections::BTreeSet,
 };
 
 /// Holds the router and feeds it with what upstreams report.
 pub(crate) struct RouteController {
-    retries: RefCell<RetryBudget>,
+    retries: SharedRetryBudget,
     router: RefCell<Router>,
     turn: Cell<usize>,
     views: RefCell<FxHashMap<UpstreamId, UpstreamView>>,
@@ -67,22 +68,27 @@
         }
     }
 
-    pub(crate) fn may_retry(&self, now: Duration, retryable: Retryable, doc: &Document) -> bool {
-        let mut retries = self.retries.borrow_mut();
-        retries.try_retry(now, retryable, doc.preset()).is_granted()
+    /// Asks the retry budget for another attempt.
+    pub(crate) fn try_retry(
+        &self,
+        now: Duration,
+        retryable: Retryable,
+        preset: &Preset,
+    ) -> (RetryGrant, Option<RetryPermit>) {
+        RetryPermit::request(&self.retries, now, retryable, preset)
     }
 
     pub(crate) fn new(here: Place, seed: u64) -> Self {
         Self {
-            retries: RefCell::default(),
+            retries: SharedRetryBudget::default(),
             router: RefCell::new(Router::new(here, seed)),
             turn: Cell::new(0),
             views: RefCell::default(),
         }
     }
 
-    pub(crate) fn on_request(&self, now: Duration) {
-        self.retries.borrow_mut().record_request(now);
+    pub(crate) fn on_request(&self, now: Duration, preset: &Preset) {
+        self.retries.borrow_mut().record_request(now, preset);
     }
 
     pub(crate) fn route(&self, now: Duration, query: &RouteQuery) -> Result<Route, Refusal> {
