Count a forwarded request that was turned away as sent

Cause: a VM of another region whose first upstream answered as a stranger at a reused address, and whose next one could not be reached, reported 'not sent'. The caller's VM then sent the request on without taking from its retry budget, though an upstream had got it.

Change: once an upstream has turned the request away, the report says so, whatever follows in that region.

The test failed before: the first attempt of the caller's VM ended as Unreachable with grant Free.

--- a/crates/ebonystand/src/gateway/receive_forward.rs
+++ b/crates/ebonystand/src/gateway/receive_forward.rs
@@ -103,21 +103,23 @@
     // The request has not run, so another upstream of this region is tried before it travels between
     // regions again.
     let mut permit = None;
+    let mut is_turned_away = false;
     loop {
         RetryPermit::begin_attempt(&mut permit);
         let (outcome, tried) = serve_here(node, &call).await;
-        let Outcome::Ended { end, .. } = &outcome else {
+        let Outcome::Ended { end, .. } = outcome else {
             return with_in_flight(outcome, in_flight);
         };
         RetryPermit::end_attempt(&mut permit, end.can_have_reached_upstream());
         let is_gone = matches!(end, AttemptEnd::AddressReused | AttemptEnd::Unreachable);
         let gone = tried.filter(|_| is_gone && call.excluded.len() < MAX_GONE);
+        is_turned_away |= end == AttemptEnd::AddressReused;
         let Some(instance) = gone else {
-            return outcome;
+            return with_earlier_attempts(outcome, is_turned_away);
         };
-        let (grant, granted) = node.gateway.try_retry(node, &call.service, *end);
+        let (grant, granted) = node.gateway.try_retry(node, &call.service, end);
         if !grant.is_granted() {
-            return outcome;
+            return with_earlier_attempts(outcome, is_turned_away);
         }
         permit = granted.or(permit);
         call.excluded.push(instance);
@@ -175,6 +177,18 @@
     }
 }
 
+/// Reports a request that an upstream has turned away as such, even if nothing was sent in the
+/// attempts that followed. The forwarding VM would otherwise not count its next attempt as a retry.
+fn with_earlier_attempts(mut outcome: Outcome, is_turned_away: bool) -> Outcome {
+    if let Outcome::Ended { end, .. } = &mut outcome
+        && is_turned_away
+        && *end == AttemptEnd::Unreachable
+    {
+        *end = AttemptEnd::AddressReused;
+    }
+    outcome
+}
+
 /// Tells the forwarding VM that this one refuses the request because it crashes upstreams.
 fn quarantined_outcome(call: &Call, refusal: &Refusal) -> Outcome {
     log::info!(request:% = call.request, reason:% = refusal.message; "forwarded request refused");
--- a/crates/ebonystand/tests/integration/routes.rs
+++ b/crates/ebonystand/tests/integration/routes.rs
@@ -416,6 +416,51 @@
     fleet.vms[1].log_with("not connected").await;
 }
 
+/// Guards against a request that a reused address turned away in another region, and that then counts as not sent: the
+/// next upstream would get it without a retry from the budget.
+#[actix_rt::test]
+async fn a_forwarded_request_that_was_turned_away_is_not_retried_for_free() {
+    const CALLS: usize = 20;
+    let stranger = Scripted::start(|received| match received.head.contains("/look/first") {
+        true => echo(received),
+        false => received.answer("421 Misdirected Request", ""),
+    });
+    let regions = vec![("a", Vec::new()), ("b", vec![stranger.clone()])];
+    let fleet = Setting::new(regions).start().await;
+    put(&fleet, routing(1)).await;
+    served(&fleet.vms[0], "/look/first").await;
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let upstream = Upstream {
+        address: closed.local_addr().unwrap(),
+        ..upstream("b", &stranger)
+    };
+    drop(closed);
+    let document = fleet.vms[0].operate("GET", "/v1/operator/document", "");
+    let version = document.await.json::<ebonystand_core::Document>().version;
+    let id = "closed".into();
+    let change = Change::PutUpstream { id, upstream };
+    fleet.change(version, change).await;
+    fleet.vms[1].log_with("\"upstreams\":2").await;
+    let names = (0..CALLS).map(|n| format!("turned-{n}"));
+    let names = names.collect::<Vec<_>>();
+    for name in &names {
+        call(&fleet.vms[0], "GET", "/look/x", name, "").await;
+    }
+    let seen = stranger.seen();
+    let turned_away = names
+        .iter()
+        .filter(|name| seen.iter().any(|received| received.request() == **name));
+    let turned_away = turned_away.collect::<Vec<_>>();
+    assert!(!turned_away.is_empty());
+    for name in turned_away {
+        let ended =
+            format!("\"message\":\"attempt ended\",\"not_run\":\"true\",\"request\":\"{name}\"");
+        let log = fleet.vms[0].log_with(&ended).await;
+        let first = log.lines().find(|line| line.contains(&ended)).unwrap();
+        assert!(!first.contains("Some(Free)"), "{first}");
+    }
+}
+
 /// The only VM of the upstream's region has been told to stop and serves on for want of another one. A long
 /// answer that it began for a VM of another region would be cut off when its time is over; so it takes none,
 /// and the caller is told that its request has not run. A short one is still served.
