Show operators the retry budget of each service

A refusal for want of a retry could not be told from others. The status of a VM lists, for each service on routes, the retries that are available, those on their way, the reserve and the requests of the last ten seconds; ebonystandctl status prints them, at most twenty lines. No decision changes.

--- a/crates/ebonystand-core/src/lib.rs
+++ b/crates/ebonystand-core/src/lib.rs
@@ -150,6 +150,7 @@
     reservation::Reservation,
     resumption::Resumption,
     retry_budget::RetryBudget,
+    retry_budget_status::RetryBudgetStatus,
     retry_grant::RetryGrant,
     retryable::Retryable,
     route::Route,
@@ -301,6 +302,7 @@
 mod reservation;
 mod resumption;
 mod retry_budget;
+mod retry_budget_status;
 mod retry_grant;
 mod retryable;
 mod route;
--- a/crates/ebonystand-core/src/operator_status.rs
+++ b/crates/ebonystand-core/src/operator_status.rs
@@ -19,6 +19,9 @@
     pub preset: PresetName,
     /// Whether this VM is ready to serve requests.
     pub ready: bool,
+    /// Retry budgets of the services on routes.
+    #[serde(default)]
+    pub retry_budgets: Vec<RetryBudgetStatus>,
     /// Requests that crash upstreams, as far as this VM knows.
     #[serde(default)]
     pub suspects: Vec<SuspectStatus>,
--- a/crates/ebonystand-core/src/retry_budget.rs
+++ b/crates/ebonystand-core/src/retry_budget.rs
@@ -145,6 +145,19 @@
         self.available += 1.0;
     }
 
+    /// Returns the state of the budget, which is that of `service`.
+    pub fn status(&mut self, now: Duration, service: &str, preset: &Preset) -> RetryBudgetStatus {
+        self.advance(now);
+        self.fill(0.0, preset);
+        RetryBudgetStatus {
+            available: self.available,
+            pending: self.pending,
+            requests: self.requests,
+            reserve: self.reserve(preset),
+            service: service.into(),
+        }
+    }
+
     /// Adds what time has refilled, and drops intervals that lie before the window.
     fn advance(&mut self, now: Duration) {
         let elapsed = now.saturating_sub(self.refilled);
@@ -162,12 +175,16 @@
 
     /// Adds retries to the bucket, as far as they and those on their way fit its reserve.
     fn fill(&mut self, retries: f64, preset: &Preset) {
-        let share = Self::part_of_share(preset, Self::RESERVE_PERMILLE);
-        let reserve = (share * self.requests as f64).max(self.min_reserve);
-        let room = (reserve - f64::from(self.pending)).max(0.0);
+        let room = (self.reserve(preset) - f64::from(self.pending)).max(0.0);
         self.available = (self.available + retries).min(room);
     }
 
+    /// Most retries that are available and on their way together.
+    fn reserve(&self, preset: &Preset) -> f64 {
+        let share = Self::part_of_share(preset, Self::RESERVE_PERMILLE);
+        (share * self.requests as f64).max(self.min_reserve)
+    }
+
     fn interval_number(now: Duration) -> u64 {
         (now.as_millis() / Self::INTERVAL.as_millis()) as u64
     }
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -4,7 +4,7 @@
     crash_watch::CrashWatch,
     ebonystand_core::{
         AttemptEnd, Confirmation, LoadMessage, Place, Preset, RegionVm, RelayPlan, RetryBudget,
-        RetryGrant, Retryable, RouteTable, UpstreamBook, UpstreamLimit, VmEntry,
+        RetryBudgetStatus, RetryGrant, Retryable, RouteTable, UpstreamBook, UpstreamLimit, VmEntry,
     },
     forwarders::Forwarders,
     list_controller::ListController,
@@ -226,6 +226,18 @@
         budget.borrow_mut().record_request(now, &self.preset);
     }
 
+    /// Returns the state of the retry budgets, ordered by service.
+    pub(crate) fn retry_statuses(&self, now: Duration) -> Vec<RetryBudgetStatus> {
+        let retries = self.retries.borrow();
+        let statuses = retries.iter().map(|(service, budget)| {
+            let mut budget = budget.borrow_mut();
+            budget.status(now, service, &self.preset)
+        });
+        let mut statuses = statuses.collect::<Vec<_>>();
+        statuses.sort_by(|a, b| a.service.cmp(&b.service));
+        statuses
+    }
+
     fn retry_budget(&self, service: &str) -> SharedRetryBudget {
         let mut retries = self.retries.borrow_mut();
         if let Some(budget) = retries.get(service) {
--- a/crates/ebonystandctl/src/status.rs
+++ b/crates/ebonystandctl/src/status.rs
@@ -56,6 +56,13 @@
         format!("  upstream {upstream}: wants a pause of {pause_ms} ms more{leaves}")
     });
     lines.extend(listed(notices, "notices of upstreams"));
+    let budgets = status.retry_budgets.iter().map(|budget| {
+        format!(
+            "  retries of {}: {:.1} available and {} on their way, of {:.1}; {} requests in 10 s",
+            budget.service, budget.available, budget.pending, budget.reserve, budget.requests
+        )
+    });
+    lines.extend(listed(budgets, "retry budgets"));
     let suspects = status.suspects.iter().map(|suspect| {
         format!(
             "  request {}: {}, {} crashes counted here ({}), for {} s",
--- a/crates/ebonystandctl/tests/status.rs
+++ b/crates/ebonystandctl/tests/status.rs
@@ -2,7 +2,8 @@
 
 use {
     ebonystand_core::{
-        OperatorStatus, PresetName, SuspectStatus, UpstreamNoticeStatus, VmHealth, VmStatus,
+        OperatorStatus, PresetName, RetryBudgetStatus, SuspectStatus, UpstreamNoticeStatus,
+        VmHealth, VmStatus,
     },
     ebonystandctl::format_status,
 };
@@ -30,6 +31,7 @@
         notices: Vec::new(),
         preset: PresetName::default(),
         ready: true,
+        retry_budgets: Vec::new(),
         suspects: Vec::new(),
         upstreams: Vec::new(),
         version: 7,
@@ -84,3 +86,22 @@
     let upstream = "upstream i-4: wants a pause of 250 ms more, leaves";
     assert!(text.contains(upstream), "{text}");
 }
+
+/// Guards against operators who cannot tell requests that fail for want of retries from others.
+#[test]
+fn the_retries_that_are_left_are_listed_by_service() {
+    let budget = RetryBudgetStatus {
+        available: 0.25,
+        pending: 2,
+        requests: 80,
+        reserve: 4.0,
+        service: "registry".into(),
+    };
+    let status = OperatorStatus {
+        retry_budgets: vec![budget],
+        ..status(1, 0)
+    };
+    let text = format_status(&status);
+    let line = "retries of registry: 0.2 available and 2 on their way, of 4.0; 80 requests in 10 s";
+    assert!(text.contains(line), "{text}");
+}
