Play retries that arrive together, as stopped processes wake

With a budget that does not keep the place of retries on their way, all 148 cases passed: delays drawn one by one never add up.

--- a/crates/ebonystand-core/tests/retry_fleet.rs
+++ b/crates/ebonystand-core/tests/retry_fleet.rs
@@ -18,8 +18,7 @@
 
 /// A fleet and what happens to it.
 struct Play {
-    /// Longest time from the grant of a retry to its arrival.
-    max_delay: Duration,
+    arrival: Arrival,
     /// Share of the requests that fail while upstreams fail, in percent.
     percent_failing: u32,
     /// Mean time between two restarts of all VMs; `None` if none restarts.
@@ -31,6 +30,24 @@
     vms: usize,
 }
 
+/// When a granted retry reaches its upstream.
+#[derive(Clone, Copy, Debug)]
+enum Arrival {
+    /// Within so many milliseconds.
+    Within(u64),
+    /// With all others at the next multiple of so many milliseconds, as processes that stood still wake.
+    Together(u64),
+}
+
+impl Arrival {
+    fn time(self, now: Duration, rng: &mut Pcg64Mcg) -> Duration {
+        match self {
+            Self::Within(most) => now + ms(rng.random_range(0..most)),
+            Self::Together(every) => ms((now.as_millis() as u64 / every + 1) * every),
+        }
+    }
+}
+
 /// What callers sent and upstreams got.
 struct Seen {
     refused: usize,
@@ -96,8 +113,8 @@
                     }
                     match budgets[vm].try_retry(now, Retryable::Idempotent, &preset) {
                         RetryGrant::Budget => {
-                            let delay = self.max_delay.mul_f64(rng.random_range(0.0..1.0));
-                            pending.push(Reverse((now + delay, vm, starts[vm])));
+                            let at = self.arrival.time(now, &mut rng);
+                            pending.push(Reverse((at, vm, starts[vm])));
                         }
                         RetryGrant::Free | RetryGrant::Refused => seen.refused += 1,
                     }
@@ -147,13 +164,20 @@
     #[values((9, 54), (300, 630), (1_000, 1_040), (2_200, 1_040))] fleet: (usize, u64),
     #[values(2.0, 12.0, 90.0)] vm_requests: f64,
     #[values(None, Some(8_000), Some(2_000), Some(500))] restarts_every: Option<u64>,
-    #[values(50, 1_500, 8_000)] max_delay: u64,
+    #[values(
+        Arrival::Within(50),
+        Arrival::Within(1_500),
+        Arrival::Within(8_000),
+        Arrival::Together(4_000),
+        Arrival::Together(9_900)
+    )]
+    arrival: Arrival,
 ) {
     let (vms, slack) = fleet;
     let seeds = if vms < 100 { 20 } else { 1 };
     for seed in 0..seeds {
         let play = Play {
-            max_delay: ms(max_delay),
+            arrival,
             percent_failing: 100,
             restarts_every: restarts_every.map(ms),
             slack,
@@ -178,7 +202,7 @@
     #[case] vm_requests: f64,
 ) {
     let play = Play {
-        max_delay: ms(200),
+        arrival: Arrival::Within(200),
         percent_failing: 10,
         restarts_every: None,
         slack,
