Lose two disks while all VMs end at the same moment

No process test drew both for sure. Five members and two other VMs are killed right after a change was accepted, two of the disks are lost, in three cases with and without the leader's; the change is still there.

--- a/crates/ebonystand/tests/integration/failures.rs
+++ b/crates/ebonystand/tests/integration/failures.rs
@@ -2,6 +2,7 @@
     crate::fleet::{CERTIFICATES, CHAT, DRAFT, Fleet, FleetBuilder, KEY},
     ebonystand_core::{Change, Document, PresetName, Version},
     ebonystand_fakes::{EngineOptions, Fault},
+    rstest::rstest,
     std::time::{Duration, SystemTime},
 };
 
@@ -91,6 +92,43 @@
     assert_eq!(preset_of(&fleet, 2).await, (3, PresetName::Maintenance));
 }
 
+/// Guards against an accepted change that is lost when two disks are, while all VMs end at the same moment.
+#[rstest]
+#[case::the_leader_and_the_next([0, 1])]
+#[case::the_leader_and_another([0, 3])]
+#[case::two_followers([2, 4])]
+#[actix_rt::test]
+async fn nothing_accepted_is_lost_with_two_disks_while_all_vms_end(
+    #[case] after_leader: [usize; 2],
+) {
+    const MEMBERS: usize = 5;
+    const VMS: usize = 7;
+    let mut fleet = FleetBuilder::new()
+        .region("utara", 3)
+        .engine(EngineOptions::default())
+        .region("tengah", 2)
+        .region("selatan", 2)
+        .members(MEMBERS)
+        .start()
+        .await;
+    let leader = fleet.leader(0).await;
+    let accepted = fleet.change_through(leader, 1, switch(PresetName::Peak));
+    let accepted = accepted.await;
+    for vm in &mut fleet.vms {
+        vm.kill();
+    }
+    for after in after_leader {
+        fleet.vms[(leader + after) % MEMBERS].lose_disk();
+    }
+    for vm in &mut fleet.vms {
+        vm.restart();
+    }
+    fleet.wait_for_version(0..VMS, accepted).await;
+    for vm in 0..VMS {
+        assert_eq!(preset_of(&fleet, vm).await, (accepted, PresetName::Peak));
+    }
+}
+
 /// The VM that sent an issuance is killed before the registry answers. The trainee's provider
 /// sends it again through another VM and hears that it may have run; the registry runs it once.
 #[actix_rt::test]
