Give each VM of the process tests a loopback address of its own

an_allowance_that_moved_is_usable_after_all_vms_were_killed failed once, case one_by_one: 'vm3 does not start: cannot listen on 127.0.0.1:33615: Address already in use'. A VM that restarts keeps its ports, which lie in the range from which the kernel takes the source ports of connections, all of them on 127.0.0.1. While the VM was down a connection took its port. With an address of its own only its own listeners can hold its ports.

--- a/crates/ebonystand/tests/integration/vm.rs
+++ b/crates/ebonystand/tests/integration/vm.rs
@@ -4,9 +4,10 @@
     serde_json::{Value, json},
     std::{
         fs::{self, File},
-        net::SocketAddr,
+        net::{Ipv4Addr, SocketAddr},
         path::{Path, PathBuf},
-        process::{Child, Command},
+        process::{self, Child, Command},
+        sync::atomic::{AtomicU32, Ordering},
         time::Duration,
     },
 };
@@ -34,8 +35,9 @@
 impl Vm {
     /// Settings that every VM of a test starts from.
     pub(crate) fn settings(dir: &Path, name: &str, region: &str, seeds: &[SocketAddr]) -> Value {
+        let listen = SocketAddr::from((Self::own_ip(), 0));
         json!({
-            "listen": {"callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "peers": "127.0.0.1:0"},
+            "listen": {"callers": listen, "operators": listen, "peers": listen},
             "limits": {"body_timeout_ms": 3_000, "head_timeout_ms": 3_000, "linger_ms": 100},
             "log": {"level": "debug"},
             "members": ["vm0"],
@@ -48,6 +50,15 @@
         })
     }
 
+    /// A loopback address that no other VM of the tests has. Connections leave from 127.0.0.1, and on that address could
+    /// take the port of a VM that is about to start again.
+    fn own_ip() -> Ipv4Addr {
+        static COUNT: AtomicU32 = AtomicU32::new(1);
+        let count = COUNT.fetch_add(1, Ordering::Relaxed) % 60_000;
+        let block = 64 + process::id() % 128;
+        Ipv4Addr::from_bits(Ipv4Addr::new(127, 0, 0, 0).to_bits() + (block << 16) + count)
+    }
+
     pub(crate) fn start(dir: &Path, settings: &Value) -> Self {
         let name = settings["vm"].as_str().unwrap().to_owned();
         let mut vm = Self {
