--- a/crates/ebonystand-core/src/retry_budget.rs
+++ b/crates/ebonystand-core/src/retry_budget.rs
@@ -53,6 +53,10 @@
     pub const WINDOW: Duration = Duration::from_secs(10);
     /// Part of the share that a request adds to the bucket, in permille.
     const EARNED_PERMILLE: u64 = 700;
+    /// Part of a fleet's common retries that VMs add to their buckets in a window.
+    const FLEET_REFILL: f64 = 0.4;
+    /// Part of a fleet's common retries that is for the reserves of its VMs.
+    const FLEET_RESERVE: f64 = 0.4;
     /// Length of the intervals in which requests are counted.
     const INTERVAL: Duration = Duration::from_millis(500);
     /// Part of the share of a window's requests that the bucket holds, in permille. What remains of
@@ -76,8 +80,8 @@
     }
 
     /// Limits the retries that are allowed however few requests there are to what `vms` VMs may make
-    /// together beyond the share of all requests. Two fifths of that are for reserves, two fifths for
-    /// the refill, and one fifth for requests that are read long after they were sent.
+    /// together beyond the share of all requests. What the reserves and the refill leave of that covers
+    /// requests that are read long after they were sent.
     ///
     /// A bucket that can't hold a whole retry never grants one, so a VM's part of one retry or more is
     /// a reserve of one at least.
@@ -86,9 +90,10 @@
         let part = fleet_retries as f64 / vms.max(1) as f64;
         self.min_reserve = match part < 1.0 {
             true => 0.0,
-            false => (part * 0.4).clamp(1.0, most),
+            false => (part * Self::FLEET_RESERVE).clamp(1.0, most),
         };
-        self.refill = (part * 0.8 - self.min_reserve).clamp(0.0, most);
+        let for_refill = part * (Self::FLEET_RESERVE + Self::FLEET_REFILL) - self.min_reserve;
+        self.refill = for_refill.clamp(0.0, most);
     }
 
     /// Records a request from a caller.
@@ -191,6 +196,7 @@
 
     /// Retries for each request that are a part, in permille, of the preset's share.
     fn part_of_share(preset: &Preset, permille: u64) -> f64 {
-        (preset.retry_budget_permille * permille) as f64 / 1e6
+        let share = preset.retry_budget_permille as f64 / 1_000.0;
+        share * permille as f64 / 1_000.0
     }
 }
