--- a/crates/ebonystand/src/gateway/admitted.rs
+++ b/crates/ebonystand/src/gateway/admitted.rs
@@ -281,7 +281,10 @@
         self.call.excluded.extend(instance);
         let mut asked = None;
         let budget = || {
-            let (grant, permit) = node.gateway.try_retry(node, &self.call.service, end);
+            let (grant, permit) = node
+                .gateway
+                .retries
+                .try_retry(node, &self.call.service, end);
             asked = Some(grant);
             self.permit = permit.or(self.permit.take());
             grant.is_granted()
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -3,17 +3,16 @@
     allowance_controller::AllowanceController,
     crash_watch::CrashWatch,
     ebonystand_core::{
-        AttemptEnd, Confirmation, LoadMessage, Place, Preset, RegionVm, RelayPlan, RetryBudget,
-        RetryBudgetStatus, RetryGrant, Retryable, RouteTable, UpstreamBook, UpstreamLimit, VmEntry,
+        Confirmation, LoadMessage, Place, RegionVm, RelayPlan, RouteTable, UpstreamBook,
+        UpstreamLimit, VmEntry,
     },
     forwarders::Forwarders,
     list_controller::ListController,
     membership_controller::MembershipController,
-    metrics::GrantLabel,
     node::Node,
     rand::{RngExt as _, SeedableRng as _},
     rand_pcg::Pcg64Mcg,
-    retry_permit::{RetryPermit, SharedRetryBudget},
+    retry_budgets::RetryBudgets,
     room_queues::RoomQueues,
     std::collections::{BTreeMap, BTreeSet},
 };
@@ -33,20 +32,12 @@
     leader_changed: tokio::sync::Notify,
     pub(crate) list: ListController,
     pub(crate) pool: ConnectionPool,
-    /// Retry budgets by service, so that the requests of one service don't pay for the retries of
-    /// another.
-    retries: RefCell<FxHashMap<Box<str>, SharedRetryBudget>>,
-    /// Whether the retries of all VMs together have a limit of their own.
-    limits_fleet_retries: bool,
-    /// Time at which this VM started, from which its retry budgets fill.
-    started: Duration,
+    pub(crate) retries: RetryBudgets,
     rng: RefCell<Pcg64Mcg>,
     /// VMs that left a forwarded request unanswered, and until when they get no others.
     suspects: RefCell<FxHashMap<VmId, Duration>>,
     table: RefCell<Rc<RouteTable>>,
     pub(crate) room_queues: RoomQueues,
-    /// Preset with the retry ratio of the settings.
-    preset: Preset,
     needs_confirmation: bool,
 }
 
@@ -97,17 +88,11 @@
             leader_changed: tokio::sync::Notify::new(),
             list: ListController::new(source, gateway.list_every, now),
             pool: ConnectionPool::default(),
-            retries: RefCell::default(),
-            limits_fleet_retries: gateway.retry_slack.is_some(),
-            started: now,
+            retries: RetryBudgets::new(gateway, now),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
             suspects: RefCell::default(),
             table: RefCell::default(),
             room_queues: RoomQueues::default(),
-            preset: Preset {
-                retry_budget_permille: gateway.retry_permille,
-                ..Preset::default()
-            },
             needs_confirmation: !gateway.confirmed_for.is_zero(),
         }
     }
@@ -193,65 +178,6 @@
         node.state.ready() && self.table.borrow().routing().revision > 0
     }
 
-    /// Asks for a retry of an attempt that ended with `end`. It is taken from the service's budget,
-    /// unless the attempt cannot have reached an upstream.
-    pub(crate) fn try_retry(
-        &self,
-        node: &Node,
-        service: &str,
-        end: AttemptEnd,
-    ) -> (RetryGrant, Option<RetryPermit>) {
-        let now = node.clock.now();
-        let retryable = match end.can_have_reached_upstream() {
-            true => Retryable::Idempotent,
-            false => Retryable::NotStarted,
-        };
-        let budget = self.retry_budget(service);
-        if let Some(fleet_retries) = node.settings.gateway.retry_slack {
-            // VMs that are out of sight may serve on the other side of a partition.
-            let vms = node.membership.known_serving_count();
-            budget.borrow_mut().set_fleet_minimum(fleet_retries, vms);
-        }
-        let (grant, permit) = RetryPermit::request(&budget, now, retryable, &self.preset);
-        let label = GrantLabel {
-            grant: grant.to_string(),
-        };
-        node.metrics.retry_grants.get_or_create(&label).inc();
-        (grant, permit)
-    }
-
-    /// Counts a request towards the retry budget of its service.
-    pub(crate) fn on_request(&self, now: Duration, service: &str) {
-        let budget = self.retry_budget(service);
-        budget.borrow_mut().record_request(now, &self.preset);
-    }
-
-    /// Returns the state of the retry budgets, ordered by service.
-    pub(crate) fn retry_statuses(&self, now: Duration) -> Vec<RetryBudgetStatus> {
-        let retries = self.retries.borrow();
-        let statuses = retries.iter().map(|(service, budget)| {
-            let mut budget = budget.borrow_mut();
-            budget.status(now, service, &self.preset)
-        });
-        let mut statuses = statuses.collect::<Vec<_>>();
-        statuses.sort_by(|a, b| a.service.cmp(&b.service));
-        statuses
-    }
-
-    fn retry_budget(&self, service: &str) -> SharedRetryBudget {
-        let mut retries = self.retries.borrow_mut();
-        if let Some(budget) = retries.get(service) {
-            return Rc::clone(budget);
-        }
-        let budget = match self.limits_fleet_retries {
-            true => RetryBudget::of_fleet(self.started),
-            false => RetryBudget::default(),
-        };
-        let budget = SharedRetryBudget::new(RefCell::new(budget));
-        retries.insert(service.into(), Rc::clone(&budget));
-        budget
-    }
-
     /// Whether new callers may be directed to this VM.
     pub(crate) fn ready(&self, node: &Node) -> bool {
         self.serves(node) && !node.leaving()
--- a/crates/ebonystand/src/gateway/mod.rs
+++ b/crates/ebonystand/src/gateway/mod.rs
@@ -48,6 +48,7 @@
 mod relay;
 mod replace_error;
 mod request_content;
+mod retry_budgets;
 mod room_queues;
 pub(crate) mod serve_call;
 mod settings;
--- a/crates/ebonystand/src/gateway/receive_forward.rs
+++ b/crates/ebonystand/src/gateway/receive_forward.rs
@@ -117,7 +117,7 @@
         let Some(instance) = gone else {
             return with_earlier_attempts(outcome, is_turned_away);
         };
-        let (grant, granted) = node.gateway.try_retry(node, &call.service, end);
+        let (grant, granted) = node.gateway.retries.try_retry(node, &call.service, end);
         if !grant.is_granted() {
             return with_earlier_attempts(outcome, is_turned_away);
         }
--- a/crates/ebonystand/src/gateway/serve_call.rs
+++ b/crates/ebonystand/src/gateway/serve_call.rs
@@ -162,7 +162,7 @@
     let hash = shared.unwrap_or_else(|| node.gateway.draw());
     // The default is never used: a route in force always has a service with a weight.
     let service = route.select_service(hash).cloned().unwrap_or_default();
-    node.gateway.on_request(arrived, &service);
+    node.gateway.retries.record_request(arrived, &service);
     if let Some(workspace) = &workspace {
         let label = node.metrics.workspace(&workspace.name);
         node.metrics.requests.get_or_create(&label).inc();
--- a/crates/ebonystand/src/operator_status.rs
+++ b/crates/ebonystand/src/operator_status.rs
@@ -28,7 +28,7 @@
         notices: node.gateway.book.borrow().notices(now).collect(),
         preset: document.preset,
         ready: node.ready(),
-        retry_budgets: node.gateway.retry_statuses(now),
+        retry_budgets: node.gateway.retries.statuses(now),
         suspects: node.quarantine.statuses(now),
         upstreams: upstreams
             .map(|(id, upstream)| upstream_status(node, now, id, upstream))
--- a/crates/ebonystand/tests/soak/main.rs
+++ b/crates/ebonystand/tests/soak/main.rs
@@ -24,6 +24,7 @@
 #[path = "../integration/stand_in.rs"]
 #[allow(dead_code)]
 mod stand_in;
+mod variables;
 #[path = "../integration/vm.rs"]
 #[allow(dead_code)]
 mod vm;
@@ -33,20 +34,10 @@
     event::{Event, Ran},
     plan::{Plan, Size},
     rstest::rstest,
-    std::{env, ops::Range, time::Duration},
+    std::{env, time::Duration},
+    variables::{number, seeds},
 };
 
-fn number(name: &str, default: u64) -> u64 {
-    let text = env::var(name).unwrap_or_default();
-    text.parse().unwrap_or(default)
-}
-
-fn seeds() -> Range<u64> {
-    let text = env::var("EBONYSTAND_SOAK_SEEDS").unwrap_or_default();
-    let (first, end) = text.split_once("..").unwrap_or(("1", "4"));
-    first.parse().unwrap()..end.parse().unwrap()
-}
-
 #[actix_rt::test]
 async fn promises_hold_under_faults() {
     let size = Size {
@@ -54,7 +45,7 @@
         vms: number("EBONYSTAND_SOAK_VMS", 9) as usize,
     };
     let mut failed = Vec::new();
-    for seed in seeds() {
+    for seed in seeds(1..4) {
         let plan = Plan::draw(seed, &size);
         let history = run::run(&plan).await;
         let violations = check(history.events());
