Let a claim that comes before a late tick use a part that rests no longer

Callers saw 429 with a wait of 0 ms, for a workspace with room. A holder that starts or was frozen leaves its part unused until a stated time, and takes it into use with the tick that is due then. On a VM that gets little processor time a request or a claim of another VM came between that time and the tick: it was refused, with the time left to wait for, none.

The share is now ticked before such a request is looked at. The test failed before on both paths, with retry_after 0 ns; all 45 tests of the allowance pass.

--- a/crates/ebonystand-core/src/allowance/state.rs
+++ b/crates/ebonystand-core/src/allowance/state.rs
@@ -65,6 +65,7 @@
     /// generated. After [`Admission::Waiting`], call [`Self::tick`] at once to send the claims.
     pub fn admit_request(&mut self, now: Duration, workspace: &str, tokens: Tokens) -> Admission {
         self.detect_freeze(now);
+        self.update_late_part(now, workspace);
         if !self.open_share(now, workspace) || self.cx.draining {
             let retry_after = Duration::MAX;
             return Admission::Refused { retry_after };
@@ -261,6 +262,17 @@
         }
     }
 
+    /// Ticks a share whose part has become usable and whose tick is late, as on a VM that gets
+    /// little processor time. A claim would otherwise be refused, with no time left to wait for.
+    fn update_late_part(&mut self, now: Duration, workspace: &str) {
+        let share = self.shares.get(workspace);
+        let usable_at = share.and_then(|share| share.rests_until);
+        if usable_at.is_some_and(|at| at <= now) {
+            let workspace = WorkspaceId::from(workspace);
+            self.tick_share(now, &workspace);
+        }
+    }
+
     /// Ticks one share, drops it if it is idle and sets its next timer.
     fn tick_share(&mut self, now: Duration, workspace: &WorkspaceId) {
         let Some(share) = self.shares.get_mut(workspace) else {
@@ -327,6 +339,7 @@
         ) {
             self.open_share(now, &item.workspace);
         }
+        self.update_late_part(now, &item.workspace);
         let Some(share) = self.shares.get_mut(&item.workspace) else {
             return;
         };
--- a/crates/ebonystand-core/tests/allowance/lease.rs
+++ b/crates/ebonystand-core/tests/allowance/lease.rs
@@ -291,6 +291,56 @@
     );
 }
 
+/// Guards against a refusal without a wait, when a request comes after a holder may use its part again and before the tick
+/// that is due then.
+#[rstest]
+#[case::own_request(false)]
+#[case::claim_of_another_vm(true)]
+fn a_request_before_a_late_tick_is_not_refused(#[case] is_claim: bool) {
+    let mut document = document();
+    document.regions.retain(|region, _| **region == *"a");
+    for workspace in document.workspaces.values_mut() {
+        workspace.residency = ["a".into()].into();
+    }
+    let mut holder = Allowance::new("vm-a-0".into(), 1, "a".into(), seconds(0));
+    holder.configure(seconds(0), &document);
+    holder.complete_start(seconds(0));
+    let before = LeaseTerms::LENDER_TERM - Duration::from_millis(20);
+    for ms in (0..before.as_millis()).step_by(20) {
+        let now = Duration::from_millis(ms as u64);
+        holder.tick(now);
+        holder.admit_request(now, "w", 10);
+    }
+    let late = LeaseTerms::LENDER_TERM + Duration::from_millis(20);
+    let mut outputs = Vec::new();
+    let mut own = None;
+    if is_claim {
+        let mut claimant = Allowance::new("vm-a-1".into(), 1, "a".into(), seconds(0));
+        claimant.configure(seconds(0), &document);
+        claimant.admit_request(Duration::from_millis(10), "w", 20);
+        for output in claimant.tick(Duration::from_millis(10)) {
+            if let AllowanceOutput::Send { message, .. } = output {
+                outputs.extend(holder.handle_message(late, &"vm-a-1".into(), message));
+            }
+        }
+    } else if let Admission::Waiting(ticket) = holder.admit_request(late, "w", 20) {
+        own = Some(ticket);
+    }
+    for ms in (0..500).step_by(10) {
+        outputs.extend(holder.tick(late + Duration::from_millis(ms)));
+    }
+    let granted = outputs.iter().find_map(|output| match output {
+        AllowanceOutput::Admitted { ticket, .. } if own == Some(*ticket) => Some(true),
+        AllowanceOutput::Refused { ticket, .. } if own == Some(*ticket) => Some(false),
+        AllowanceOutput::Send { message, .. } => match message.items.first()?.action {
+            AllowanceAction::Grant { tokens, .. } => Some(tokens > 0),
+            _ => None,
+        },
+        _ => None,
+    });
+    assert_eq!(granted, Some(true), "{outputs:?}");
+}
+
 /// An idle part must keep its level. A holder spends its part and is not used until its state is
 /// dropped. The part must come back as empty as it was, plus what has accrued since.
 #[test]
