Tell a caller that is refused for its allowance a least wait of 50 ms

A wait computed from the rate alone was 0 ms for small requests, for example when no holder answered in time; the caller came back in a loop.

--- a/crates/ebonystand/src/allowance_controller.rs
+++ b/crates/ebonystand/src/allowance_controller.rs
@@ -32,6 +32,8 @@
 impl AllowanceController {
     /// Longest sleep between two looks at what is due.
     const LONGEST_SLEEP: Duration = Duration::from_secs(1);
+    /// Shortest retry time told to a refused caller, who would otherwise come back in a loop.
+    const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
     /// Retry time told for what will never be granted.
     const NEVER: Duration = Duration::MAX;
 
@@ -172,6 +174,7 @@
             return Refusal::not_run(RefusalCode::AllowanceExhausted, message);
         }
         let message = "the workspace has used its allowance";
+        let retry_after = retry_after.max(Self::MIN_RETRY_AFTER);
         Refusal::not_run(RefusalCode::AllowanceExhausted, message).with_retry_after(retry_after)
     }
 
--- a/crates/ebonystand/tests/integration/faults.rs
+++ b/crates/ebonystand/tests/integration/faults.rs
@@ -8,6 +8,7 @@
     ebonystand_fakes::{Engine, EngineOptions, Fault},
     futures_util::future::{join, join_all},
     rstest::rstest,
+    serde_json::Value,
     std::{
         collections::BTreeMap,
         net::SocketAddr,
@@ -287,8 +288,11 @@
         actix_rt::time::sleep(Duration::from_millis(5)).await;
         let req = client.post(format!("http://{vm}{CHAT}")).bearer_auth(KEY);
         let answer = req.send_body(chat("x", 12, false)).await;
-        if let Some(refusal) = answer.ok().filter(|answer| answer.status() == 429) {
+        if let Some(mut refusal) = answer.ok().filter(|answer| answer.status() == 429) {
             assert!(refusal.headers().contains_key("retry-after"));
+            let body = refusal.json::<Value>().await.unwrap();
+            let wait = body["error"]["retry_after_ms"].as_u64();
+            assert!(wait.is_some_and(|ms| ms > 0), "{body}");
             refused += 1;
         }
     }
