--- a/crates/ebonystand/tests/integration/main.rs
+++ b/crates/ebonystand/tests/integration/main.rs
@@ -15,4 +15,5 @@
 mod routes;
 mod scripted;
 mod stand_in;
+mod unframed;
 mod vm;
--- a/crates/ebonystand/tests/integration/routes.rs
+++ b/crates/ebonystand/tests/integration/routes.rs
@@ -20,7 +20,7 @@
     },
 };
 
-const HOST: &str = "shop.example";
+pub(crate) const HOST: &str = "shop.example";
 
 /// Regions with their upstreams, and the VMs of each.
 pub(crate) struct Setting {
--- a/crates/ebonystand/tests/integration/scripted.rs
+++ b/crates/ebonystand/tests/integration/scripted.rs
@@ -8,6 +8,7 @@
             mpsc,
         },
         thread,
+        time::Duration,
     },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -47,6 +48,8 @@
     /// Ends the upstream: its connections break and it takes no others.
     Die,
     Keep,
+    /// Resets the connection once what was sent has been read.
+    Reset,
     /// Says nothing more until the other end closes.
     Wait,
 }
@@ -151,6 +154,11 @@
         match then {
             Then::Close | Then::Die => return Some(then),
             Then::Keep => {}
+            Then::Reset => {
+                actix_rt::time::sleep(Duration::from_millis(100)).await;
+                io.set_zero_linger().ok()?;
+                return Some(then);
+            }
             Then::Wait => {
                 let mut rest = [0; 64];
                 while io.read(&mut rest).await.is_ok_and(|len| len > 0) {}
--- /dev/null
+++ b/crates/ebonystand/tests/integration/unframed.rs
@@ -0,0 +1,175 @@
+//! Answers without a length or chunks, which end with their connection, through real processes.
+
+use {
+    crate::{
+        fleet::{Fleet, KEY},
+        routes::{HOST, Setting, put, routing, served},
+        scripted::{Received, Reply, Scripted, Then},
+        vm::Vm,
+    },
+    rstest::rstest,
+    tokio::{
+        io::{AsyncReadExt as _, AsyncWriteExt as _},
+        net::TcpStream,
+    },
+};
+
+const EVENT: &str = "id: 1\ndata: one\n\n";
+const IN_AN_EVENT: &str = "id: 1\ndata: one\n\nid: 2\ndata: tw";
+
+/// Where the upstream stands.
+#[derive(Clone, Copy, Debug)]
+enum Way {
+    Direct,
+    OverAHop,
+}
+
+/// What a caller read from a connection of its own.
+#[derive(Debug)]
+struct Raw {
+    body: String,
+    head: String,
+    is_reset: bool,
+}
+
+impl Raw {
+    async fn read(vm: &Vm, version: &str, path: &str) -> Self {
+        let mut io = TcpStream::connect(vm.addresses.callers).await.unwrap();
+        let request = format!(
+            "GET {path} HTTP/{version}\r\nhost: {HOST}\r\nauthorization: Bearer {KEY}\r\nx-ebonystand-request: raw\r\n\r\n"
+        );
+        io.write_all(request.as_bytes()).await.unwrap();
+        let (mut bytes, mut buf) = (Vec::new(), [0; 4_096]);
+        let is_reset = loop {
+            match io.read(&mut buf).await {
+                Ok(0) => break false,
+                Ok(len) => bytes.extend_from_slice(&buf[..len]),
+                Err(_) => break true,
+            }
+            // A connection that is kept alive does not end by itself.
+            if bytes.ends_with(b"0\r\n\r\n") {
+                break false;
+            }
+        };
+        let text = String::from_utf8(bytes).unwrap();
+        let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+        Self {
+            body: body.into(),
+            head: head.to_ascii_lowercase(),
+            is_reset,
+        }
+    }
+
+    fn has(&self, name: &str) -> bool {
+        self.head.contains(&format!("\r\n{name}:"))
+    }
+
+    /// Whether the framing says that the body is whole.
+    fn is_framed_as_whole(&self) -> bool {
+        match self.has("transfer-encoding") {
+            true => self.body.ends_with("0\r\n\r\n"),
+            false => self.has("content-length") && !self.is_reset,
+        }
+    }
+
+    /// Whether a caller can take the body for whole.
+    fn looks_whole(&self) -> bool {
+        let is_open = !self.has("transfer-encoding") && !self.has("content-length");
+        self.is_framed_as_whole() || (is_open && !self.is_reset)
+    }
+}
+
+/// An upstream that answers `/stream/` and `/cut/` without a length or chunks.
+fn unframed(body: &'static str, then: Then) -> Scripted {
+    Scripted::start(move |received| {
+        let request = received.request();
+        match received.head.contains("/unframed") {
+            true => Reply {
+                bytes: format!(
+                    "HTTP/1.1 200 OK\r\nx-ebonystand-request: {request}\r\ncontent-type: text/event-stream\r\n\r\n{body}"
+                ),
+                then,
+            },
+            false => received.answer("200 OK", "served"),
+        }
+    })
+}
+
+async fn start(way: Way, upstream: Scripted) -> Fleet {
+    let regions = match way {
+        Way::Direct => vec![("a", vec![upstream])],
+        Way::OverAHop => vec![("a", Vec::new()), ("b", vec![upstream])],
+    };
+    let fleet = Setting::new(regions).start().await;
+    put(&fleet, routing(1)).await;
+    served(&fleet.vms[0], "/look/first").await;
+    fleet
+}
+
+/// Guards against a stream that its upstream has broken off and that looks whole to the caller.
+#[rstest]
+#[actix_rt::test]
+async fn an_unframed_stream_that_breaks_off_does_not_look_whole(
+    #[values(Way::Direct, Way::OverAHop)] way: Way,
+    #[values("1.1", "1.0")] version: &str,
+    #[values((IN_AN_EVENT, Then::Close), (IN_AN_EVENT, Then::Reset), (EVENT, Then::Reset))] cut: (
+        &'static str,
+        Then,
+    ),
+) {
+    let fleet = start(way, unframed(cut.0, cut.1)).await;
+    let answer = Raw::read(&fleet.vms[0], version, "/stream/unframed").await;
+    assert!(answer.body.contains("data: one"), "{answer:?}");
+    assert!(!answer.looks_whole(), "{answer:?}");
+}
+
+/// Guards against an answer that is framed as whole though nothing tells that it is.
+#[rstest]
+#[actix_rt::test]
+async fn an_unframed_answer_is_passed_on_without_framing(
+    #[values(Way::Direct, Way::OverAHop)] way: Way,
+    #[values("1.1", "1.0")] version: &str,
+    #[values("/stream/unframed", "/look/unframed", "/once/unframed")] path: &str,
+) {
+    let fleet = start(way, unframed(EVENT, Then::Close)).await;
+    let answer = Raw::read(&fleet.vms[0], version, path).await;
+    assert!(answer.head.contains("200 ok"), "{answer:?}");
+    assert_eq!(answer.body, EVENT, "{answer:?}");
+    assert!(!answer.is_framed_as_whole(), "{answer:?}");
+    assert!(answer.looks_whole(), "{answer:?}");
+}
+
+/// Guards against a stream without any event that is taken for an answer.
+#[rstest]
+#[actix_rt::test]
+async fn an_unframed_stream_without_an_event_is_a_failure(
+    #[values(Way::Direct, Way::OverAHop)] way: Way,
+) {
+    let fleet = start(way, unframed("", Then::Close)).await;
+    let answer = Raw::read(&fleet.vms[0], "1.1", "/stream/unframed").await;
+    assert!(answer.head.contains(" 502 "), "{answer:?}");
+}
+
+/// Guards against a framed stream that a caller of HTTP/1.0 takes for whole, since it gets no chunks.
+#[rstest]
+#[actix_rt::test]
+async fn a_framed_stream_that_breaks_off_does_not_look_whole_to_an_old_caller(
+    #[values(Way::Direct, Way::OverAHop)] way: Way,
+) {
+    let cut = |received: &Received| {
+        let request = received.request();
+        match received.head.contains("/unframed") {
+            true => Reply {
+                bytes: format!(
+                    "HTTP/1.1 200 OK\r\nx-ebonystand-request: {request}\r\ntransfer-encoding: chunked\r\n\r\n11\r\n{EVENT}\r\n"
+                ),
+                then: Then::Close,
+            },
+            false => received.answer("200 OK", "served"),
+        }
+    };
+    let fleet = start(way, Scripted::start(cut)).await;
+    let answer = Raw::read(&fleet.vms[0], "1.0", "/stream/unframed").await;
+    assert!(answer.body.contains("data: one"), "{answer:?}");
+    assert!(!answer.looks_whole(), "{answer:?}");
+}
