Never tell a caller that an answer of unknown end is whole

Callers saw 200 and a short body that was framed as complete. An answer without a length or chunks ends with its connection, and the end of the connection was taken for the end of the body: the caller got chunks with a last one, or a length. Over a hop the VM next to the upstream framed anew, so the VM before it could not know. The class: what is only known to have stopped is passed on as known to be whole.

Now such an answer stays unframed up to the caller: no chunks, no length, and the connection closed after it. A stream that ends inside an event has broken off whatever its framing, and one that ends before its first event without framing is no answer, so that it may be retried. As nothing but the end of the connection tells the caller, the connection is reset (SO_LINGER 0 from the first write on) unless the body has ended in order: also if the process is killed midway. The same holds for streams to callers of HTTP/1.0, which got chunks. Between VMs chunks stay, and a header says what the last one means; a VM of an earlier build, which does not say that it knows the header, gets the answer without a last chunk.

An attempt whose answer ended so counts neither as served nor as failed, and its upstream is checked as after a break: a request that takes upstreams down one after the other is quarantined. Answers of HTTP/1.0 servers without a length, which always failed, pass as well.

The test of an answer without a length reads with a raw caller, since the client of the others takes such a body for an empty one; it now compares the end of all bytes.

--- a/crates/ebonystand-core/src/gateway/attempt_end.rs
+++ b/crates/ebonystand-core/src/gateway/attempt_end.rs
@@ -7,6 +7,8 @@
     Answered,
     /// The caller disconnected.
     Cancelled,
+    /// The answer ended with its connection, and nothing in it tells whether it is whole.
+    Closed,
     /// The upstream ran the request and answered that it failed.
     Failed,
     /// The connection broke or the answer was malformed; the request may have run.
@@ -57,7 +59,9 @@
             // The upstreams of a zone that lost power come back as new ones at the same addresses.
             Self::AddressReused | Self::Unreachable => Some(false),
             // A busy upstream may leave a request unanswered as well.
-            Self::Cancelled | Self::Lost | Self::Quarantined | Self::TimedOut => None,
+            Self::Cancelled | Self::Closed | Self::Lost | Self::Quarantined | Self::TimedOut => {
+                None
+            }
         }
     }
 }
--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -138,6 +138,7 @@
                 known.update_failure_rate(false);
                 known.measure_call(waited);
             }
+            AttemptEnd::Closed => known.reset_backoff(),
             AttemptEnd::Cancelled | AttemptEnd::Quarantined | AttemptEnd::Shed => {}
             AttemptEnd::Failed | AttemptEnd::Lost => known.update_failure_rate(true),
             AttemptEnd::AddressReused => known.is_address_reused = true,
--- a/crates/ebonystand-core/src/lib.rs
+++ b/crates/ebonystand-core/src/lib.rs
@@ -86,6 +86,7 @@
     engine_report::EngineReport,
     entry_list::EntryList,
     entry_vm::EntryVm,
+    event_boundary::EventBoundary,
     fair_queue::FairQueue,
     feed::Feed,
     feed_input::FeedInput,
@@ -221,6 +222,7 @@
 mod engine_report;
 mod entry_list;
 mod entry_vm;
+mod event_boundary;
 mod event_scanner;
 mod fair_queue;
 mod feed;
--- /dev/null
+++ b/crates/ebonystand/src/caller_connection.rs
@@ -0,0 +1,98 @@
+use super::*;
+use {
+    rustix::net::sockopt::set_socket_linger,
+    std::{
+        io::IoSlice,
+        pin::Pin,
+        task::{Context, Poll},
+    },
+    tokio::io::{AsyncRead, AsyncWrite, ReadBuf},
+};
+
+/// Connection of a caller, which can be reset in place of closed.
+///
+/// A body without a length or chunks ends where its connection is closed, so a connection that ends
+/// for any other reason must be reset, also by the operating system if the process is killed.
+pub(crate) struct CallerConnection {
+    close_mode: CloseMode,
+    io: TcpStream,
+    /// Mode that the socket is set to.
+    resets: bool,
+}
+
+/// How a connection ends, shared with the bodies that are sent over it.
+#[derive(Clone, Default)]
+pub(crate) struct CloseMode(Rc<Cell<bool>>);
+
+impl CloseMode {
+    /// Has the connection reset, or closed in an orderly way, from the next write on.
+    pub(crate) fn set_resets(&self, resets: bool) {
+        self.0.set(resets);
+    }
+}
+
+impl CallerConnection {
+    pub(crate) fn new(io: TcpStream) -> Self {
+        Self {
+            close_mode: CloseMode::default(),
+            io,
+            resets: false,
+        }
+    }
+
+    pub(crate) fn close_mode(&self) -> CloseMode {
+        self.close_mode.clone()
+    }
+
+    fn apply_close_mode(&mut self) -> io::Result<()> {
+        let resets = self.close_mode.0.get();
+        if resets != self.resets {
+            set_socket_linger(&self.io, resets.then_some(Duration::ZERO))?;
+            self.resets = resets;
+        }
+        Ok(())
+    }
+}
+
+impl AsyncRead for CallerConnection {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+        buf: &mut ReadBuf,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for CallerConnection {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.apply_close_mode()?;
+        Pin::new(&mut self.io).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+        bufs: &[IoSlice],
+    ) -> Poll<io::Result<usize>> {
+        self.apply_close_mode()?;
+        Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        self.apply_close_mode()?;
+        Pin::new(&mut self.io).poll_shutdown(cx)
+    }
+}
--- a/crates/ebonystand/src/gateway/admitted.rs
+++ b/crates/ebonystand/src/gateway/admitted.rs
@@ -178,23 +178,25 @@
     async fn respond(
         mut self,
         node: &Rc<Node>,
-        answered: call::Answered,
+        mut answered: call::Answered,
     ) -> Result<Response<BoxBody>, (AttemptEnd, Box<Self>)> {
-        let call::Answered {
-            headers,
-            mut relay,
-            status,
-        } = answered;
-        relay.record_latencies_for(self.call.workspace.clone());
+        answered
+            .relay
+            .record_latencies_for(self.call.workspace.clone());
         if self.route.kind == CallKind::Stream {
-            relay.set_resources(RequestResources::new(self.in_flight, self.reserved.take()));
-            let body = BodyStream::new(Box::pin(relay.into_stream()));
-            let mut response = Response::new(status).set_body(body).map_into_boxed_body();
-            *response.headers_mut() = headers;
-            return Ok(response);
+            let resources = RequestResources::new(self.in_flight, self.reserved.take());
+            answered.relay.set_resources(resources);
+            return Ok(answered.into_response());
         }
-        match relay.read_whole(node.settings.limits.body_bytes).await {
-            Ok(body) => Ok(call::buffered_response(status, &headers, body)),
+        let is_unframed = answered.relay.is_unframed();
+        let limit = node.settings.limits.body_bytes;
+        match answered.relay.read_whole(limit).await {
+            Ok(body) => Ok(call::buffered_response(
+                answered.status,
+                &answered.headers,
+                body,
+                is_unframed,
+            )),
             Err(end) => Err((end, Box::new(self))),
         }
     }
--- a/crates/ebonystand/src/gateway/attempt.rs
+++ b/crates/ebonystand/src/gateway/attempt.rs
@@ -1,7 +1,7 @@
 use super::*;
 use {
     call::{Call, Destination},
-    crash_watch::{CrashWatch, LostRun},
+    crash_watch::{CrashWatch, EndedRun},
     ebonystand_core::{AnswerLimit, AnswerPause, AttemptEnd, ChoiceQuery, SharedPrefix},
     request_content::RequestContent,
     std::collections::BTreeSet,
@@ -159,9 +159,10 @@
                 let quarantine = &self.node.quarantine;
                 quarantine.record_survival(&self.node, || self.content.fingerprint());
             }
-            AttemptEnd::Lost => {
-                let run = LostRun {
+            AttemptEnd::Closed | AttemptEnd::Lost => {
+                let run = EndedRun {
                     content: self.content.clone(),
+                    is_lost: end == AttemptEnd::Lost,
                     request: self.request.clone(),
                 };
                 CrashWatch::check(&self.node, &self.instance, self.address, run);
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -71,6 +71,20 @@
     pub(crate) status: StatusCode,
 }
 
+impl Answered {
+    /// Builds the response that passes the answer on as it arrives.
+    pub(crate) fn into_response(self) -> Response<BoxBody> {
+        let is_unframed = self.relay.is_unframed();
+        let body = BodyStream::new(Box::pin(self.relay.into_stream()));
+        let mut response = Response::new(self.status)
+            .set_body(body)
+            .map_into_boxed_body();
+        *response.headers_mut() = self.headers;
+        response.head_mut().no_chunking(is_unframed);
+        response
+    }
+}
+
 impl Outcome {
     /// Builds the outcome of an attempt that left no answer and no retry delay.
     pub(crate) fn ended(end: AttemptEnd) -> Self {
@@ -231,7 +245,8 @@
                 .await;
         }
         let wait = until.saturating_sub(node.clock.now());
-        let relay = Relay::start(node, self, reader, address, instance, wait);
+        let is_unframed = reader.is_unframed();
+        let relay = Relay::start(node, self, reader, address, instance, is_unframed, wait);
         let relay = match relay.await {
             Ok(relay) => relay,
             Err(end) => {
@@ -298,6 +313,7 @@
         let status = reader.head().status;
         log::warn!(request:% = self.request, upstream:% = instance, status = status.as_u16(), end:? = end; "failed");
         let headers = reader.head().headers.clone();
+        let is_unframed = reader.is_unframed();
         let retry_after = retry_after(&headers);
         let body = reader.read_whole(Self::MAX_FAILURE_BODY);
         let body = actix_rt::time::timeout(Self::FAILURE_BODY_TIMEOUT, body).await;
@@ -311,7 +327,8 @@
         node.gateway
             .pool
             .put(node.clock.now(), address, instance, reader);
-        let answer = (end == AttemptEnd::Failed).then(|| buffered_response(status, &headers, body));
+        let answer = (end == AttemptEnd::Failed)
+            .then(|| buffered_response(status, &headers, body, is_unframed));
         Outcome::Ended {
             answer,
             end,
@@ -348,14 +365,17 @@
     }
 }
 
-/// Builds a response from a buffered body and the upstream's end-to-end headers.
+/// Builds a response from a buffered body and the upstream's end-to-end headers. An unframed body
+/// stays unframed, since a length would state that it is whole.
 pub(crate) fn buffered_response(
     status: StatusCode,
     headers: &HeaderMap,
     body: Bytes,
+    is_unframed: bool,
 ) -> Response<BoxBody> {
     let mut response = Response::new(status).set_body(body).map_into_boxed_body();
     *response.headers_mut() = headers::passed_on(headers, &[]);
+    response.head_mut().no_chunking(is_unframed);
     response
 }
 
--- a/crates/ebonystand/src/gateway/connection.rs
+++ b/crates/ebonystand/src/gateway/connection.rs
@@ -1,7 +1,7 @@
 use super::*;
 use {
     actix_http::{
-        RequestHead, RequestHeadType, ResponseHead, Uri,
+        RequestHead, RequestHeadType, ResponseHead, Uri, Version,
         body::BodySize,
         h1::{ClientCodec, ClientPayloadCodec, Message, MessageType},
     },
@@ -28,6 +28,8 @@
     connection: Connection,
     framing: Framing,
     head: ResponseHead,
+    /// Whether the head states neither a length nor chunks for the body.
+    is_unframed: bool,
     keep_alive: bool,
     is_request_sent: bool,
 }
@@ -183,6 +185,7 @@
         let framing = Self::framing(codec, &head, is_head);
         Ok(ResponseReader {
             connection: self,
+            is_unframed: matches!(framing, Framing::UntilClose),
             framing,
             head,
             keep_alive,
@@ -197,17 +200,20 @@
             && status != StatusCode::NO_CONTENT
             && status != StatusCode::NOT_MODIFIED;
         match codec.message_type() {
-            MessageType::Payload => Framing::WithCodec(codec.into_payload_codec()),
             _ if !has_body => Framing::Complete,
-            // The parser treats an answer without a length as one without a body.
-            _ if Self::has_length(head) => Framing::Complete,
-            _ => Framing::UntilClose,
+            _ if !Self::is_framed(head) => Framing::UntilClose,
+            MessageType::Payload => Framing::WithCodec(codec.into_payload_codec()),
+            MessageType::None | MessageType::Stream => Framing::Complete,
         }
     }
 
-    fn has_length(head: &ResponseHead) -> bool {
-        let headers = &head.headers;
-        headers.contains_key("content-length") || headers.contains_key("transfer-encoding")
+    /// Whether the head states the length of the body or that it comes in chunks. HTTP/1.0 has no
+    /// chunks, and the parser accepts no transfer coding but `chunked` and `identity`.
+    fn is_framed(head: &ResponseHead) -> bool {
+        let coding = headers::text(&head.headers, "transfer-encoding").unwrap_or_default();
+        let is_chunked = coding.trim().eq_ignore_ascii_case("chunked");
+        head.headers.contains_key("content-length")
+            || (is_chunked && head.version >= Version::HTTP_11)
     }
 
     fn parse(
@@ -238,6 +244,12 @@
         &self.head
     }
 
+    /// Returns whether the body has neither a length nor chunks, so that only the end of its
+    /// connection ends it.
+    pub(crate) fn is_unframed(&self) -> bool {
+        self.is_unframed
+    }
+
     /// Returns the connection if it can carry another request: the answer is complete, no bytes
     /// follow it, and both ends keep the connection alive.
     pub(crate) fn into_reusable_connection(self) -> Option<Connection> {
--- a/crates/ebonystand/src/gateway/crash_watch.rs
+++ b/crates/ebonystand/src/gateway/crash_watch.rs
@@ -1,20 +1,22 @@
 use super::*;
 use {node::Node, request_content::RequestContent};
 
-/// Finds out whether an upstream went down when connections to it broke during a run, and reports
+/// Finds out whether an upstream went down when connections to it ended during a run, and reports
 /// that to the quarantine.
 ///
-/// A broken connection alone does not tell: the network, a faulty answer or the upstream's own limit
+/// A connection that has ended alone does not tell: the network, a faulty answer or the upstream's own limit
 /// on connections break them too. An upstream that has gone down refuses new connections.
 #[derive(Default)]
 pub(crate) struct CrashWatch {
     /// Runs that await the check of their upstream. One check serves all runs that end together.
-    lost: RefCell<FxHashMap<UpstreamId, Vec<LostRun>>>,
+    ended: RefCell<FxHashMap<UpstreamId, Vec<EndedRun>>>,
 }
 
-/// A run whose connection broke.
-pub(crate) struct LostRun {
+/// A run that ended with its connection.
+pub(crate) struct EndedRun {
     pub(crate) content: RequestContent,
+    /// Whether the answer has certainly broken off.
+    pub(crate) is_lost: bool,
     pub(crate) request: Box<str>,
 }
 
@@ -22,13 +24,18 @@
     /// Longest time to wait until the upstream accepts or refuses a connection.
     const CONNECT_TIME: Duration = Duration::from_millis(250);
 
-    /// Checks the upstream of a run whose connection broke.
-    pub(crate) fn check(node: &Rc<Node>, upstream: &UpstreamId, address: SocketAddr, run: LostRun) {
+    /// Checks the upstream of a run that ended with its connection.
+    pub(crate) fn check(
+        node: &Rc<Node>,
+        upstream: &UpstreamId,
+        address: SocketAddr,
+        run: EndedRun,
+    ) {
         if node.gateway.book.borrow().is_end_expected(upstream) {
             return;
         }
-        let mut lost = node.gateway.crashes.lost.borrow_mut();
-        let runs = lost.entry(upstream.clone()).or_default();
+        let mut ended = node.gateway.crashes.ended.borrow_mut();
+        let runs = ended.entry(upstream.clone()).or_default();
         runs.push(run);
         if runs.len() == 1 {
             let node = Rc::clone(node);
@@ -39,16 +46,23 @@
     async fn probe(node: Rc<Node>, upstream: UpstreamId, address: SocketAddr) {
         let opened = Connection::open(address, Self::CONNECT_TIME).await;
         let is_down = opened.is_err_and(|fault| fault.is_refused());
-        let runs = node.gateway.crashes.lost.borrow_mut().remove(&upstream);
-        for LostRun { content, request } in runs.unwrap_or_default() {
+        let runs = node.gateway.crashes.ended.borrow_mut().remove(&upstream);
+        for EndedRun {
+            content,
+            is_lost,
+            request,
+        } in runs.unwrap_or_default()
+        {
             let fingerprint = content.fingerprint();
             log::warn!(
-                request:% = request, upstream:% = upstream, is_down = is_down,
+                request:% = request, upstream:% = upstream, is_down = is_down, is_lost = is_lost,
                 fingerprint:% = format_args!("{fingerprint:032x}");
-                "connection to an upstream broke during a run"
+                "connection to an upstream ended with a run"
             );
             if is_down {
                 node.quarantine.report_crash(&node, fingerprint, &upstream);
+            } else if !is_lost {
+                node.quarantine.record_survival(&node, || fingerprint);
             }
         }
     }
--- a/crates/ebonystand/src/gateway/forward.rs
+++ b/crates/ebonystand/src/gateway/forward.rs
@@ -12,6 +12,12 @@
 
 /// Header of a forwarded request that carries its [`Forwarded`] metadata.
 pub(crate) const FORWARDED: &str = "x-ebonystand-forwarded";
+/// Header of a forwarded request that tells that its VM understands [`UNFRAMED`]. Other VMs would
+/// take the last chunk of an unframed answer for its end.
+pub(crate) const ACCEPTS_UNFRAMED: &str = "x-ebonystand-accepts-unframed";
+/// Header of the answer to a forwarded request whose upstream has framed the body neither by a
+/// length nor by chunks. The last chunk then only tells that the upstream closed its connection.
+pub(crate) const UNFRAMED: &str = "x-ebonystand-unframed";
 /// Header of the answer to a forwarded request that states how the attempt in the other region
 /// ended.
 pub(crate) const ATTEMPT_END: &str = "x-ebonystand-ended";
@@ -32,7 +38,9 @@
         AttemptEnd::TimedOut => TIMED_OUT,
         AttemptEnd::Failed => FAILED,
         AttemptEnd::Quarantined => QUARANTINED,
-        AttemptEnd::Answered | AttemptEnd::Cancelled | AttemptEnd::Lost => LOST,
+        AttemptEnd::Answered | AttemptEnd::Cancelled | AttemptEnd::Closed | AttemptEnd::Lost => {
+            LOST
+        }
     }
 }
 
@@ -49,6 +57,11 @@
     }
 }
 
+/// Whether the answer that a VM passes on has no framing of its upstream's.
+fn is_unframed(reader: &ResponseReader) -> bool {
+    reader.is_unframed() || reader.head().headers.contains_key(UNFRAMED)
+}
+
 /// Forwards a call to a VM of `region` and waits up to `wait` for the first bytes of the answer.
 pub(crate) async fn send(node: &Rc<Node>, call: &Call, region: &str, wait: Duration) -> Outcome {
     let Some((vm, address)) = node.gateway.forwarder(node, region) else {
@@ -73,6 +86,7 @@
             return Outcome::ended(AttemptEnd::Unreachable);
         }
     }
+    headers::set(&mut headers, ACCEPTS_UNFRAMED, "1");
     let until = node.clock.now() + wait;
     let connect_time = Connection::MAX_CONNECT_TIME;
     let sent = call
@@ -93,10 +107,12 @@
         return read_failure(node, call, reader, address, &vm, end).await;
     }
     let wait = until.saturating_sub(node.clock.now());
-    match Relay::start(node, call, reader, address, &vm, wait).await {
+    let is_unframed = is_unframed(&reader);
+    match Relay::start(node, call, reader, address, &vm, is_unframed, wait).await {
         Ok(relay) => {
             let mut answered = relay.into_answered(None);
             answered.headers.remove(ATTEMPT_END);
+            answered.headers.remove(UNFRAMED);
             Outcome::Answered(Box::new(answered))
         }
         Err(end) => Outcome::ended(end),
@@ -117,12 +133,16 @@
     let status = reader.head().status;
     let mut headers = reader.head().headers.clone();
     headers.remove(ATTEMPT_END);
+    headers.remove(UNFRAMED);
+    let is_unframed = is_unframed(&reader);
     log::warn!(request:% = call.request, vm:% = vm, end:? = end, status = status.as_u16(); "other region has no answer to the forwarded request");
     let retry_after = call::retry_after(&headers);
     let body =
         actix_rt::time::timeout(FAILURE_BODY_TIMEOUT, reader.read_whole(MAX_FAILURE_BODY)).await;
     let answer = match (body, end) {
-        (Ok(Ok(body)), AttemptEnd::Failed) => Some(call::buffered_response(status, &headers, body)),
+        (Ok(Ok(body)), AttemptEnd::Failed) => {
+            Some(call::buffered_response(status, &headers, body, is_unframed))
+        }
         _ => None,
     };
     let now = node.clock.now();
--- a/crates/ebonystand/src/gateway/receive_forward.rs
+++ b/crates/ebonystand/src/gateway/receive_forward.rs
@@ -19,17 +19,13 @@
 pub(crate) async fn handle(node: Rc<Node>, mut req: Request) -> Response<BoxBody> {
     let mut payload = req.take_payload();
     let outcome = serve(&node, &req, &mut payload).await;
-    match outcome {
-        Outcome::Answered(answered) => {
-            let body = BodyStream::new(Box::pin(answered.relay.into_stream()));
-            let mut response = Response::new(answered.status).set_body(body);
-            *response.headers_mut() = answered.headers;
-            headers::set(
-                response.headers_mut(),
-                forward::ATTEMPT_END,
-                forward::BY_UPSTREAM,
-            );
-            response.map_into_boxed_body()
+    let accepts_unframed = req.headers().contains_key(forward::ACCEPTS_UNFRAMED);
+    let (mut response, end, retry_after) = match outcome {
+        Outcome::Answered(mut answered) => {
+            if !accepts_unframed {
+                answered.relay.require_framing();
+            }
+            (answered.into_response(), forward::BY_UPSTREAM, None)
         }
         Outcome::Ended {
             answer,
@@ -37,21 +33,24 @@
             retry_after,
         } => {
             body::discard(&node, &mut payload).await;
-            let mut response = answer.unwrap_or_else(|| {
+            let response = answer.unwrap_or_else(|| {
                 Response::new(StatusCode::SERVICE_UNAVAILABLE).map_into_boxed_body()
             });
-            headers::set(
-                response.headers_mut(),
-                forward::ATTEMPT_END,
-                forward::attempt_end_name(end),
-            );
-            if let Some(delay) = retry_after {
-                let seconds = format!("{:.3}", delay.as_secs_f64());
-                headers::set(response.headers_mut(), "retry-after", &seconds);
-            }
-            response
+            (response, forward::attempt_end_name(end), retry_after)
         }
+    };
+    headers::set(response.headers_mut(), forward::ATTEMPT_END, end);
+    if let Some(delay) = retry_after {
+        let seconds = format!("{:.3}", delay.as_secs_f64());
+        headers::set(response.headers_mut(), "retry-after", &seconds);
+    }
+    response.headers_mut().remove(forward::UNFRAMED);
+    if !response.head().chunked() {
+        // With chunks, a VM that goes down is not taken for an upstream that closes.
+        response.head_mut().no_chunking(false);
+        headers::set(response.headers_mut(), forward::UNFRAMED, "1");
     }
+    response
 }
 
 async fn serve(node: &Rc<Node>, req: &Request, payload: &mut Payload) -> Outcome {
@@ -90,7 +89,10 @@
         end: now + Duration::from_millis(forwarded.left_ms),
         excluded: Vec::new(),
         full_regions: BTreeSet::new(),
-        headers: headers::passed_on(req.headers(), &[forward::FORWARDED]),
+        headers: headers::passed_on(
+            req.headers(),
+            &[forward::FORWARDED, forward::ACCEPTS_UNFRAMED],
+        ),
         homes: forwarded.homes,
         method: req.method().clone(),
         path: serve_call::path_and_query(req),
--- a/crates/ebonystand/src/gateway/relay.rs
+++ b/crates/ebonystand/src/gateway/relay.rs
@@ -1,9 +1,10 @@
 use super::*;
 use {
+    actix_http::ResponseHead,
     allowance_controller::Reserved,
     attempt::Attempt,
     call::{Answered, Call},
-    ebonystand_core::AttemptEnd,
+    ebonystand_core::{AttemptEnd, EventBoundary},
     in_flight::InFlight,
     node::Node,
 };
@@ -16,14 +17,19 @@
     attempt: Option<Attempt>,
     /// Time by which the whole answer is due.
     end: Duration,
+    /// Place in the stream of events; `None` for other answers.
+    events: Option<EventBoundary>,
     first: Option<Bytes>,
     /// Resources of the request, released when the relay is dropped.
     _resources: RequestResources,
     instance: UpstreamId,
     /// Whether an engine generates the answer, as a stream of events.
     is_stream: bool,
+    /// Whether the upstream has framed the body neither by a length nor by chunks.
+    is_unframed: bool,
     node: Rc<Node>,
     request: Box<str>,
+    requires_framing: bool,
     started: Duration,
     /// Workspace whose latency metrics include this answer. `None` on public routes, and on a VM
     /// that serves the request for another region.
@@ -55,6 +61,8 @@
     Deadline,
     #[snafu(display("the upstream closed the answer before its end"))]
     Upstream,
+    #[snafu(display("the answer has ended with its connection and may be incomplete"))]
+    Unframed,
 }
 
 impl Relay {
@@ -64,16 +72,22 @@
     const FLUSH_DELAY: Duration = Duration::from_millis(20);
 
     /// Waits for the first bytes of the body. Once they have arrived, the request is not retried if
-    /// the answer is streamed.
+    /// the answer is streamed. A stream that ends without an event and without framing is no answer.
     pub(crate) async fn start(
         node: &Rc<Node>,
         call: &Call,
         mut reader: ResponseReader,
         address: SocketAddr,
         instance: &UpstreamId,
+        is_unframed: bool,
         wait: Duration,
     ) -> Result<Self, AttemptEnd> {
+        let events = is_event_stream(reader.head()).then(EventBoundary::default);
         let first = match actix_rt::time::timeout(wait, reader.next()).await {
+            Ok(Ok(None)) if is_unframed && events.is_some() => {
+                log::warn!(request:% = call.request, upstream:% = instance; "closed before its first event");
+                return Err(AttemptEnd::Lost);
+            }
             Ok(Ok(first)) => first,
             Ok(Err(fault)) => {
                 log::warn!(request:% = call.request, upstream:% = instance, fault:% = fault; "broke off before its first byte");
@@ -91,12 +105,15 @@
             attempt: None,
             bytes: 0,
             end: call.end,
+            events,
             first,
             _resources: RequestResources::default(),
             instance: instance.clone(),
             is_stream: call.prompt.is_some(),
+            is_unframed,
             node: Rc::clone(node),
             request: call.request.clone(),
+            requires_framing: false,
             started: call.arrived,
             workspace: None,
         })
@@ -117,6 +134,11 @@
         }
     }
 
+    /// Whether nothing tells the end of the answer but that its connection ends.
+    pub(crate) fn is_unframed(&self) -> bool {
+        self.is_unframed
+    }
+
     /// Records the time to the first token in a workspace's metrics, and has the total time
     /// recorded when the answer ends.
     pub(crate) fn record_latencies_for(&mut self, workspace: Option<WorkspaceId>) {
@@ -128,6 +150,12 @@
         self.workspace = workspace;
     }
 
+    /// Has the answer cut off at its end if it is unframed, for a VM that does not understand
+    /// [`forward::UNFRAMED`].
+    pub(crate) fn require_framing(&mut self) {
+        self.requires_framing = true;
+    }
+
     pub(crate) fn set_resources(&mut self, resources: RequestResources) {
         self._resources = resources;
     }
@@ -152,7 +180,9 @@
                 Ok(Some(bytes)) if whole.len() + bytes.len() <= limit => {
                     whole.extend_from_slice(&bytes);
                 }
-                Ok(Some(_)) | Err(RelayFault::Upstream) => return Err(AttemptEnd::Lost),
+                Ok(Some(_)) | Err(RelayFault::Upstream | RelayFault::Unframed) => {
+                    return Err(AttemptEnd::Lost);
+                }
                 Ok(None) => return Ok(whole.freeze()),
                 Err(RelayFault::Deadline) => return Err(AttemptEnd::TimedOut),
             }
@@ -161,8 +191,7 @@
 
     async fn next(&mut self) -> Result<Option<Bytes>, RelayFault> {
         if let Some(first) = self.first.take() {
-            self.bytes += first.len() as u64;
-            self.record_event();
+            self.record_bytes(&first);
             return Ok(Some(first));
         }
         let Some(reader) = &mut self.reader else {
@@ -171,16 +200,28 @@
         let left = self.end.saturating_sub(self.node.clock.now());
         match actix_rt::time::timeout(left, reader.next()).await {
             Ok(Ok(Some(bytes))) => {
-                self.bytes += bytes.len() as u64;
-                self.record_event();
+                self.record_bytes(&bytes);
                 Ok(Some(bytes))
             }
+            Ok(Ok(None))
+                if self
+                    .events
+                    .as_ref()
+                    .is_some_and(EventBoundary::is_inside_event) =>
+            {
+                log::warn!(request:% = self.request, upstream:% = self.instance, framing:% = self.framing(), bytes = self.bytes; "ended inside an event");
+                self.abandon(AttemptEnd::Lost);
+                Err(RelayFault::Upstream)
+            }
             Ok(Ok(None)) => {
                 self.finish();
-                Ok(None)
+                match self.is_unframed && self.requires_framing {
+                    true => Err(RelayFault::Unframed),
+                    false => Ok(None),
+                }
             }
             Ok(Err(fault)) => {
-                log::warn!(request:% = self.request, upstream:% = self.instance, fault:% = fault, bytes = self.bytes; "broke off midway");
+                log::warn!(request:% = self.request, upstream:% = self.instance, framing:% = self.framing(), fault:% = fault, bytes = self.bytes; "broke off midway");
                 self.abandon(AttemptEnd::Lost);
                 Err(RelayFault::Upstream)
             }
@@ -192,7 +233,19 @@
         }
     }
 
-    fn record_event(&mut self) {
+    /// Name of the framing, for log lines.
+    fn framing(&self) -> &'static str {
+        match self.is_unframed {
+            true => "none",
+            false => "length or chunks",
+        }
+    }
+
+    fn record_bytes(&mut self, bytes: &[u8]) {
+        self.bytes += bytes.len() as u64;
+        if let Some(events) = &mut self.events {
+            events.scan(bytes);
+        }
         if let Some(attempt) = self.attempt.as_mut().filter(|_| self.is_stream) {
             attempt.record_event();
         }
@@ -206,7 +259,7 @@
         }
     }
 
-    /// Records the whole answer and returns the connection to the pool.
+    /// Records the end of the answer and returns the connection to the pool.
     fn finish(&mut self) {
         let now = self.node.clock.now();
         if let Some(id) = &self.workspace {
@@ -215,15 +268,21 @@
             let metrics = self.node.metrics.whole.get_or_create(&label);
             metrics.observe(whole.as_secs_f64());
         }
+        if self.is_unframed {
+            self.node.metrics.unframed_answers.inc();
+        }
         let first_byte = self.attempt.as_ref().and_then(Attempt::first_byte);
         log::info!(
-            request:% = self.request, upstream:% = self.instance, bytes = self.bytes,
+            request:% = self.request, upstream:% = self.instance, framing:% = self.framing(), bytes = self.bytes,
             first_byte_ms = first_byte.unwrap_or_default().as_millis() as u64,
             whole_ms = now.saturating_sub(self.started).as_millis() as u64;
             "answered"
         );
         if let Some(attempt) = self.attempt.take() {
-            attempt.end(AttemptEnd::Answered);
+            attempt.end(match self.is_unframed {
+                true => AttemptEnd::Closed,
+                false => AttemptEnd::Answered,
+            });
         }
         if let Some(reader) = self.reader.take() {
             let pool = &self.node.gateway.pool;
@@ -239,3 +298,10 @@
         }
     }
 }
+
+/// Whether the body of an answer is a stream of events.
+fn is_event_stream(head: &ResponseHead) -> bool {
+    let media_type = headers::text(&head.headers, "content-type").unwrap_or_default();
+    let media_type = media_type.split(';').next().unwrap_or_default().trim();
+    head.status.is_success() && media_type.eq_ignore_ascii_case("text/event-stream")
+}
--- a/crates/ebonystand/src/http_server.rs
+++ b/crates/ebonystand/src/http_server.rs
@@ -1,7 +1,11 @@
 //! Accepts HTTP connections and hands their requests to a handler.
 
 use super::*;
-use in_flight::InFlight;
+use {
+    actix_http::Extensions,
+    caller_connection::{CallerConnection, CloseMode},
+    in_flight::InFlight,
+};
 
 /// Idle time after which a caller's connection is closed; longer than callers keep theirs.
 const KEEP_ALIVE: Duration = Duration::from_secs(75);
@@ -24,11 +28,20 @@
         .keep_alive(KEEP_ALIVE)
         // A caller that closes its end has left: what runs for it is ended, upstream too.
         .h1_allow_half_closed(false)
+        .on_connect_ext(
+            |connection: &CallerConnection, extensions: &mut Extensions| {
+                extensions.insert(connection.close_mode());
+            },
+        )
         .h1(move |req: Request| {
+            let close_mode = req.conn_data::<CloseMode>().cloned();
+            let version = req.version();
             let answer = handler(req);
-            async move { Ok::<_, Infallible>(answer.await) }
-        })
-        .tcp();
+            async move {
+                let response = close_delimited::wrap(answer.await, version, close_mode);
+                Ok::<_, Infallible>(response)
+            }
+        });
     let Ok(service) = factory.new_service(()).await else {
         log::error!("the HTTP service cannot be made");
         return;
@@ -54,7 +67,8 @@
         let service = Rc::clone(&service);
         actix_rt::spawn(async move {
             let _connection = connection;
-            if let Err(error) = service.call(io).await {
+            let address = io.peer_addr().ok();
+            if let Err(error) = service.call((CallerConnection::new(io), address)).await {
                 log::debug!(error:% = error; "connection ended");
             }
         });
--- a/crates/ebonystand/src/metrics.rs
+++ b/crates/ebonystand/src/metrics.rs
@@ -30,6 +30,7 @@
     pub(crate) streams: Gauge,
     pub(crate) suspects: Gauge,
     pub(crate) tokens: Family<WorkspaceLabel, Counter>,
+    pub(crate) unframed_answers: Counter,
     pub(crate) whole: Family<WorkspaceLabel, Histogram>,
     registry: Registry,
     workspaces: RefCell<FxHashMap<WorkspaceId, ()>>,
@@ -103,6 +104,7 @@
             streams: Gauge::default(),
             suspects: Gauge::default(),
             tokens: Family::default(),
+            unframed_answers: Counter::default(),
             whole: Family::new_with_constructor(histogram),
             registry: Registry::with_prefix("ebonystand"),
             workspaces: RefCell::default(),
@@ -203,6 +205,11 @@
             self.suspects.clone(),
         );
         r.register("tokens", "Tokens used", self.tokens.clone());
+        r.register(
+            "unframed_answers",
+            "Answers of upstreams without a length or chunks, passed on as such",
+            self.unframed_answers.clone(),
+        );
         r.register(
             "whole_seconds",
             "Time to the end of an answer",
--- a/crates/ebonystand/tests/integration/crashes.rs
+++ b/crates/ebonystand/tests/integration/crashes.rs
@@ -7,6 +7,7 @@
         scripted::{Received, Reply, Scripted, Then},
     },
     ebonystand_core::OperatorStatus,
+    rstest::rstest,
     std::time::Duration,
 };
 
@@ -17,6 +18,17 @@
 /// Requests with the same content that may still reach upstreams after [`CONTACT_TIME`].
 const MAX_LATE: usize = 3;
 
+/// Runs requests, and ends with the upstream on one whose body is "crash", after the begin of an answer without a length
+/// that nothing tells from a whole one.
+fn fragile_unframed(received: &Received) -> Reply {
+    let mut reply = fragile(received);
+    if reply.then == Then::Die {
+        let request = received.request();
+        reply.bytes = format!("HTTP/1.1 200 OK\r\nx-ebonystand-request: {request}\r\n\r\nbegun");
+    }
+    reply
+}
+
 /// Runs requests, and ends with the upstream on one whose body is "crash".
 fn fragile(received: &Received) -> Reply {
     match &*received.body {
@@ -47,9 +59,14 @@
 
 /// Guards against a caller that takes down one upstream after another by repeating a request at all VMs of two
 /// regions.
+#[rstest]
+#[case::no_answer(fragile)]
+#[case::unframed_answer(fragile_unframed)]
 #[actix_rt::test]
-async fn a_request_that_has_crashed_three_upstreams_is_kept_from_the_others() {
-    let upstreams = (0..16).map(|_| Scripted::start(fragile));
+async fn a_request_that_has_crashed_three_upstreams_is_kept_from_the_others(
+    #[case] script: fn(&Received) -> Reply,
+) {
+    let upstreams = (0..16).map(|_| Scripted::start(script));
     let upstreams = upstreams.collect::<Vec<_>>();
     let fleet = start(&upstreams).await;
     let mut n = 0;
--- a/crates/ebonystand/tests/integration/fleet.rs
+++ b/crates/ebonystand/tests/integration/fleet.rs
@@ -8,6 +8,7 @@
         OperatorStatus, Region, Service, UpstreamKind, Version, Workspace,
     },
     ebonystand_fakes::EngineOptions,
+    ebonystand_wire::Secret,
     serde_json::json,
     std::{collections::BTreeMap, fs, ops::Range, path::Path, time::Duration},
     tempfile::TempDir,
@@ -21,6 +22,8 @@
 pub(crate) const DRAFT: &str = r#"{"model":"drafter","max_tokens":6,"stream":true,"messages":[{"role":"user","content":"x"}]}"#;
 /// Secret of the key that every test's document has.
 pub(crate) const KEY: &str = "callers-own-key";
+/// Secret that the VMs share.
+const SECRET: &str = "fleet-secret-of-more-than-32-bytes";
 
 /// Chained description of a small fleet.
 pub(crate) struct FleetBuilder {
@@ -191,7 +194,11 @@
     /// Writes what the settings of every VM name.
     pub(crate) fn write_secrets(dir: &Path) {
         fs::write(dir.join("operator"), OPERATOR).unwrap();
-        fs::write(dir.join("secret"), "fleet-secret-of-more-than-32-bytes").unwrap();
+        fs::write(dir.join("secret"), SECRET).unwrap();
+    }
+
+    pub(crate) fn secret() -> Secret {
+        Secret::new(SECRET.as_bytes()).unwrap()
     }
 
     /// Puts a change in force on every VM, and returns the version it made.
--- a/crates/ebonystand/tests/integration/routes.rs
+++ b/crates/ebonystand/tests/integration/routes.rs
@@ -289,7 +289,10 @@
     });
     let fleet = Setting::new(vec![("a", vec![scripted])]).start().await;
     put(&fleet, routing(1)).await;
-    assert_eq!(served(&fleet.vms[0], "/look/first").await.body, "all of it");
+    served(&fleet.vms[0], "/look/first").await;
+    // The HTTP client of the other tests reads no body without a length.
+    let bytes = raw(&fleet.vms[0], "/look/first").await;
+    assert!(bytes.ends_with("\r\n\r\nall of it"), "{bytes}");
 }
 
 /// An upstream sends a second answer behind the first one. It belongs to nobody: the next request
--- a/crates/ebonystand/tests/integration/unframed.rs
+++ b/crates/ebonystand/tests/integration/unframed.rs
@@ -7,6 +7,7 @@
         scripted::{Received, Reply, Scripted, Then},
         vm::Vm,
     },
+    ebonystand_wire::Forwarded,
     rstest::rstest,
     tokio::{
         io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -39,6 +40,10 @@
             "GET {path} HTTP/{version}\r\nhost: {HOST}\r\nauthorization: Bearer {KEY}\r\nx-ebonystand-request: raw\r\n\r\n"
         );
         io.write_all(request.as_bytes()).await.unwrap();
+        Self::receive(io).await
+    }
+
+    async fn receive(mut io: TcpStream) -> Self {
         let (mut bytes, mut buf) = (Vec::new(), [0; 4_096]);
         let is_reset = loop {
             match io.read(&mut buf).await {
@@ -47,7 +52,9 @@
                 Err(_) => break true,
             }
             // A connection that is kept alive does not end by itself.
-            if bytes.ends_with(b"0\r\n\r\n") {
+            let text = String::from_utf8_lossy(&bytes);
+            let is_refusal = text.contains("\r\ncontent-length:") && text.ends_with('}');
+            if is_refusal || bytes.ends_with(b"0\r\n\r\n") {
                 break false;
             }
         };
@@ -79,7 +86,7 @@
     }
 }
 
-/// An upstream that answers `/stream/` and `/cut/` without a length or chunks.
+/// An upstream that answers requests for `/unframed` without a length or chunks.
 fn unframed(body: &'static str, then: Then) -> Scripted {
     Scripted::start(move |received| {
         let request = received.request();
@@ -173,3 +180,41 @@
     assert!(answer.body.contains("data: one"), "{answer:?}");
     assert!(!answer.looks_whole(), "{answer:?}");
 }
+
+/// Guards against a VM of an earlier build that frames an unframed answer as whole: it gets the answer cut off.
+#[actix_rt::test]
+async fn a_vm_that_does_not_know_of_unframed_answers_gets_a_cut_one() {
+    let fleet = start(Way::OverAHop, unframed(EVENT, Then::Close)).await;
+    let log = fleet.vms[1].log_with("\"forwards\":\"").await;
+    let address = log.split("\"forwards\":\"").nth(1).unwrap();
+    let address = address.split('"').next().unwrap();
+    let forwarded = Forwarded {
+        aim_ms: 5_000,
+        homes: None,
+        left_ms: 5_000,
+        prompt: None,
+        rank: 0,
+        request: "raw".into(),
+        service: "orders".into(),
+        workspace: Some("akademi".into()),
+    };
+    let header = forwarded.to_header(&Fleet::secret()).unwrap();
+    let mut answers = Vec::new();
+    for accepts in ["", "x-ebonystand-accepts-unframed: 1\r\n"] {
+        let request = format!(
+            "GET /stream/unframed HTTP/1.1\r\nhost: {HOST}\r\nx-ebonystand-forwarded: {header}\r\n{accepts}\r\n"
+        );
+        let mut io = TcpStream::connect(address).await.unwrap();
+        io.write_all(request.as_bytes()).await.unwrap();
+        answers.push(Raw::receive(io).await);
+    }
+    let [older, newer] = &answers[..] else {
+        panic!("two answers");
+    };
+    assert!(older.body.contains("data: one"), "{older:?}");
+    assert!(!older.looks_whole(), "{older:?}");
+    assert!(
+        newer.is_framed_as_whole() && newer.has("x-ebonystand-unframed"),
+        "{newer:?}"
+    );
+}
