--- a/crates/ebonystand/tests/integration/scripted.rs
+++ b/crates/ebonystand/tests/integration/scripted.rs
@@ -122,6 +122,11 @@
         }
     }
 
+    /// The upstream, behind something that listens at another address.
+    pub(crate) fn at(self, address: SocketAddr) -> Self {
+        Self { address, ..self }
+    }
+
     /// Whether a request has ended the upstream.
     pub(crate) fn has_died(&self) -> bool {
         self.has_died.load(Ordering::SeqCst)
--- a/crates/ebonystand/tests/integration/vm.rs
+++ b/crates/ebonystand/tests/integration/vm.rs
@@ -125,6 +125,11 @@
         panic!("{} does not start:\n{}", self.name, self.log());
     }
 
+    /// Identifier of the process, which must run.
+    pub(crate) fn process(&self) -> u32 {
+        self.child.as_ref().unwrap().id()
+    }
+
     pub(crate) async fn call(&self, key: &str, method: &str, path: &str, body: &str) -> Answer {
         self.call_with(key, method, path, body, &[]).await
     }
