Serve through the VMs beside when the way to the upstreams is cut

Callers of VMs that were partitioned from all upstreams were refused or broken off, though the VMs beside them reached the same upstreams, and VMs of other regions sent to the cut ones as well. Three causes of one class: what one VM cannot reach was taken for what cannot be reached.

A VM that reaches no upstream stops taking forwarded requests, which gossip tells; one that is asked all the same declines, and the sender asks another VM of that region before it gives the region up. Misses that may be the VM's own are not told to others as a lost zone, and a VM trusts its own contact of the last 300 ms more than theirs. A connection refused after a break is a crash only if another upstream of the service still accepts.

--- a/crates/ebonystand-core/src/gateway/choice_query.rs
+++ b/crates/ebonystand-core/src/gateway/choice_query.rs
@@ -19,7 +19,7 @@
     pub remaining_time: Duration,
     /// Prompt of the request; `None` if it carries none.
     pub prompt: Option<&'a Prompt>,
-    /// Other regions with a VM that accepts forwarded requests; empty if the request was already
+    /// Regions with another VM that accepts forwarded requests; empty if the request was already
     /// forwarded.
     pub reachable: &'a BTreeSet<RegionId>,
     /// Service that the request is for.
--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -26,6 +26,7 @@
     live_vms::LiveVms,
     mechanism::Mechanism,
     next_step::NextStep,
+    path_health::ProbeOutcome,
     prompt::{Prompt, PromptPart},
     quota::{Quota, QuotaUnit},
     reported_slots::ReportedSlots,
@@ -46,8 +47,9 @@
 use {
     cold_start_limiter::ColdStartLimiter, event_gap_meter::EventGapMeter,
     ineligibility::Ineligibility, known_upstream::KnownUpstream, limit_share::LimitShare,
-    named_limit::NamedLimit, send_pacer::SendPacer, sent_prefixes::SentPrefixes,
-    upstream_pause::UpstreamPause, work_window::WorkWindow, zone_health::ZoneHealth,
+    named_limit::NamedLimit, path_health::PathHealth, send_pacer::SendPacer,
+    sent_prefixes::SentPrefixes, upstream_pause::UpstreamPause, work_window::WorkWindow,
+    zone_health::ZoneHealth,
 };
 
 mod answer_limit;
@@ -78,6 +80,7 @@
 mod mechanism;
 mod named_limit;
 mod next_step;
+mod path_health;
 mod prompt;
 mod prompt_placement;
 mod quota;
@@ -100,6 +103,7 @@
 mod upstream_listing;
 mod upstream_notice_status;
 mod upstream_notices;
+mod upstream_paths;
 mod upstream_pause;
 mod upstream_pressure;
 mod upstream_shortlist;
--- a/crates/ebonystand-core/src/gateway/target_choice.rs
+++ b/crates/ebonystand-core/src/gateway/target_choice.rs
@@ -3,14 +3,15 @@
 /// Result of choosing where to send a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum TargetChoice {
-    /// Send the request to a VM of another region, which chooses an upstream there.
-    OtherRegion {
+    /// Send the request to another VM, which chooses an upstream of its region. It is a VM of this
+    /// region if this VM has lost its own way to the upstreams.
+    Forward {
         /// Predicted time to the first byte in this region, plus the time by which the answer would
         /// end too late; `None` if this region cannot serve the request.
         local_cost: Option<Duration>,
-        /// Predicted time to the first byte from the other region.
+        /// Predicted time to the first byte over the other VM.
         predicted: Duration,
-        /// Region that gets the request.
+        /// Region of the other VM.
         region: RegionId,
     },
     /// No upstream has room now, though some here or in other regions could serve the request
--- a/crates/ebonystand-core/src/gateway/upstream_choice.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_choice.rs
@@ -50,6 +50,11 @@
     #[must_use]
     pub fn choose_target(&self, now: Duration, query: &ChoiceQuery) -> TargetChoice {
         let local = self.choose_local(now, query);
+        if self.paths.is_cut(query.service)
+            && let Some(forward) = self.choose_while_cut(now, query, &local)
+        {
+            return forward;
+        }
         let gap = self.event_gap(now, query.service);
         let late = |delay| self.predict_lateness(query, delay, gap);
         let (cost, stays) = match &local {
@@ -80,7 +85,7 @@
                     self.is_enabled(Mechanism::Away) && candidate.cost < local
                 }) =>
             {
-                TargetChoice::OtherRegion {
+                TargetChoice::Forward {
                     local_cost: cost,
                     predicted: candidate.delay,
                     region: candidate.region,
@@ -93,6 +98,41 @@
         }
     }
 
+    /// Chooses the region whose VMs get a request that this VM cannot send by itself: its own one,
+    /// where others may reach the upstreams, or another. `None` if no region can take it.
+    fn choose_while_cut(
+        &self,
+        now: Duration,
+        query: &ChoiceQuery,
+        local: &TargetChoice,
+    ) -> Option<TargetChoice> {
+        let gap = self.event_gap(now, query.service);
+        let predicted = match local {
+            TargetChoice::Upstream { predicted, .. } => Some(*predicted),
+            // The limits of upstreams and their pauses differ between VMs.
+            TargetChoice::Unavailable { .. } => Some(Self::UNKNOWN_REGION_LATENCY),
+            TargetChoice::Forward { .. } | TargetChoice::NoRoom { .. } => None,
+        };
+        let is_open = query.reachable.contains(&self.own_region)
+            && query.is_region_allowed(&self.own_region)
+            && self
+                .upstreams
+                .values()
+                .any(|known| self.is_local(known) && self.is_usable(query, known));
+        let beside = predicted.filter(|_| is_open).map(|delay| RegionCandidate {
+            cost: delay + self.predict_lateness(query, delay, gap),
+            delay,
+            region: self.own_region.clone(),
+        });
+        let candidates = beside.into_iter().chain(self.choose_region(now, query));
+        let best = candidates.min_by_key(|candidate| candidate.cost)?;
+        Some(TargetChoice::Forward {
+            local_cost: None,
+            predicted: best.delay,
+            region: best.region,
+        })
+    }
+
     /// Predicts by how much an answer would end too late if its first byte arrives after `delay`
     /// and its events every `gap`.
     fn predict_lateness(&self, query: &ChoiceQuery, delay: Duration, gap: Duration) -> Duration {
--- a/crates/ebonystand-core/src/gateway/upstream_pressure.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_pressure.rs
@@ -53,7 +53,7 @@
                 // Another region that sends requests here must expect the same penalty as a local
                 // request.
                 TargetChoice::NoRoom { predicted } => predicted + Self::NO_ROOM_DELAY,
-                TargetChoice::OtherRegion { .. } | TargetChoice::Unavailable { .. } => return None,
+                TargetChoice::Forward { .. } | TargetChoice::Unavailable { .. } => return None,
             };
             let event_gap = self.event_gap(now, service);
             let latency = ServiceLatency {
--- a/crates/ebonystand-core/src/gateway/zone_health.rs
+++ b/crates/ebonystand-core/src/gateway/zone_health.rs
@@ -10,6 +10,8 @@
     own: VmId,
     /// Counts of all VMs by zone and interval, the newest last.
     recent: BTreeMap<ZoneId, VecDeque<(u64, ContactCounts)>>,
+    /// Last contacts of this VM with each zone that reached an upstream.
+    last_reached: BTreeMap<ZoneId, Duration>,
     /// Counts of this VM that have not been sent to the others.
     pending: ZoneContacts,
 }
@@ -27,6 +29,9 @@
     /// One in this many VMs goes on using a lost zone, a different one each time, so that its return
     /// is noticed.
     const VMS_PER_PROBER: u64 = 16;
+    /// Time for which a contact of this VM counts for more than what the others tell, who may have
+    /// lost their own way.
+    const TRUSTED: Duration = Duration::from_millis(300);
     /// Time for which a VM goes on using a lost zone.
     const PROBE_TIME: Duration = Duration::from_millis(500);
 
@@ -34,17 +39,30 @@
         Self {
             own,
             recent: BTreeMap::new(),
+            last_reached: BTreeMap::new(),
             pending: ZoneContacts::new(),
         }
     }
 
-    /// Records the outcome of a contact of this VM.
-    pub(crate) fn record_contact(&mut self, now: Duration, zone: &ZoneId, is_reached: bool) {
+    /// Records the outcome of a contact of this VM, which the others are told if `is_told`.
+    pub(crate) fn record_contact(
+        &mut self,
+        now: Duration,
+        zone: &ZoneId,
+        is_reached: bool,
+        is_told: bool,
+    ) {
         let counts = ContactCounts {
             reached: u32::from(is_reached),
             missed: u32::from(!is_reached),
         };
         self.add(now, zone, counts);
+        if is_reached {
+            self.last_reached.insert(zone.clone(), now);
+        }
+        if !is_told {
+            return;
+        }
         self.pending.entry(zone.clone()).or_default().add(counts);
     }
 
@@ -74,6 +92,10 @@
     }
 
     fn is_lost(&self, now: Duration, zone: &str) -> bool {
+        let reached = self.last_reached.get(zone);
+        if reached.is_some_and(|at| now < *at + Self::TRUSTED) {
+            return false;
+        }
         let counts = self.recent_counts(now, zone);
         let enough = counts.reached.saturating_mul(Self::MISSED_PER_REACHED);
         counts.missed >= Self::MIN_MISSED.max(enough)
--- a/crates/ebonystand-core/src/vm_membership.rs
+++ b/crates/ebonystand-core/src/vm_membership.rs
@@ -212,6 +212,21 @@
         self.view.table.revision()
     }
 
+    /// Sets where this VM takes forwarded requests, if it takes any now, and spreads a change at once.
+    pub fn set_forwards(
+        &mut self,
+        now: Duration,
+        forwards: Option<SocketAddr>,
+    ) -> Vec<MembershipOutput> {
+        if self.view.own.forwards == forwards {
+            return Vec::new();
+        }
+        self.view.own.forwards = forwards;
+        self.view.announce(now);
+        self.view
+            .gossip(now, 2 * Self::GOSSIP_FAN_OUT, &mut self.rng)
+    }
+
     /// Sets whether callers may be sent to this VM, and spreads a change at once.
     pub fn set_takes_callers(&mut self, now: Duration, takes: bool) -> Vec<MembershipOutput> {
         if self.view.own.takes_callers == takes {
--- a/crates/ebonystand-core/tests/gateway/list.rs
+++ b/crates/ebonystand-core/tests/gateway/list.rs
@@ -201,7 +201,7 @@
     };
     let mut book = book(Vec::new());
     let region = |book: &UpstreamBook, at| match book.choose_target(at, &sets.query(None)) {
-        TargetChoice::OtherRegion { region, .. } => Some(region),
+        TargetChoice::Forward { region, .. } => Some(region),
         _ => None,
     };
     assert_eq!(region(&book, ms(0)), None, "no upstream of it is listed");
--- a/crates/ebonystand-core/tests/gateway/upstreams.rs
+++ b/crates/ebonystand-core/tests/gateway/upstreams.rs
@@ -254,7 +254,7 @@
     book.receive_region_latencies(ms(0), &"b".into(), vec![("s".into(), first_byte(10))]);
     let choice = book.choose_target(ms(1), &sets.query(Some(&crowd)));
     assert_eq!(
-        matches!(choice, TargetChoice::OtherRegion { .. }),
+        matches!(choice, TargetChoice::Forward { .. }),
         away,
         "{choice:?}"
     );
@@ -297,7 +297,7 @@
     book.receive_region_latencies(ms(200), &"b".into(), vec![("s".into(), told)]);
     let choice = book.choose_target(ms(210), &query);
     assert_eq!(
-        matches!(choice, TargetChoice::OtherRegion { .. }),
+        matches!(choice, TargetChoice::Forward { .. }),
         away,
         "{choice:?}"
     );
@@ -326,10 +326,7 @@
     book.record_attempt_end(ms(0), "u1", AttemptEnd::Unreachable, ms(1));
     let choice = book.choose_target(ms(10), &sets.query(None));
     match may_leave {
-        true => assert!(
-            matches!(choice, TargetChoice::OtherRegion { .. }),
-            "{choice:?}"
-        ),
+        true => assert!(matches!(choice, TargetChoice::Forward { .. }), "{choice:?}"),
         false => assert_eq!(instance(&choice), Some("u1")),
     }
 }
@@ -429,7 +426,7 @@
     tell(&mut book, ms(0), "vm1", "u1", under_way);
     let away = |book: &UpstreamBook, now| {
         let choice = book.choose_target(now, &sets.query(Some(&crowd)));
-        matches!(choice, TargetChoice::OtherRegion { .. })
+        matches!(choice, TargetChoice::Forward { .. })
     };
     assert!(away(&book, ms(1)), "nothing is known of it yet");
     match refused {
@@ -469,7 +466,7 @@
     assert!(book.has_room(ms(110), "s", true, 6_500));
     let choice = book.choose_target(ms(110), &sets.query(Some(&prompt)));
     assert_eq!(
-        matches!(choice, TargetChoice::OtherRegion { .. }),
+        matches!(choice, TargetChoice::Forward { .. }),
         waits,
         "{choice:?}"
     );
--- a/crates/ebonystand/src/gateway/admitted.rs
+++ b/crates/ebonystand/src/gateway/admitted.rs
@@ -40,7 +40,7 @@
                 return Err(self.refusal(RefusalCode::Deadline, "its time is over"));
             }
             self.revalidate_key(node)?;
-            let mut reachable = node.gateway.reachable(node);
+            let mut reachable = node.gateway.reachable(node, &self.call.excluded_vms);
             reachable.retain(|region| !self.call.full_regions.contains(region));
             let choice = self.call.choose(node, &reachable);
             let wait = self.first_byte_wait(left);
@@ -110,7 +110,7 @@
                     let outcome = self.call.send_here(node, &to, wait).await;
                     (outcome, Some(to.instance))
                 }
-                TargetChoice::OtherRegion {
+                TargetChoice::Forward {
                     local_cost: here,
                     predicted,
                     region,
@@ -124,23 +124,13 @@
                         since_grant_ms:? = self.since_grant(node);
                         "sent away"
                     );
-                    node.metrics.sent_away.inc();
+                    match region == node.settings.region {
+                        true => node.metrics.sent_beside.inc(),
+                        false => node.metrics.sent_away.inc(),
+                    };
                     self.consume_reservation();
                     RetryPermit::begin_attempt(&mut self.permit);
-                    let outcome = forward::send(node, &self.call, &region, wait).await;
-                    if let Outcome::Ended {
-                        end: AttemptEnd::Unreachable,
-                        retry_after,
-                        ..
-                    } = &outcome
-                    {
-                        if retry_after.is_some() {
-                            let now = node.clock.now();
-                            let mut book = node.gateway.book.borrow_mut();
-                            book.record_region_refusal(now, &region, &self.call.service);
-                        }
-                        self.call.full_regions.insert(region);
-                    }
+                    let outcome = forward::send(node, &mut self.call, &region, wait).await;
                     (outcome, None)
                 }
             };
--- a/crates/ebonystand/src/gateway/attempt.rs
+++ b/crates/ebonystand/src/gateway/attempt.rs
@@ -26,6 +26,7 @@
     /// Prefixes of the prompt that the upstream has cached once its answer has begun.
     prefixes: Vec<SharedPrefix>,
     request: Box<str>,
+    service: ServiceId,
     started: Duration,
     unread: Tokens,
 }
@@ -62,6 +63,7 @@
             node: Rc::clone(node),
             prefixes,
             request: call.request.clone(),
+            service: call.service.clone(),
             started,
             unread,
         }
@@ -165,7 +167,7 @@
                     is_lost: end == AttemptEnd::Lost,
                     request: self.request.clone(),
                 };
-                CrashWatch::check(&self.node, &self.instance, self.address, run);
+                CrashWatch::check(&self.node, &self.service, &self.instance, self.address, run);
             }
             _ => {}
         }
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -5,6 +5,7 @@
         AnswerPause, AttemptEnd, CacheSource, ChoiceQuery, ColdTerms, Prompt, TargetChoice,
     },
     node::Node,
+    path_watch::PathWatch,
     relay::Relay,
     request_content::RequestContent,
     room_queues::RoomQueues,
@@ -24,6 +25,8 @@
     pub(crate) end: Duration,
     /// Upstreams that must not receive the request, because an attempt there has already ended.
     pub(crate) excluded: Vec<UpstreamId>,
+    /// VMs that could not send the request on.
+    pub(crate) excluded_vms: Vec<VmId>,
     /// Regions that refused the request or could not be reached.
     pub(crate) full_regions: BTreeSet<RegionId>,
     pub(crate) headers: HeaderMap,
@@ -222,6 +225,7 @@
         let reader = match sent {
             Ok(reader) => reader,
             Err(end) => {
+                PathWatch::suspect(node, &self.service);
                 attempt.end(end);
                 return Outcome::ended(end);
             }
--- a/crates/ebonystand/src/gateway/connection.rs
+++ b/crates/ebonystand/src/gateway/connection.rs
@@ -132,6 +132,13 @@
         self.buf.is_empty() && peeked.is_err_and(|error| error == Errno::WOULDBLOCK)
     }
 
+    /// Whether the other end keeps the connection open for `wait`. A server that takes no more
+    /// connections may accept one and reset it.
+    pub(crate) async fn stays_open(&self, wait: Duration) -> bool {
+        let readable = actix_rt::time::timeout(wait, self.io.readable()).await;
+        readable.is_err() || self.is_reusable()
+    }
+
     /// Sends a request and waits for the head of the answer. If the answer arrives before the whole
     /// request is sent, the connection is not reused.
     ///
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -161,11 +161,19 @@
         self.rng.borrow_mut().random_range(0.8..1.2)
     }
 
-    /// Picks a random VM of a region that accepts forwarded requests and has not recently left one
-    /// unanswered.
-    pub(crate) fn forwarder(&self, node: &Node, region: &str) -> Option<(VmId, SocketAddr)> {
+    /// Picks a random VM of a region that accepts forwarded requests, has not recently left one
+    /// unanswered and is none of `excluded`.
+    pub(crate) fn forwarder(
+        &self,
+        node: &Node,
+        region: &str,
+        excluded: &[VmId],
+    ) -> Option<(VmId, SocketAddr)> {
         let forwarders = self.forwarders(node);
-        let sound = forwarders.list_sound(region, |vm| self.is_sound(node.clock.now(), vm));
+        let now = node.clock.now();
+        let sound = forwarders.list_sound(region, |vm| {
+            self.is_sound(now, vm) && !excluded.contains(vm)
+        });
         if sound.is_empty() {
             return None;
         }
@@ -203,12 +211,13 @@
         node.settings.gateway.serves_callers && node.ready() && !node.draining()
     }
 
-    /// Returns the other regions that have a VM that accepts forwarded requests.
-    pub(crate) fn reachable(&self, node: &Node) -> BTreeSet<RegionId> {
+    /// Returns the regions that have another VM that accepts forwarded requests and is none of
+    /// `excluded`.
+    pub(crate) fn reachable(&self, node: &Node, excluded: &[VmId]) -> BTreeSet<RegionId> {
         let now = node.clock.now();
         let forwarders = self.forwarders(node);
         let reachable = forwarders.regions().filter(|region| {
-            let is_sound = |vm: &VmId| self.is_sound(now, vm);
+            let is_sound = |vm: &VmId| self.is_sound(now, vm) && !excluded.contains(vm);
             forwarders.has_sound(region, is_sound)
         });
         reachable.cloned().collect()
@@ -259,6 +268,9 @@
             actix_rt::time::sleep(Self::PRESSURE_INTERVAL).await;
             let takes_callers = this.takes_callers(&node);
             MembershipController::set_takes_callers(&node, takes_callers);
+            let forwards = node.settings.gateway.forwards;
+            let forwards = forwards.filter(|_| !this.book.borrow().is_cut_off());
+            MembershipController::set_forwards(&node, forwards);
             let is_relay = this.book.borrow().is_relay();
             if is_relay && node.settings.gateway.forwards.is_some() {
                 Self::send_pressure(&node);
@@ -359,13 +371,13 @@
         node.send(vm, PeerMessage::Confirm { asked_us });
     }
 
-    /// Returns the VMs of other regions that accept forwarded requests, cached until the set of
+    /// Returns the other VMs that accept forwarded requests, cached until the set of
     /// live VMs changes.
     fn forwarders(&self, node: &Node) -> Rc<Forwarders> {
         let live = node.membership.live(node.clock.now());
         let mut known = self.forwarders.borrow_mut();
         if !known.is_derived_from(&live) {
-            *known = Rc::new(Forwarders::new(live, &node.settings.region));
+            *known = Rc::new(Forwarders::new(live, &node.settings.vm));
         }
         Rc::clone(&known)
     }
--- a/crates/ebonystand/src/gateway/crash_watch.rs
+++ b/crates/ebonystand/src/gateway/crash_watch.rs
@@ -1,5 +1,5 @@
 use super::*;
-use {node::Node, request_content::RequestContent};
+use {node::Node, path_watch::PathWatch, request_content::RequestContent};
 
 /// Finds out whether an upstream went down when connections to it ended during a run, and reports
 /// that to the quarantine.
@@ -27,6 +27,7 @@
     /// Checks the upstream of a run that ended with its connection.
     pub(crate) fn check(
         node: &Rc<Node>,
+        service: &ServiceId,
         upstream: &UpstreamId,
         address: SocketAddr,
         run: EndedRun,
@@ -39,13 +40,16 @@
         runs.push(run);
         if runs.len() == 1 {
             let node = Rc::clone(node);
-            actix_rt::spawn(Self::probe(node, upstream.clone(), address));
+            let (service, upstream) = (service.clone(), upstream.clone());
+            actix_rt::spawn(Self::probe(node, service, upstream, address));
         }
     }
 
-    async fn probe(node: Rc<Node>, upstream: UpstreamId, address: SocketAddr) {
+    async fn probe(node: Rc<Node>, service: ServiceId, upstream: UpstreamId, address: SocketAddr) {
         let opened = Connection::open(address, Self::CONNECT_TIME).await;
-        let is_down = opened.is_err_and(|fault| fault.is_refused());
+        let is_refused = opened.is_err_and(|fault| fault.is_refused());
+        // Where the others refuse as well, it is the way there that is gone.
+        let is_down = is_refused && PathWatch::reaches_another(&node, &service, &upstream).await;
         let runs = node.gateway.crashes.ended.borrow_mut().remove(&upstream);
         for EndedRun {
             content,
--- a/crates/ebonystand/src/gateway/forward.rs
+++ b/crates/ebonystand/src/gateway/forward.rs
@@ -1,5 +1,5 @@
-//! Forwards a request to a VM of another region, which sends it to an upstream there. Upstreams
-//! accept connections only from their own region.
+//! Forwards a request to another VM, which sends it to an upstream of its region. Upstreams accept
+//! connections only from their own region, and a VM may have lost its way to those of its own.
 
 use super::*;
 use {
@@ -62,11 +62,53 @@
     reader.is_unframed() || reader.head().headers.contains_key(UNFRAMED)
 }
 
-/// Forwards a call to a VM of `region` and waits up to `wait` for the first bytes of the answer.
-pub(crate) async fn send(node: &Rc<Node>, call: &Call, region: &str, wait: Duration) -> Outcome {
-    let Some((vm, address)) = node.gateway.forwarder(node, region) else {
+/// Most VMs of a region that are asked to send a request on.
+const MAX_FORWARDERS: usize = 3;
+
+/// Forwards a call to a VM of `region` and waits up to `wait` for the first bytes of the answer. The
+/// call keeps which VM or region could not send it on.
+pub(crate) async fn send(
+    node: &Rc<Node>,
+    call: &mut Call,
+    region: &RegionId,
+    wait: Duration,
+) -> Outcome {
+    let Some((vm, address)) = node.gateway.forwarder(node, region, &call.excluded_vms) else {
+        call.full_regions.insert(region.clone());
         return Outcome::ended(AttemptEnd::Unreachable);
     };
+    let (outcome, is_answered) = send_to(node, call, &vm, address, wait).await;
+    let Outcome::Ended {
+        end: AttemptEnd::Unreachable,
+        retry_after,
+        ..
+    } = &outcome
+    else {
+        return outcome;
+    };
+    if retry_after.is_some() {
+        let now = node.clock.now();
+        let mut book = node.gateway.book.borrow_mut();
+        book.record_region_refusal(now, region, &call.service);
+    }
+    call.excluded_vms.push(vm);
+    // A VM that has no room speaks for its region, and so does one that is out of reach. One that
+    // cannot send the request on speaks for itself.
+    let speaks_for_region = !is_answered || retry_after.is_some();
+    if speaks_for_region || call.excluded_vms.len() >= MAX_FORWARDERS {
+        call.full_regions.insert(region.clone());
+    }
+    outcome
+}
+
+/// Forwards a call to a VM. Returns whether the VM has answered, besides the outcome.
+async fn send_to(
+    node: &Rc<Node>,
+    call: &Call,
+    vm: &VmId,
+    address: SocketAddr,
+    wait: Duration,
+) -> (Outcome, bool) {
     let left = call.remaining_time(node);
     let forwarded = Forwarded {
         aim_ms: call.aim.as_millis() as u64,
@@ -83,32 +125,36 @@
         Ok(text) => headers::set(&mut headers, FORWARDED, &text),
         Err(error) => {
             log::error!(request:% = call.request, error:% = error; "not forwarded");
-            return Outcome::ended(AttemptEnd::Unreachable);
+            return (Outcome::ended(AttemptEnd::Unreachable), false);
         }
     }
     headers::set(&mut headers, ACCEPTS_UNFRAMED, "1");
     let until = node.clock.now() + wait;
     let connect_time = Connection::MAX_CONNECT_TIME;
     let sent = call
-        .exchange(node, address, &vm, headers, connect_time, wait)
+        .exchange(node, address, vm, headers, connect_time, wait)
         .await;
     let reader = match sent {
         Ok(reader) => reader,
         Err(end) => {
             if matches!(end, AttemptEnd::Unreachable | AttemptEnd::TimedOut) {
-                node.gateway.suspect(node.clock.now(), &vm);
+                node.gateway.suspect(node.clock.now(), vm);
             }
-            return Outcome::ended(end);
+            return (Outcome::ended(end), false);
         }
     };
     let headers = &reader.head().headers;
     let ended = headers::text(headers, ATTEMPT_END).unwrap_or_default();
     if let Some(end) = parse_attempt_end(ended) {
-        return read_failure(node, call, reader, address, &vm, end).await;
+        return (
+            read_failure(node, call, reader, address, vm, end).await,
+            true,
+        );
     }
     let wait = until.saturating_sub(node.clock.now());
     let is_unframed = is_unframed(&reader);
-    match Relay::start(node, call, reader, address, &vm, is_unframed, wait).await {
+    let relay = Relay::start(node, call, reader, address, vm, is_unframed, wait).await;
+    let outcome = match relay {
         Ok(relay) => {
             let mut answered = relay.into_answered(None);
             answered.headers.remove(ATTEMPT_END);
@@ -116,7 +162,8 @@
             Outcome::Answered(Box::new(answered))
         }
         Err(end) => Outcome::ended(end),
-    }
+    };
+    (outcome, true)
 }
 
 /// Reads the other VM's report of why it has no answer from an upstream.
@@ -135,7 +182,7 @@
     headers.remove(ATTEMPT_END);
     headers.remove(UNFRAMED);
     let is_unframed = is_unframed(&reader);
-    log::warn!(request:% = call.request, vm:% = vm, end:? = end, status = status.as_u16(); "other region has no answer to the forwarded request");
+    log::warn!(request:% = call.request, vm:% = vm, end:? = end, status = status.as_u16(); "other VM has no answer to the forwarded request");
     let retry_after = call::retry_after(&headers);
     let body =
         actix_rt::time::timeout(FAILURE_BODY_TIMEOUT, reader.read_whole(MAX_FAILURE_BODY)).await;
--- a/crates/ebonystand/src/gateway/forwarders.rs
+++ b/crates/ebonystand/src/gateway/forwarders.rs
@@ -1,7 +1,7 @@
 use super::*;
 use {ebonystand_core::VmEntry, std::collections::BTreeMap};
 
-/// VMs of other regions that accept forwarded requests, derived from the live VMs.
+/// Other VMs that accept forwarded requests, derived from the live VMs.
 pub(crate) struct Forwarders {
     live: Rc<[VmEntry]>,
     regions: BTreeMap<RegionId, RegionForwarders>,
@@ -25,15 +25,14 @@
 }
 
 impl Forwarders {
-    /// Selects from `live` the VMs outside the region `here` that accept forwarded requests and take
-    /// callers.
-    pub(crate) fn new(live: Rc<[VmEntry]>, here: &str) -> Self {
+    /// Selects from `live` the VMs that accept forwarded requests and take callers, without `own`.
+    pub(crate) fn new(live: Rc<[VmEntry]>, own: &VmId) -> Self {
         let mut regions = BTreeMap::<RegionId, RegionForwarders>::new();
         for VmEntry { record, .. } in live.iter() {
             let Some(address) = record.forwards.filter(|_| record.takes_callers) else {
                 continue;
             };
-            if *record.region == *here {
+            if record.vm == *own {
                 continue;
             }
             let region_forwarders = regions.entry(record.region.clone()).or_default();
--- a/crates/ebonystand/src/gateway/mod.rs
+++ b/crates/ebonystand/src/gateway/mod.rs
@@ -44,6 +44,7 @@
 mod list_controller;
 mod native_dialect;
 mod outgoing_call;
+mod path_watch;
 pub(crate) mod receive_forward;
 mod relay;
 mod replace_error;
--- a/crates/ebonystand/src/gateway/receive_forward.rs
+++ b/crates/ebonystand/src/gateway/receive_forward.rs
@@ -1,4 +1,4 @@
-//! Accepts requests that VMs of other regions forward and sends them to upstreams of this region.
+//! Accepts requests that other VMs forward and sends them to upstreams of this region.
 
 use super::*;
 use {
@@ -15,7 +15,7 @@
 /// Most upstreams that are tried again after a forwarded request found them gone.
 const MAX_GONE: usize = 2;
 
-/// Answers a request that a VM of another region forwards.
+/// Answers a request that another VM forwards.
 pub(crate) async fn handle(node: Rc<Node>, mut req: Request) -> Response<BoxBody> {
     let mut payload = req.take_payload();
     let outcome = serve(&node, &req, &mut payload).await;
@@ -71,7 +71,11 @@
     // A VM that has been asked to stop but has no replacement in its region still serves. A long
     // answer would be cut off when it stops, and the forwarding VM can still choose another region.
     let is_too_long = serve_call::would_be_cut_off(node, forwarded.prompt.as_ref());
-    if is_too_long || !node.gateway.serves(node) {
+    let is_cut = node.gateway.book.borrow().is_path_cut(&forwarded.service);
+    if is_cut {
+        log::info!(request:% = forwarded.request, service:% = forwarded.service; "forwarded request refused: no way to the upstreams");
+    }
+    if is_too_long || is_cut || !node.gateway.serves(node) {
         return Outcome::ended(AttemptEnd::Unreachable);
     }
     let body = match body::read(node, req.headers(), payload).await {
@@ -88,6 +92,7 @@
         body,
         end: now + Duration::from_millis(forwarded.left_ms),
         excluded: Vec::new(),
+        excluded_vms: Vec::new(),
         full_regions: BTreeSet::new(),
         headers: headers::passed_on(
             req.headers(),
@@ -175,7 +180,7 @@
         // Nothing was sent to an upstream, so the forwarding VM may try another region.
         TargetChoice::NoRoom { predicted } => (no_room_outcome(predicted), None),
         TargetChoice::Unavailable { retry_after, .. } => (no_room_outcome(retry_after), None),
-        TargetChoice::OtherRegion { .. } => (Outcome::ended(AttemptEnd::Unreachable), None),
+        TargetChoice::Forward { .. } => (Outcome::ended(AttemptEnd::Unreachable), None),
     }
 }
 
--- a/crates/ebonystand/src/gateway/serve_call.rs
+++ b/crates/ebonystand/src/gateway/serve_call.rs
@@ -178,6 +178,7 @@
         body,
         end: arrived + head.deadline.unwrap_or(longest).min(longest),
         excluded: Vec::new(),
+        excluded_vms: Vec::new(),
         full_regions: BTreeSet::new(),
         headers: head.headers,
         homes: allowed_regions(&route, workspace.as_ref()),
--- a/crates/ebonystand/src/lib.rs
+++ b/crates/ebonystand/src/lib.rs
@@ -14,7 +14,7 @@
         ChangeOutcome, ChangeRequest, Document, DurableState, Incarnation, KeyHash, KeyId,
         LogEntry, LogIndex, LogRecord, LogSnapshot, PersistToken, ProposalError, ProposalId,
         Refusal, RefusalCode, RegionId, Replica, ReplicaConfig, ReplicaInput, ReplicaMessage,
-        ReplicaOutput, RunState, Tokens, Upstream, UpstreamId, Version, VmId, Workspace,
+        ReplicaOutput, RunState, ServiceId, Tokens, Upstream, UpstreamId, Version, VmId, Workspace,
         WorkspaceId, ZoneId,
     },
     ebonystand_wire::{FrameReader, FrameWriter, Hello, Nonce, PeerMessage, Secret},
--- a/crates/ebonystand/src/membership_controller.rs
+++ b/crates/ebonystand/src/membership_controller.rs
@@ -139,6 +139,15 @@
         Self::take(node, outputs);
     }
 
+    /// Says where this VM takes forwarded requests, if it takes any now.
+    pub(crate) fn set_forwards(node: &Rc<Node>, forwards: Option<SocketAddr>) {
+        let now = node.clock.now();
+        let mut membership = node.membership.membership.borrow_mut();
+        let outputs = membership.set_forwards(now, forwards);
+        drop(membership);
+        Self::take(node, outputs);
+    }
+
     pub(crate) fn set_version(&self, version: Version, withdrawals: u64) {
         let mut membership = self.membership.borrow_mut();
         membership.set_version(version);
--- a/crates/ebonystand/src/metrics.rs
+++ b/crates/ebonystand/src/metrics.rs
@@ -27,6 +27,8 @@
     pub(crate) retries: Counter,
     pub(crate) retry_grants: Family<GrantLabel, Counter>,
     pub(crate) sent_away: Counter,
+    pub(crate) sent_beside: Counter,
+    pub(crate) cut_services: Gauge,
     pub(crate) streams: Gauge,
     pub(crate) suspects: Gauge,
     pub(crate) tokens: Family<WorkspaceLabel, Counter>,
@@ -101,6 +103,8 @@
             retries: Counter::default(),
             retry_grants: Family::default(),
             sent_away: Counter::default(),
+            sent_beside: Counter::default(),
+            cut_services: Gauge::default(),
             streams: Gauge::default(),
             suspects: Gauge::default(),
             tokens: Family::default(),
@@ -198,6 +202,16 @@
             "Requests sent to another region",
             self.sent_away.clone(),
         );
+        r.register(
+            "sent_beside",
+            "Requests sent to another VM of the region, because this one reaches no upstream",
+            self.sent_beside.clone(),
+        );
+        r.register(
+            "cut_services",
+            "Services whose upstreams this VM cannot connect to",
+            self.cut_services.clone(),
+        );
         r.register("streams", "Streams that run", self.streams.clone());
         r.register(
             "suspected_requests",
--- a/crates/ebonystand/tests/integration/cut_vms.rs
+++ b/crates/ebonystand/tests/integration/cut_vms.rs
@@ -67,7 +67,10 @@
         for n in 0..REQUESTS {
             let request = format!("{name}-{}-{n}", vm.name);
             let answer = call(vm, "POST", path, &request, "o").await;
-            served += usize::from(answer.status == 200);
+            match answer.status {
+                200 => served += 1,
+                _ => println!("{request}: {answer:?}"),
+            }
             actix_rt::time::sleep(Duration::from_millis(10)).await;
         }
         served as f64 / REQUESTS as f64
