Keep brittle upstreams from turning away more than they tolerate

An upstream that states a tolerance gets no request to queue, and after one that it turned away for want of room a VM leaves it alone for a time that grows with the VMs of the region and shrinks with the tolerance, drawn around its mean so that VMs which were turned away together do not come back together. Operators see the tolerance in the status.

With all VMs asking a full upstream as soon as they may, the most refusals in any second of 30 s stay within the tolerance, after the first request of each VM: 9 VMs and 4, 67 VMs and 20.

--- a/crates/ebonystand-core/src/gateway/known_upstream.rs
+++ b/crates/ebonystand-core/src/gateway/known_upstream.rs
@@ -41,6 +41,9 @@
     pub(crate) limit: Option<NamedLimit>,
     /// Pause that the upstream has asked this VM for, until a request after it is answered.
     pub(crate) pause: Option<UpstreamPause>,
+    /// Requests that the upstream may turn away in a second, over all VMs, before it goes down; `None`
+    /// if it states no such number.
+    pub(crate) shed_tolerance: Option<u32>,
     /// Limit on the prompt tokens that wait in the engine, with those reserved by this VM's requests
     /// whose answers have not begun; calls to plain services reserve none.
     pub(crate) work_window: WorkWindow,
@@ -53,7 +56,7 @@
     /// Call duration assumed before the first measurement.
     const INITIAL_CALL_DURATION: Duration = Duration::from_millis(40);
     /// Calls per slot that may be in flight at a plain service: one that runs and one that is
-    /// queued behind it.
+    /// queued behind it. An upstream that goes down of what it turns away gets none to queue.
     const CALLS_PER_SLOT: u32 = 2;
     /// Age from which a load report is ignored.
     const REPORT_LIFETIME: Duration = Duration::from_millis(1_500);
@@ -95,6 +98,7 @@
             backoff_until: Duration::ZERO,
             limit: None,
             pause: None,
+            shed_tolerance: None,
             work_window: WorkWindow::new(Self::INITIAL_WINDOW_TOKENS),
         }
     }
@@ -169,7 +173,8 @@
 
     /// Returns whether a slot is free or, for a plain call, will be free soon.
     pub(crate) fn has_free_slot(&self, now: Duration, is_engine: bool, others: UnderWay) -> bool {
-        let requests = if is_engine { 1 } else { Self::CALLS_PER_SLOT };
+        let may_queue = !is_engine && self.shed_tolerance.is_none();
+        let requests = if may_queue { Self::CALLS_PER_SLOT } else { 1 };
         self.pending_requests(now, others) < self.listed.slots * requests
     }
 
--- a/crates/ebonystand-core/src/gateway/live_vms.rs
+++ b/crates/ebonystand-core/src/gateway/live_vms.rs
@@ -98,7 +98,7 @@
     }
 
     /// Number of VMs that count as senders, those included that have gone out of sight lately.
-    fn member_count(&self) -> usize {
+    pub(crate) fn member_count(&self) -> usize {
         self.all.len() + self.departed.len()
     }
 
--- a/crates/ebonystand-core/tests/gateway/notices.rs
+++ b/crates/ebonystand-core/tests/gateway/notices.rs
@@ -158,3 +158,50 @@
         }
     }
 }
+
+/// Guards against VMs that together have an upstream turn away more requests than it bears: at any size of the region,
+/// all of them come back less often than it tolerates.
+#[rstest]
+#[case::nine_vms(9, 4)]
+#[case::sixty_seven_vms(67, 20)]
+fn refusals_of_a_brittle_upstream_stay_within_its_tolerance(
+    #[case] vms: usize,
+    #[case] tolerance: u32,
+) {
+    const SECONDS: u64 = 30;
+    let names = (0..vms).map(|n| format!("vm{n:02}")).collect::<Vec<_>>();
+    let sets = Sets::default();
+    let query = sets.query(None);
+    let mut books = names
+        .iter()
+        .map(|vm| book_of(vm, vec![listed("u1", "a-1", 1)]))
+        .collect::<Vec<_>>();
+    for book in &mut books {
+        book.set_vms(ms(0), &region_vms(names.iter().cloned()));
+        book.record_shed_tolerance("u1", Some(tolerance));
+    }
+    let mut rng = Pcg64Mcg::seed_from_u64(5);
+    let mut shed = Vec::new();
+    for at in (0..SECONDS * 1_000).step_by(10) {
+        for book in &mut books {
+            let now = ms(at);
+            let TargetChoice::Upstream { instance, .. } = book.choose_target(now, &query) else {
+                continue;
+            };
+            book.record_sent(now, &query, &instance, 0);
+            book.record_shed(now, &instance, rng.random());
+            book.record_attempt_end(now, &instance, AttemptEnd::Shed, ms(1));
+            shed.push(at);
+        }
+    }
+    // All VMs learn at once, with the first request of each, that there is no room.
+    let later = shed.iter().copied().filter(|at| *at > 0);
+    let later = later.collect::<Vec<_>>();
+    assert!(!later.is_empty());
+    let in_a_second = later.iter().map(|start| {
+        let window = start..&(start + 1_000);
+        later.iter().filter(|at| window.contains(at)).count()
+    });
+    let most = in_a_second.max().unwrap_or_default();
+    assert!(most <= tolerance as usize, "{most} in a second");
+}
--- a/crates/ebonystand/src/gateway/answer_marks.rs
+++ b/crates/ebonystand/src/gateway/answer_marks.rs
@@ -14,6 +14,9 @@
     pub not_run: bool,
     /// Identifier of the request that the upstream answers, if the answer states one.
     pub request: Option<Box<str>>,
+    /// Requests that the upstream may turn away in a second, over all VMs, before it goes down, if the
+    /// answer states it.
+    pub shed_tolerance: Option<u32>,
     /// Slots that the upstream reports as its load, if the answer states them.
     pub slots: Option<ReportedSlots>,
 }
--- a/crates/ebonystand/src/gateway/attempt.rs
+++ b/crates/ebonystand/src/gateway/attempt.rs
@@ -124,6 +124,25 @@
         }
     }
 
+    /// Records how many requests the upstream says that it may turn away in a second.
+    pub(crate) fn record_shed_tolerance(&self, tolerance: Option<u32>) {
+        let mut book = self.node.gateway.book.borrow_mut();
+        if book.record_shed_tolerance(&self.instance, tolerance) {
+            log::info!(upstream:% = self.instance, tolerance:? = tolerance; "shed tolerance of an upstream changed");
+        }
+    }
+
+    /// Records that the upstream has turned the request away.
+    pub(crate) fn record_shed(&self) {
+        let now = self.node.clock.now();
+        let spread = (self.node.gateway.draw() % 1_000) as f64 / 1_000.0;
+        let mut book = self.node.gateway.book.borrow_mut();
+        if let Some(pause) = book.record_shed(now, &self.instance, spread) {
+            let pause_ms = pause.as_millis() as u64;
+            log::info!(upstream:% = self.instance, pause_ms = pause_ms; "upstream that tolerates few refusals has no room");
+        }
+    }
+
     /// Records the arrival of one or more events of a streamed answer.
     pub(crate) fn record_event(&mut self) {
         let now = self.node.clock.now();
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -241,8 +241,12 @@
         }
         if !marks.is_stranger {
             attempt.record_notices(marks.is_leaving, &requested_pause(head));
+            attempt.record_shed_tolerance(marks.shed_tolerance);
         }
         if let Some(end) = self.end_by_head(head, &marks) {
+            if end == AttemptEnd::Shed {
+                attempt.record_shed();
+            }
             attempt.end(end);
             return self
                 .read_failure(node, address, instance, reader, end)
--- a/crates/ebonystand/src/gateway/native_dialect.rs
+++ b/crates/ebonystand/src/gateway/native_dialect.rs
@@ -14,6 +14,9 @@
 const LEAVING: &str = "x-ebonystand-leaving";
 /// Header of an answer with the requests per second that the upstream takes from all VMs together.
 const LIMIT: &str = "x-ebonystand-limit";
+/// Header of an answer with the requests that the upstream may turn away in a second, over all VMs,
+/// before it goes down.
+const SHED_TOLERANCE: &str = "x-ebonystand-shed-tolerance";
 const RUN_STATE: &str = "x-ebonystand-run";
 const PROMPT: &str = "x-ebonystand-prompt";
 const RANK: &str = "x-ebonystand-rank";
@@ -38,6 +41,8 @@
             is_stranger: status == StatusCode::MISDIRECTED_REQUEST,
             not_run: headers::text(headers, RUN_STATE) == Some("not_run"),
             request: headers::text(headers, REQUEST).map(Into::into),
+            shed_tolerance: headers::text(headers, SHED_TOLERANCE)
+                .and_then(|text| text.trim().parse().ok()),
             slots: None,
         }
     }
--- a/crates/ebonystandctl/src/status.rs
+++ b/crates/ebonystandctl/src/status.rs
@@ -53,7 +53,10 @@
     let notices = status.notices.iter().map(|notice| {
         let leaves = if notice.is_leaving { ", leaves" } else { "" };
         let (upstream, pause_ms) = (&notice.upstream, notice.pause_ms);
-        format!("  upstream {upstream}: wants a pause of {pause_ms} ms more{leaves}")
+        let sheds = notice.shed_tolerance.map_or(String::new(), |tolerance| {
+            format!(", goes down if it turns away more than {tolerance} requests a second")
+        });
+        format!("  upstream {upstream}: wants a pause of {pause_ms} ms more{leaves}{sheds}")
     });
     lines.extend(listed(notices, "notices of upstreams"));
     let budgets = status.retry_budgets.iter().map(|budget| {
--- a/crates/ebonystandctl/tests/status.rs
+++ b/crates/ebonystandctl/tests/status.rs
@@ -73,6 +73,7 @@
     let notice = UpstreamNoticeStatus {
         is_leaving: true,
         pause_ms: 250,
+        shed_tolerance: Some(4),
         upstream: "i-4".into(),
     };
     let status = OperatorStatus {
@@ -83,7 +84,7 @@
     let text = format_status(&status);
     let request = "request 00ff: quarantined, 3 crashes counted here (i-1 i-2 i-3), for 3600 s";
     assert!(text.contains(request), "{text}");
-    let upstream = "upstream i-4: wants a pause of 250 ms more, leaves";
+    let upstream = "upstream i-4: wants a pause of 250 ms more, leaves, goes down if it turns away more than 4 requests a second";
     assert!(text.contains(upstream), "{text}");
 }
 
