Test what a VM decides while its way to the upstreams is cut

Forwards within the region and beyond it, hysteresis of the return, what is probed, and that the misses of a cut VM take no zone from the others. The last fails if the misses are told: the VM that reaches the zone then counts it as lost.

--- a/crates/ebonystand-core/tests/gateway/main.rs
+++ b/crates/ebonystand-core/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 
 mod caches;
 mod configuration;
+mod cut_path;
 mod directory;
 mod limits;
 mod list;
