State to upstreams the time that is left once the connection is open

The time left was computed before the connection opened, which may take a second, and for a forwarded request twice. Headers are now built with the connection at hand. Names and lines say path, the usual term, for what this VM reaches.

--- a/crates/ebonystand-core/src/gateway/path_health.rs
+++ b/crates/ebonystand-core/src/gateway/path_health.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-/// Knows of which services this VM has lost its own way to the upstreams, while other VMs of the
+/// Knows of which services this VM has lost its own path to the upstreams, while other VMs of the
 /// region may still reach them.
 ///
 /// Failed requests do not tell: an upstream may have crashed, and kept connections may live on while
@@ -10,20 +10,20 @@
     paths: BTreeMap<ServiceId, Path>,
 }
 
-/// What a round of probes says of the way to the upstreams of a service.
+/// What a round of probes says of the path to the upstreams of a service.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ProbeOutcome {
-    /// The way is found cut.
+    /// The path is found cut.
     Lost,
-    /// The way is back.
+    /// The path is back.
     Regained,
-    /// The way is not cut.
+    /// The path is not cut.
     Sound,
-    /// The way stays cut.
+    /// The path stays cut.
     StillCut,
 }
 
-/// Way of this VM to the upstreams of a service.
+/// Path of this VM to the upstreams of a service.
 #[derive(Clone, Debug, Default)]
 struct Path {
     is_cut: bool,
@@ -37,7 +37,7 @@
 impl PathHealth {
     /// Time after a successful probe in which further failures start none.
     const PROBE_REST: Duration = Duration::from_millis(500);
-    /// Successful rounds of probes after which a cut way counts as back.
+    /// Successful rounds of probes after which a cut path counts as back.
     const ROUNDS_TO_RETURN: u32 = 2;
 
     /// Returns whether this VM cannot open connections to the upstreams of a service.
@@ -45,13 +45,13 @@
         self.paths.get(service).is_some_and(|path| path.is_cut)
     }
 
-    /// Returns whether failures of this VM may be those of its own way.
+    /// Returns whether failures of this VM may be those of its own path.
     pub(crate) fn is_suspect(&self, service: &str) -> bool {
         let path = self.paths.get(service);
         path.is_some_and(|path| path.is_cut || path.is_probed)
     }
 
-    /// Raises the suspicion that the way is cut, and returns whether probes are to be started.
+    /// Raises the suspicion that the path is cut, and returns whether probes are to be started.
     pub(crate) fn suspect(&mut self, now: Duration, service: &str) -> bool {
         let path = self.paths.entry(service.into()).or_default();
         let starts = !path.is_probed && now >= path.rests_until;
@@ -59,7 +59,7 @@
         starts
     }
 
-    /// Records whether a round of probes has reached an upstream, and returns what follows. A cut way
+    /// Records whether a round of probes has reached an upstream, and returns what follows. A cut path
     /// counts as back only after several rounds, so that requests are not lost on one that flaps.
     pub(crate) fn record_probe(
         &mut self,
--- a/crates/ebonystand-core/src/gateway/target_choice.rs
+++ b/crates/ebonystand-core/src/gateway/target_choice.rs
@@ -4,7 +4,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum TargetChoice {
     /// Send the request to another VM, which chooses an upstream of its region. It is a VM of this
-    /// region if this VM has lost its own way to the upstreams.
+    /// region if this VM has lost its own path to the upstreams.
     Forward {
         /// Predicted time to the first byte in this region, plus the time by which the answer would
         /// end too late; `None` if this region cannot serve the request.
--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -35,7 +35,7 @@
     pub(super) event_gaps: FxHashMap<ServiceId, EventGapMeter>,
     /// Time of the next look at shares of limits that change with time alone.
     pub(super) next_share_update: Duration,
-    /// This VM's own way to the upstreams of each service.
+    /// This VM's own path to the upstreams of each service.
     pub(super) paths: PathHealth,
     /// Disabled features of the selection.
     disabled_mechanisms: BTreeSet<Mechanism>,
@@ -126,7 +126,7 @@
         };
         known.in_flight = known.in_flight.saturating_sub(1);
         if let Some(is_reached) = end.is_upstream_reached() {
-            // A miss that may be due to this VM's own way says nothing to the others.
+            // A miss that may be due to this VM's own path says nothing to the others.
             let is_told = is_reached || !self.paths.is_suspect(&known.listed.service);
             self.zone_health
                 .record_contact(now, &known.listed.zone, is_reached, is_told);
--- a/crates/ebonystand-core/src/gateway/upstream_paths.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_paths.rs
@@ -1,4 +1,4 @@
-//! This VM's own way to the upstreams of its region.
+//! This VM's own path to the upstreams of its region.
 
 use super::*;
 
@@ -6,7 +6,7 @@
     /// Number of upstreams that a round of probes connects to.
     const PROBED_UPSTREAMS: usize = 3;
 
-    /// Returns whether this VM has lost its way to the upstreams of a service.
+    /// Returns whether this VM has lost its path to the upstreams of a service.
     #[must_use]
     pub fn is_path_cut(&self, service: &str) -> bool {
         self.paths.is_cut(service)
@@ -39,7 +39,7 @@
         local.map(|known| known.listed.address).collect()
     }
 
-    /// Raises the suspicion that this VM has lost its way to the upstreams of a service, and returns
+    /// Raises the suspicion that this VM has lost its path to the upstreams of a service, and returns
     /// whether probes are to be started.
     pub fn suspect_path(&mut self, now: Duration, service: &str) -> bool {
         self.paths.suspect(now, service)
@@ -64,7 +64,7 @@
         targets.map(|known| known.listed.address).collect()
     }
 
-    /// Records whether a round of probes has reached an upstream of a service. Once the way is back,
+    /// Records whether a round of probes has reached an upstream of a service. Once the path is back,
     /// its upstreams are no longer passed over for failures that were not theirs.
     pub fn record_probe(&mut self, now: Duration, service: &str, is_reached: bool) -> ProbeOutcome {
         let outcome = self.paths.record_probe(now, service, is_reached);
--- a/crates/ebonystand-core/src/gateway/zone_health.rs
+++ b/crates/ebonystand-core/src/gateway/zone_health.rs
@@ -30,7 +30,7 @@
     /// is noticed.
     const VMS_PER_PROBER: u64 = 16;
     /// Time for which a contact of this VM counts for more than what the others tell, who may have
-    /// lost their own way.
+    /// lost their own path.
     const TRUSTED: Duration = Duration::from_millis(300);
     /// Time for which a VM goes on using a lost zone.
     const PROBE_TIME: Duration = Duration::from_millis(500);
--- a/crates/ebonystand-core/tests/gateway/cut_path.rs
+++ b/crates/ebonystand-core/tests/gateway/cut_path.rs
@@ -1,4 +1,4 @@
-//! A VM that has lost its own way to the upstreams of its region.
+//! A VM that has lost its own path to the upstreams of its region.
 
 use super::*;
 
@@ -27,7 +27,7 @@
 }
 
 #[test]
-fn a_request_goes_to_a_vm_of_the_same_region_while_the_way_is_cut() {
+fn a_request_goes_to_a_vm_of_the_same_region_while_the_path_is_cut() {
     let mut book = book(upstreams());
     let mut sets = Sets {
         reachable: set(&["a", "b"]),
@@ -42,9 +42,9 @@
     assert_eq!(forwarded_to(&book, &sets).as_deref(), Some("a"));
 }
 
-/// Guards against a region that refuses all requests because none of its VMs has a way, although another region has room.
+/// Guards against a region that refuses all requests because none of its VMs has a path, although another region has room.
 #[test]
-fn a_request_goes_to_another_region_if_no_vm_of_its_own_has_a_way() {
+fn a_request_goes_to_another_region_if_no_vm_of_its_own_has_a_path() {
     let mut book = book(upstreams());
     cut(&mut book, "s");
     let sets = Sets {
@@ -56,7 +56,7 @@
 
 /// Guards against a request that is refused without a try when no other VM can be asked.
 #[test]
-fn a_vm_without_others_tries_its_upstreams_although_the_way_is_cut() {
+fn a_vm_without_others_tries_its_upstreams_although_the_path_is_cut() {
     let mut book = book(upstreams());
     cut(&mut book, "s");
     let choice = book.choose_target(ms(10), &Sets::default().query(None));
@@ -73,9 +73,9 @@
     assert!(book.is_cut_off());
 }
 
-/// Guards against requests that are lost on a way that comes and goes.
+/// Guards against requests that are lost on a path that comes and goes.
 #[test]
-fn a_cut_way_is_back_after_two_rounds_of_probes() {
+fn a_cut_path_is_back_after_two_rounds_of_probes() {
     let mut book = book(upstreams());
     cut(&mut book, "s");
     let probe = |book: &mut UpstreamBook, is_reached| book.record_probe(ms(500), "s", is_reached);
@@ -86,9 +86,9 @@
     assert!(!book.is_path_cut("s"));
 }
 
-/// Guards against probes without end while a few requests fail on a way that is sound.
+/// Guards against probes without end while a few requests fail on a path that is sound.
 #[test]
-fn a_way_that_was_just_probed_is_not_probed_again() {
+fn a_path_that_was_just_probed_is_not_probed_again() {
     let mut book = book(upstreams());
     assert!(book.suspect_path(ms(0), "s"));
     assert!(!book.suspect_path(ms(1), "s"));
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -206,17 +206,20 @@
             let query = self.query(node, &document, &none);
             Attempt::begin(node, self, &query, to)
         };
-        let mut headers = self.headers.clone();
-        let outgoing = OutgoingCall {
-            has_prompt: self.prompt.is_some(),
-            import_from: import.as_ref().map(|source| source.address),
-            instance,
-            left: self.remaining_time(node),
-            rank: self.rank,
-            request: &self.request,
-            workspace: self.workspace.as_deref(),
+        let headers = || {
+            let outgoing = OutgoingCall {
+                has_prompt: self.prompt.is_some(),
+                import_from: import.as_ref().map(|source| source.address),
+                instance,
+                left: self.remaining_time(node),
+                rank: self.rank,
+                request: &self.request,
+                workspace: self.workspace.as_deref(),
+            };
+            let mut headers = self.headers.clone();
+            node.gateway.dialect.write(&outgoing, &mut headers);
+            headers
         };
-        node.gateway.dialect.write(&outgoing, &mut headers);
         let until = node.clock.now() + wait;
         let connect_time = self.upstream_connect_time();
         let sent = self
@@ -274,13 +277,14 @@
     }
 
     /// Sends the call over a connection, which is opened within `connect_time`, and waits up to
-    /// `wait` for the head of the answer.
+    /// `wait` for the head of the answer. The headers are built once the connection is open, so that
+    /// the time they state is the time left then.
     pub(crate) async fn exchange(
         &self,
         node: &Rc<Node>,
         address: SocketAddr,
         instance: &str,
-        headers: HeaderMap,
+        headers: impl FnOnce() -> HeaderMap,
         connect_time: Duration,
         wait: Duration,
     ) -> Result<ResponseReader, AttemptEnd> {
@@ -293,7 +297,7 @@
                 return Err(AttemptEnd::Unreachable);
             }
         };
-        let head = connection::head(self.method.clone(), &self.path, headers);
+        let head = connection::head(self.method.clone(), &self.path, headers());
         let response = connection.request(head, self.body.clone());
         match actix_rt::time::timeout(wait, response).await {
             Ok(Ok(reader)) => Ok(reader),
--- a/crates/ebonystand/src/gateway/crash_watch.rs
+++ b/crates/ebonystand/src/gateway/crash_watch.rs
@@ -48,7 +48,7 @@
     async fn probe(node: Rc<Node>, service: ServiceId, upstream: UpstreamId, address: SocketAddr) {
         let opened = Connection::open(address, Self::CONNECT_TIME).await;
         let is_refused = opened.is_err_and(|fault| fault.is_refused());
-        // Where the others refuse as well, it is the way there that is gone.
+        // Where the others refuse as well, it is the path there that is gone.
         let is_down = is_refused && PathWatch::reaches_another(&node, &service, &upstream).await;
         let runs = node.gateway.crashes.ended.borrow_mut().remove(&upstream);
         for EndedRun {
--- a/crates/ebonystand/src/gateway/forward.rs
+++ b/crates/ebonystand/src/gateway/forward.rs
@@ -1,5 +1,5 @@
 //! Forwards a request to another VM, which sends it to an upstream of its region. Upstreams accept
-//! connections only from their own region, and a VM may have lost its way to those of its own.
+//! connections only from their own region, and a VM may have lost its path to those of its own.
 
 use super::*;
 use {
@@ -109,26 +109,7 @@
     address: SocketAddr,
     wait: Duration,
 ) -> (Outcome, bool) {
-    let left = call.remaining_time(node);
-    let forwarded = Forwarded {
-        aim_ms: call.aim.as_millis() as u64,
-        homes: call.homes.clone(),
-        left_ms: left.as_millis() as u64,
-        prompt: call.prompt.clone(),
-        rank: call.rank,
-        request: call.request.clone(),
-        service: call.service.clone(),
-        workspace: call.workspace.clone(),
-    };
-    let mut headers = call.headers.clone();
-    match forwarded.to_header(&node.peers.secret) {
-        Ok(text) => headers::set(&mut headers, FORWARDED, &text),
-        Err(error) => {
-            log::error!(request:% = call.request, error:% = error; "not forwarded");
-            return (Outcome::ended(AttemptEnd::Unreachable), false);
-        }
-    }
-    headers::set(&mut headers, ACCEPTS_UNFRAMED, "1");
+    let headers = || forwarded_headers(node, call);
     let until = node.clock.now() + wait;
     let connect_time = Connection::MAX_CONNECT_TIME;
     let sent = call
@@ -166,6 +147,29 @@
     (outcome, true)
 }
 
+/// Builds the headers of a forwarded request. Without its metadata the other VM declines it.
+fn forwarded_headers(node: &Node, call: &Call) -> HeaderMap {
+    let forwarded = Forwarded {
+        aim_ms: call.aim.as_millis() as u64,
+        homes: call.homes.clone(),
+        left_ms: call.remaining_time(node).as_millis() as u64,
+        prompt: call.prompt.clone(),
+        rank: call.rank,
+        request: call.request.clone(),
+        service: call.service.clone(),
+        workspace: call.workspace.clone(),
+    };
+    let mut headers = call.headers.clone();
+    match forwarded.to_header(&node.peers.secret) {
+        Ok(text) => headers::set(&mut headers, FORWARDED, &text),
+        Err(error) => {
+            log::error!(request:% = call.request, error:% = error; "metadata of a forwarded request not encoded");
+        }
+    }
+    headers::set(&mut headers, ACCEPTS_UNFRAMED, "1");
+    headers
+}
+
 /// Reads the other VM's report of why it has no answer from an upstream.
 async fn read_failure(
     node: &Rc<Node>,
--- a/crates/ebonystand/src/gateway/path_watch.rs
+++ b/crates/ebonystand/src/gateway/path_watch.rs
@@ -1,7 +1,7 @@
 use super::*;
 use {ebonystand_core::ProbeOutcome, futures_util::future::select_ok, node::Node};
 
-/// Finds out whether this VM has lost its way to the upstreams of a service, by connections to
+/// Finds out whether this VM has lost its path to the upstreams of a service, by connections to
 /// several of them.
 pub(crate) struct PathWatch;
 
@@ -10,7 +10,7 @@
     const CONNECT_TIME: Duration = Duration::from_millis(400);
     /// Time for which a connection must stay open.
     const STAY_TIME: Duration = Duration::from_millis(100);
-    /// Time between two rounds of probes while the way is cut.
+    /// Time between two rounds of probes while the path is cut.
     const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
     /// Starts probes after a failed attempt, unless some run or have just succeeded.
@@ -28,7 +28,7 @@
         targets.is_empty() || Self::reaches_any(targets).await
     }
 
-    /// Probes until the way is not cut, or no longer.
+    /// Probes until the path is not cut, or no longer.
     async fn probe(node: Rc<Node>, service: ServiceId) {
         loop {
             let targets = Self::targets(&node, &service, None);
@@ -53,7 +53,7 @@
         node.metrics.cut_services.set(cut as i64);
         match outcome {
             ProbeOutcome::Lost => {
-                log::warn!(service:% = service, upstreams = addresses.len(); "no way to the upstreams of a service");
+                log::warn!(service:% = service, upstreams = addresses.len(); "path to the upstreams of a service lost");
                 // Connections that were open before may be silent for good.
                 for address in addresses {
                     node.gateway.pool.close_idle(address);
@@ -63,7 +63,7 @@
                 }
             }
             ProbeOutcome::Regained => {
-                log::info!(service:% = service; "way to the upstreams of a service is back");
+                log::info!(service:% = service; "path to the upstreams of a service regained");
             }
             ProbeOutcome::Sound | ProbeOutcome::StillCut => {}
         }
--- a/crates/ebonystand/src/gateway/receive_forward.rs
+++ b/crates/ebonystand/src/gateway/receive_forward.rs
@@ -73,7 +73,7 @@
     let is_too_long = serve_call::would_be_cut_off(node, forwarded.prompt.as_ref());
     let is_cut = node.gateway.book.borrow().is_path_cut(&forwarded.service);
     if is_cut {
-        log::info!(request:% = forwarded.request, service:% = forwarded.service; "forwarded request refused: no way to the upstreams");
+        log::info!(request:% = forwarded.request, service:% = forwarded.service; "forwarded request refused: no path to the upstreams");
     }
     if is_too_long || is_cut || !node.gateway.serves(node) {
         return Outcome::ended(AttemptEnd::Unreachable);
--- a/crates/ebonystand/src/metrics.rs
+++ b/crates/ebonystand/src/metrics.rs
@@ -15,6 +15,7 @@
     pub(crate) allowance_refusals: Family<WorkspaceLabel, Counter>,
     pub(crate) config_version: Gauge,
     pub(crate) cost: Counter,
+    pub(crate) cut_services: Gauge,
     pub(crate) dispatches: Family<DispatchLabels, Counter>,
     pub(crate) first_token: Family<WorkspaceLabel, Histogram>,
     pub(crate) limit_refusals: Counter,
@@ -28,7 +29,6 @@
     pub(crate) retry_grants: Family<GrantLabel, Counter>,
     pub(crate) sent_away: Counter,
     pub(crate) sent_beside: Counter,
-    pub(crate) cut_services: Gauge,
     pub(crate) streams: Gauge,
     pub(crate) suspects: Gauge,
     pub(crate) tokens: Family<WorkspaceLabel, Counter>,
@@ -91,6 +91,7 @@
             allowance_refusals: Family::default(),
             config_version: Gauge::default(),
             cost: Counter::default(),
+            cut_services: Gauge::default(),
             dispatches: Family::default(),
             first_token: Family::new_with_constructor(histogram),
             limit_refusals: Counter::default(),
@@ -104,7 +105,6 @@
             retry_grants: Family::default(),
             sent_away: Counter::default(),
             sent_beside: Counter::default(),
-            cut_services: Gauge::default(),
             streams: Gauge::default(),
             suspects: Gauge::default(),
             tokens: Family::default(),
@@ -146,6 +146,11 @@
             "Cost of what was dispatched, in operators' units",
             self.cost.clone(),
         );
+        r.register(
+            "cut_services",
+            "Services whose upstreams this VM cannot connect to",
+            self.cut_services.clone(),
+        );
         r.register(
             "dispatches",
             "Requests sent to upstreams",
@@ -207,11 +212,6 @@
             "Requests sent to another VM of the region, because this one reaches no upstream",
             self.sent_beside.clone(),
         );
-        r.register(
-            "cut_services",
-            "Services whose upstreams this VM cannot connect to",
-            self.cut_services.clone(),
-        );
         r.register("streams", "Streams that run", self.streams.clone());
         r.register(
             "suspected_requests",
