--- a/crates/ebonystand/src/gateway/crash_watch.rs
+++ b/crates/ebonystand/src/gateway/crash_watch.rs
@@ -49,7 +49,7 @@
         let opened = Connection::open(address, Self::CONNECT_TIME).await;
         let is_refused = opened.is_err_and(|fault| fault.is_refused());
         // Where the others refuse as well, it is the path there that is gone.
-        let is_down = is_refused && PathWatch::reaches_another(&node, &service, &upstream).await;
+        let is_down = is_refused && !PathWatch::others_refuse(&node, &service, &upstream).await;
         let runs = node.gateway.crashes.ended.borrow_mut().remove(&upstream);
         for EndedRun {
             content,
--- a/crates/ebonystand/src/gateway/path_watch.rs
+++ b/crates/ebonystand/src/gateway/path_watch.rs
@@ -1,5 +1,9 @@
 use super::*;
-use {ebonystand_core::ProbeOutcome, futures_util::future::select_ok, node::Node};
+use {
+    ebonystand_core::ProbeOutcome,
+    futures_util::future::{join_all, select_ok},
+    node::Node,
+};
 
 /// Finds out whether this VM has lost its path to the upstreams of a service, by connections to
 /// several of them.
@@ -21,11 +25,15 @@
         }
     }
 
-    /// Whether another upstream of the service than `except` accepts connections. True if there is
-    /// no other.
-    pub(crate) async fn reaches_another(node: &Node, service: &str, except: &str) -> bool {
+    /// Whether other upstreams of the service than `except` refuse connections as well.
+    pub(crate) async fn others_refuse(node: &Node, service: &str, except: &str) -> bool {
         let targets = Self::targets(node, service, Some(except));
-        targets.is_empty() || Self::reaches_any(targets).await
+        let opened = targets
+            .into_iter()
+            .map(|address| Connection::open(address, Self::CONNECT_TIME));
+        let opened = join_all(opened).await;
+        let is_refused = |opened: &Result<Connection, ConnectionFault>| matches!(opened, Err(fault) if fault.is_refused());
+        !opened.is_empty() && opened.iter().all(is_refused)
     }
 
     /// Probes until the path is not cut, or no longer.
