Ask the kernel for one socket instead of its whole table when links are cut

The test of VMs that are cut from the upstreams was red: 40 of 104 served, with times above their bound. Cause: each connection that came during a cut made the stand-ins read the table of all sockets, on the thread that serves. The table keeps closed connections for a minute, so that runs one after the other made it long, and the stand-ins too late to be taken for cut by a probe of 100 ms.

The owner of a connection is found by an exact query (socket diagnostics), on a thread of its own, once a connection.

--- a/crates/ebonystand/tests/integration/links.rs
+++ b/crates/ebonystand/tests/integration/links.rs
@@ -1,5 +1,5 @@
 use {
-    crate::socket_owner::owner_of,
+    crate::socket_owner::SocketOwner,
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex, mpsc},
@@ -57,11 +57,10 @@
     }
 
     async fn carry(self, mut io: TcpStream, peer: SocketAddr, upstream: SocketAddr) -> Option<()> {
-        let mut cut = self.cut.subscribe();
-        let here = io.local_addr().ok()?;
-        let owner = |cut: &Vec<u32>| owner_of(peer, here, cut);
-        let known = owner(&cut.borrow_and_update());
-        if let Some(process) = known {
+        let cut = self.cut.subscribe();
+        let owner = SocketOwner::new(peer, io.local_addr().ok()?);
+        let processes = cut.borrow().clone();
+        if let Some(process) = owner.find_in(&processes).await {
             self.refused.lock().unwrap().push(process);
             io.set_zero_linger().ok()?;
             return None;
@@ -70,7 +69,7 @@
         to.set_nodelay(true).ok()?;
         tokio::select! {
             _ = copy_bidirectional(&mut io, &mut to) => Some(()),
-            _ = cut.wait_for(|cut| owner(cut).is_some()) => {
+            _ = owner.wait_for_cut(cut) => {
                 io.set_zero_linger().ok()?;
                 None
             }
