Find the owner of a cut connection, and test that it is found

The commit before cut nothing: its query gave a cookie of zeros, which names no socket, so no owner was found and no connection was reset.

The query now gives no cookie, and a test of its own guards against a rig that finds no owner.

--- a/crates/ebonystand/tests/integration/socket_owner.rs
+++ b/crates/ebonystand/tests/integration/socket_owner.rs
@@ -19,6 +19,9 @@
 /// Longest message of the kernel about one socket, in bytes.
 const MAX_REPLY: usize = 4_096;
 
+/// Value by which a query names a socket by its addresses alone.
+const NO_COOKIE: [u8; 8] = [0xff; 8];
+
 /// The other end of a connection, from `local` to `remote`.
 #[derive(Clone)]
 pub(crate) struct SocketOwner {
@@ -80,6 +83,7 @@
         family: AF_INET,
         protocol: IPPROTO_TCP,
         socket_id: SocketId {
+            cookie: NO_COOKIE,
             destination_address: remote.ip(),
             destination_port: remote.port(),
             source_address: local.ip(),
@@ -109,3 +113,19 @@
         _ => None,
     }
 }
+
+/// Guards against a rig that cuts no link because it finds no owner.
+#[actix_rt::test]
+async fn the_owner_of_a_connection_is_found() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let here = listener.local_addr().unwrap();
+    let connected = tokio::net::TcpStream::connect(here).await.unwrap();
+    let (_accepted, peer) = listener.accept().await.unwrap();
+    let owner = SocketOwner::new(peer, here);
+    let own = std::process::id();
+    assert_eq!(owner.find_in(&[1, own]).await, Some(own));
+    assert_eq!(owner.find_in(&[1]).await, None);
+    drop(connected);
+    let closed = SocketOwner::new(peer, here);
+    assert_eq!(closed.find_in(&[own]).await, None);
+}
