--- a/crates/ebonystand-core/benches/choice.rs
+++ b/crates/ebonystand-core/benches/choice.rs
@@ -4,7 +4,7 @@
     criterion::{BenchmarkId, Criterion, criterion_group, criterion_main},
     ebonystand_core::{
         ChoiceQuery, ColdTerms, EngineSpec, ListScope, ListedUpstream, Place, Prompt, PromptPart,
-        SharedPrefix, UpstreamBook,
+        SharedPrefix, SoftwareRule, UpstreamBook,
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -32,6 +32,7 @@
         leaving: false,
         service: "s".into(),
         slots: 64,
+        software: "v1".into(),
         zone: zone_name(engine % 6),
     });
     book.update_list(Duration::ZERO, ListScope::AllRegions, listed);
@@ -92,6 +93,7 @@
                     prompt: Some(&prompt),
                     reachable: &reachable,
                     service: "s",
+                    software: SoftwareRule::Any,
                 };
                 black_box(book.choose_target(NOW, &query))
             });
--- a/crates/ebonystand-core/src/gateway/choice_query.rs
+++ b/crates/ebonystand-core/src/gateway/choice_query.rs
@@ -24,6 +24,8 @@
     pub reachable: &'a BTreeSet<RegionId>,
     /// Service that the request is for.
     pub service: &'a str,
+    /// Software versions of the service that may get the request.
+    pub software: SoftwareRule<'a>,
 }
 
 impl ChoiceQuery<'_> {
--- a/crates/ebonystand-core/src/gateway/gateway_route.rs
+++ b/crates/ebonystand-core/src/gateway/gateway_route.rs
@@ -64,6 +64,15 @@
         None
     }
 
+    /// Returns the services that get requests of the route, in order of their names.
+    #[must_use]
+    pub fn services(&self) -> Vec<ServiceId> {
+        let parts = self.split.iter().filter(|part| part.weight > 0);
+        let mut services = parts.map(|part| part.service.clone()).collect::<Vec<_>>();
+        services.sort_unstable();
+        services
+    }
+
     /// Returns the sum of the weights of all services.
     #[must_use]
     pub fn total_weight(&self) -> u64 {
--- a/crates/ebonystand-core/src/gateway/ineligibility.rs
+++ b/crates/ebonystand-core/src/gateway/ineligibility.rs
@@ -15,6 +15,8 @@
     Limited,
     /// It takes connections of VMs of its own region only.
     OtherRegion,
+    /// It runs a software version that must not get the request.
+    OtherSoftware,
     /// It has asked this VM for a pause.
     Paused,
 }
--- a/crates/ebonystand-core/src/gateway/ineligible_upstreams.rs
+++ b/crates/ebonystand-core/src/gateway/ineligible_upstreams.rs
@@ -3,7 +3,7 @@
 /// Number of a service's upstreams by the reason why they cannot get a request in this region.
 #[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq)]
 #[display(
-    "{listed} listed, {elsewhere} in other regions, {leaving} leaving, {evacuated} evacuated, {cold} cold, {limited} limited, {paused} paused, {excluded} tried, home here: {is_home}"
+    "{listed} listed, {elsewhere} in other regions, {leaving} leaving, {evacuated} evacuated, {cold} cold, {limited} limited, {paused} paused, {other_software} of another software version, {excluded} tried, home here: {is_home}"
 )]
 pub struct IneligibleUpstreams {
     /// Upstreams that are cold and have used up their rate.
@@ -22,6 +22,8 @@
     pub limited: u32,
     /// Upstreams of the service on the list, in any region.
     pub listed: u32,
+    /// Upstreams of software versions that must not get the request.
+    pub other_software: u32,
     /// Upstreams that have asked this VM for a pause.
     pub paused: u32,
 }
--- a/crates/ebonystand-core/src/gateway/known_upstream.rs
+++ b/crates/ebonystand-core/src/gateway/known_upstream.rs
@@ -17,6 +17,8 @@
     pub(crate) in_flight: u32,
     /// Short name of the upstream in messages between VMs.
     pub(crate) key: UpstreamKey,
+    /// Time at which the list first showed that the upstream leaves.
+    pub(crate) leaving_since: Option<Duration>,
     /// Entry of the upstream on the list.
     pub(crate) listed: ListedUpstream,
     /// Smoothed duration of a request while no other one waits.
@@ -86,6 +88,7 @@
             is_address_reused: false,
             in_flight: 0,
             key: UpstreamKey::from(&*listed.instance),
+            leaving_since: None,
             listed,
             call_duration: Self::INITIAL_CALL_DURATION,
             sent_prefixes: SentPrefixes::default(),
--- a/crates/ebonystand-core/src/gateway/listed_upstream.rs
+++ b/crates/ebonystand-core/src/gateway/listed_upstream.rs
@@ -15,6 +15,8 @@
     pub service: ServiceId,
     /// Requests that the upstream works on at once.
     pub slots: u32,
+    /// Version of the software that the upstream runs.
+    pub software: SoftwareVersion,
     /// Availability zone of the upstream.
     pub zone: ZoneId,
 }
--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -34,6 +34,8 @@
     routing::Routing,
     routing_fault::RoutingFault,
     service_latency::ServiceLatency,
+    software_history::SoftwareHistory,
+    software_rule::SoftwareRule,
     split_part::SplitPart,
     target_choice::TargetChoice,
     upstream_book::UpstreamBook,
@@ -91,6 +93,8 @@
 mod send_pacer;
 mod sent_prefixes;
 mod service_latency;
+mod software_history;
+mod software_rule;
 mod split_part;
 mod target_choice;
 mod upstream_book;
--- a/crates/ebonystand-core/src/gateway/route_table.rs
+++ b/crates/ebonystand-core/src/gateway/route_table.rs
@@ -7,6 +7,8 @@
     hosts: FxHashMap<Box<str>, Vec<usize>>,
     /// Index of the workspace that each key belongs to.
     keys: FxHashMap<KeyHash, usize>,
+    /// Index of each route by name.
+    routes: FxHashMap<Box<str>, usize>,
     routing: Routing,
     /// Index of each service by name.
     services: FxHashMap<ServiceId, usize>,
@@ -38,6 +40,13 @@
         &self.routing
     }
 
+    /// Returns the route with this name.
+    #[must_use]
+    pub fn route(&self, name: &str) -> Option<&GatewayRoute> {
+        let index = self.routes.get(name)?;
+        self.routing.routes.get(*index)
+    }
+
     /// Returns the service with this name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&GatewayService> {
@@ -66,6 +75,10 @@
         let keys = workspaces
             .flat_map(|(index, workspace)| workspace.keys.iter().map(move |key| (*key, index)))
             .collect();
+        let routes = routing.routes.iter().enumerate();
+        let routes = routes
+            .map(|(index, route)| (route.name.clone(), index))
+            .collect();
         let services = routing.services.iter().enumerate();
         let services = services
             .map(|(index, service)| (service.name.clone(), index))
@@ -73,6 +86,7 @@
         Self {
             hosts,
             keys,
+            routes,
             routing,
             services,
         }
--- /dev/null
+++ b/crates/ebonystand-core/src/gateway/software_history.rs
@@ -0,0 +1,141 @@
+use super::*;
+
+/// Software versions of each service that this VM's lists have shown, with their times.
+///
+/// VMs see a new version at different times: by [`Self::hold_back`] after this VM's list first showed it, the
+/// list of each VM that is up to date shows it as well. A VM begins streams that may be taken up again only at
+/// versions held back for so long, so that a VM whose lists have shown one version alone for longer than streams
+/// live knows at which version any of them began.
+#[derive(Clone, Debug, Default)]
+pub struct SoftwareHistory {
+    /// Time of the last list, or confirmation that it is still in force.
+    confirmed_at: Duration,
+    /// Time from which on the list has never been older than [`Self::max_age`].
+    current_since: Option<Duration>,
+    read_interval: Duration,
+    services: FxHashMap<ServiceId, Vec<SeenSoftware>>,
+}
+
+/// A software version of one service.
+#[derive(Clone, Debug)]
+struct SeenSoftware {
+    first_seen: Duration,
+    /// Time of the first list without it; `None` while it is listed.
+    gone_at: Option<Duration>,
+    software: SoftwareVersion,
+}
+
+impl SoftwareHistory {
+    /// Time by which two lists read at the same time may differ in age, with the time until all VMs have them.
+    const LIST_LAG: Duration = Duration::from_secs(1);
+    /// Time for which versions that are gone are remembered.
+    const MEMORY: Duration = Duration::from_secs(600);
+
+    /// Creates the history of a VM whose region reads the list every `read_interval`.
+    #[must_use]
+    pub fn new(read_interval: Duration) -> Self {
+        Self {
+            read_interval,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the time for which a new version gets no stream that may be taken up again.
+    #[must_use]
+    pub fn hold_back(&self) -> Duration {
+        2 * self.read_interval + Self::LIST_LAG
+    }
+
+    /// Returns whether a stream that may be taken up again may begin at a version: it was seen early enough, was
+    /// on the first list of this VM, or is the only one on the list.
+    #[must_use]
+    pub fn may_begin(&self, now: Duration, service: &str, software: &str) -> bool {
+        let seen = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        let mut others = seen.iter().filter(|seen| *seen.software != *software);
+        let is_alone = others.all(|seen| seen.gone_at.is_some());
+        let mut of_version = seen.iter().filter(|seen| *seen.software == *software);
+        is_alone
+            || of_version
+                .any(|seen| seen.first_seen.is_zero() || seen.first_seen + self.hold_back() <= now)
+    }
+
+    /// Returns the only version of a service at which a stream that can still be taken up, at most
+    /// `max_lifetime` after its begin, can have begun; `None` if there are several or if the lists of that time
+    /// are not known.
+    #[must_use]
+    pub fn only_version(
+        &self,
+        now: Duration,
+        service: &str,
+        max_lifetime: Duration,
+    ) -> Option<&SoftwareVersion> {
+        let from = now.checked_sub(max_lifetime + self.hold_back())?;
+        let is_current = now.saturating_sub(self.confirmed_at) <= self.max_age();
+        if !is_current || self.current_since? > from {
+            return None;
+        }
+        let seen = self.services.get(service)?.iter();
+        let mut seen = seen.filter(|seen| seen.gone_at.is_none_or(|gone_at| gone_at > from));
+        let only = seen.next()?;
+        seen.next().is_none().then_some(&only.software)
+    }
+
+    /// Records that the list in force is still the newest.
+    pub fn record_confirmation(&mut self, now: Duration) {
+        let is_gap = now.saturating_sub(self.confirmed_at) > self.max_age();
+        if is_gap || self.current_since.is_none() {
+            self.current_since = Some(now);
+        }
+        self.confirmed_at = now;
+    }
+
+    /// Records a new list, as pairs of a service and a version.
+    pub fn record_list<'a>(
+        &mut self,
+        now: Duration,
+        listed: impl Iterator<Item = (&'a ServiceId, &'a SoftwareVersion)>,
+    ) {
+        let is_first = self.current_since.is_none();
+        self.record_confirmation(now);
+        let listed = listed.collect::<FxHashSet<_>>();
+        for (service, seen) in &mut self.services {
+            for seen in seen.iter_mut() {
+                match listed.contains(&(service, &seen.software)) {
+                    true => seen.gone_at = None,
+                    false => {
+                        seen.gone_at.get_or_insert(now);
+                    }
+                }
+            }
+            seen.retain(|seen| {
+                let gone_for = seen.gone_at.map(|gone_at| now.saturating_sub(gone_at));
+                gone_for.is_none_or(|gone_for| gone_for < Self::MEMORY)
+            });
+        }
+        self.services.retain(|_, seen| !seen.is_empty());
+        for (service, software) in listed {
+            let seen = self.services.entry(service.clone()).or_default();
+            if !seen.iter().any(|seen| seen.software == *software) {
+                seen.push(SeenSoftware {
+                    first_seen: if is_first { Duration::ZERO } else { now },
+                    gone_at: None,
+                    software: software.clone(),
+                });
+            }
+        }
+    }
+
+    /// Returns the versions of each service on the list.
+    pub fn listed(&self) -> impl Iterator<Item = (&ServiceId, &SoftwareVersion)> {
+        let services = self.services.iter();
+        services.flat_map(|(service, seen)| {
+            let listed = seen.iter().filter(|seen| seen.gone_at.is_none());
+            listed.map(move |seen| (service, &seen.software))
+        })
+    }
+
+    /// Age up to which a list counts as up to date: reads are up to a fifth of their interval late.
+    fn max_age(&self) -> Duration {
+        self.read_interval * 3 / 2
+    }
+}
--- a/crates/ebonystand-core/src/gateway/target_choice.rs
+++ b/crates/ebonystand-core/src/gateway/target_choice.rs
@@ -40,6 +40,8 @@
         predicted: Duration,
         /// Age of the load report used for the prediction; `None` if there is no recent report.
         report_age: Option<Duration>,
+        /// Software version of the upstream.
+        software: SoftwareVersion,
         /// Prompt tokens that the upstream is expected to read, neither cached nor imported.
         unread: Tokens,
     },
--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -23,6 +23,8 @@
     pub(super) limited: BTreeSet<UpstreamId>,
     /// Upstreams that have announced a pause or their leaving in an answer.
     pub(super) noticed: BTreeSet<UpstreamId>,
+    /// Software versions of each service that the lists have shown.
+    pub(super) software: SoftwareHistory,
     /// State of each upstream on the list.
     pub(super) upstreams: BTreeMap<UpstreamId, KnownUpstream>,
     /// Upstreams by the short name that messages use.
@@ -51,6 +53,8 @@
     /// Delay added to the predicted time to the first byte while no upstream has room. A region that
     /// reports at least this delay has no room.
     pub(super) const NO_ROOM_DELAY: Duration = Duration::from_millis(1_000);
+    /// Default time between two reads of the list of upstreams.
+    const DEFAULT_READ_INTERVAL: Duration = Duration::from_secs(1);
     /// Default one-way network delay between regions.
     pub const DEFAULT_REGION_DELAY: Duration = Duration::from_millis(60);
     /// Share of the first-byte target, in permille, within which an answer should begin at its
@@ -72,6 +76,7 @@
             busy: BTreeSet::new(),
             limited: BTreeSet::new(),
             noticed: BTreeSet::new(),
+            software: SoftwareHistory::new(Self::DEFAULT_READ_INTERVAL),
             upstreams: BTreeMap::new(),
             instances_by_key: FxHashMap::default(),
             region_latencies: FxHashMap::default(),
@@ -92,6 +97,19 @@
         self
     }
 
+    /// Replaces the default time between two reads of the list of upstreams.
+    #[must_use]
+    pub fn with_read_interval(mut self, interval: Duration) -> Self {
+        self.software = SoftwareHistory::new(interval);
+        self
+    }
+
+    /// Returns the software versions that the lists have shown.
+    #[must_use]
+    pub fn software(&self) -> &SoftwareHistory {
+        &self.software
+    }
+
     /// Disables features of the selection, to measure their effect.
     #[must_use]
     pub fn with_disabled_mechanisms(mut self, mechanisms: BTreeSet<Mechanism>) -> Self {
--- a/crates/ebonystand-core/src/gateway/upstream_choice.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_choice.rs
@@ -206,6 +206,7 @@
             is_sound,
             predicted: best.delay,
             report_age: best.known.fresh_report(now).map(|(age, _)| age),
+            software: best.known.listed.software.clone(),
             unread: best.unread,
         }
     }
--- a/crates/ebonystand-core/src/gateway/upstream_eligibility.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_eligibility.rs
@@ -3,6 +3,9 @@
 use super::*;
 
 impl UpstreamBook {
+    /// Time after the list first showed that an upstream leaves for which streams of its software version may be
+    /// taken up there; upstreams that leave serve for seconds.
+    const LEAVING_RESUMPTION_TIME: Duration = Duration::from_secs(1);
     /// Shortest time after which a refused caller is told to retry.
     const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
     /// Longest time after which a refused caller is told to retry.
@@ -45,7 +48,12 @@
         };
         match () {
             () if !self.is_local(known) => Some(Ineligibility::OtherRegion),
-            () if known.is_leaving() => Some(Ineligibility::Leaving),
+            () if !self.is_software_allowed(now, query, known) => {
+                Some(Ineligibility::OtherSoftware)
+            }
+            () if known.is_leaving() && !self.may_still_resume_at(now, query, known) => {
+                Some(Ineligibility::Leaving)
+            }
             () if query.evacuated.contains(&known.listed.zone) => Some(Ineligibility::Evacuated),
             () if known.is_address_reused => Some(Ineligibility::AddressReused),
             () if query.excluded.contains(&known.listed.instance) => Some(Ineligibility::Excluded),
@@ -56,10 +64,63 @@
         }
     }
 
+    /// Returns the only software version of a service at which a stream that can still be taken up, at most
+    /// `max_lifetime` after its begin, can have begun. A list of the own region alone tells nothing of streams
+    /// that began in another one.
+    #[must_use]
+    pub fn only_software(
+        &self,
+        now: Duration,
+        service: &str,
+        max_lifetime: Duration,
+    ) -> Option<&SoftwareVersion> {
+        match self.lists_other_regions() {
+            true => self.software.only_version(now, service, max_lifetime),
+            false => None,
+        }
+    }
+
+    /// Returns whether the software version of an upstream may get the request.
+    fn is_software_allowed(
+        &self,
+        now: Duration,
+        query: &ChoiceQuery,
+        known: &KnownUpstream,
+    ) -> bool {
+        let ListedUpstream {
+            service, software, ..
+        } = &known.listed;
+        match query.software {
+            SoftwareRule::Known => self.software.may_begin(now, service, software),
+            SoftwareRule::Any | SoftwareRule::Only(_) => is_bound_version(query, known),
+        }
+    }
+
+    /// Returns whether a stream may be taken up at an upstream that has begun to leave, because all others of
+    /// its software version are leaving too.
+    fn may_still_resume_at(
+        &self,
+        now: Duration,
+        query: &ChoiceQuery,
+        known: &KnownUpstream,
+    ) -> bool {
+        let is_early = known
+            .leaving_since
+            .is_some_and(|since| now < since + Self::LEAVING_RESUMPTION_TIME);
+        matches!(query.software, SoftwareRule::Only(_))
+            && is_early
+            && !known.has_announced_leaving
+            && !self
+                .upstreams
+                .values()
+                .any(|other| self.is_usable(query, other))
+    }
+
     /// Returns whether an upstream serves the request's service and is neither gone, leaving nor
     /// evacuated; its region, backoff and load are ignored.
     pub(super) fn is_usable(&self, query: &ChoiceQuery, known: &KnownUpstream) -> bool {
         *known.listed.service == *query.service
+            && is_bound_version(query, known)
             && !known.is_address_reused
             && !known.is_leaving()
             && !query.evacuated.contains(&known.listed.zone)
@@ -144,6 +205,7 @@
                 Some(Ineligibility::Excluded) => &mut counts.excluded,
                 Some(Ineligibility::Cold) => &mut counts.cold,
                 Some(Ineligibility::Limited) => &mut counts.limited,
+                Some(Ineligibility::OtherSoftware) => &mut counts.other_software,
                 Some(Ineligibility::Paused) => &mut counts.paused,
                 Some(Ineligibility::AddressReused) | None => continue,
             };
@@ -152,3 +214,11 @@
         counts
     }
 }
+
+/// Returns whether an upstream runs the version that a stream was begun at, if the request takes one up.
+fn is_bound_version(query: &ChoiceQuery, known: &KnownUpstream) -> bool {
+    match query.software {
+        SoftwareRule::Any | SoftwareRule::Known => true,
+        SoftwareRule::Only(software) => *known.listed.software == *software,
+    }
+}
--- a/crates/ebonystand-core/src/gateway/upstream_list.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_list.rs
@@ -188,10 +188,12 @@
         leaving,
         service,
         slots,
+        software,
         zone,
     } = entry;
     let is_cold = !cold_for.is_zero();
     let mut hasher = Xxh3Default::new();
-    (address, is_cold, instance, leaving, service, slots, zone).hash(&mut hasher);
+    let key = (address, is_cold, instance, leaving);
+    (key, service, slots, software, zone).hash(&mut hasher);
     hasher.finish()
 }
--- a/crates/ebonystand-core/src/gateway/upstream_listing.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_listing.rs
@@ -45,7 +45,7 @@
             let instance = upstream.instance.clone();
             let region = self.zones.get(&upstream.zone).cloned();
             let known = match self.upstreams.remove(&instance) {
-                Some(known) if known.listed.address == upstream.address => {
+                Some(known) if is_same_incarnation(&known.listed, &upstream) => {
                     if now >= known.cold_until && !upstream.cold_for.is_zero() {
                         emptied.insert(known.key);
                     }
@@ -61,6 +61,14 @@
             self.upstreams.insert(instance, known);
         }
         self.caches.remove_engines(&emptied);
+        let listed = self.upstreams.values().map(|known| &known.listed);
+        let listed = listed.map(|listed| (&listed.service, &listed.software));
+        self.software.record_list(now, listed);
+    }
+
+    /// Records that the list in force is still the newest.
+    pub fn confirm_list(&mut self, now: Duration) {
+        self.software.record_confirmation(now);
     }
 
     /// Returns whether the list covers the upstreams of other regions.
@@ -111,7 +119,11 @@
             false => Self::MIN_COLD_TIME,
         };
         let cold_until = now + upstream.cold_for.max(lag);
-        KnownUpstream::new(upstream, region, cold_until)
+        let is_leaving = upstream.leaving;
+        KnownUpstream {
+            leaving_since: is_leaving.then_some(now),
+            ..KnownUpstream::new(upstream, region, cold_until)
+        }
     }
 
     /// Updates the state of an upstream from its new list entry; one that has become cold again has
@@ -128,8 +140,18 @@
             }
             known.cold_until = known.cold_until.max(now + upstream.cold_for);
         }
+        known.leaving_since = match upstream.leaving {
+            true => known.leaving_since.or(Some(now)),
+            false => None,
+        };
         known.listed = upstream;
         known.region = region;
         known
     }
 }
+
+/// Returns whether two entries of the same instance describe the same start of a server. One that comes back at
+/// its address under the same name, with other software, is another one.
+fn is_same_incarnation(known: &ListedUpstream, upstream: &ListedUpstream) -> bool {
+    known.address == upstream.address && known.software == upstream.software
+}
--- a/crates/ebonystand-core/src/gateway/upstream_pressure.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_pressure.rs
@@ -37,6 +37,7 @@
         let empty = Prompt::default();
         let predicted = |service: &ServiceId| {
             let query = ChoiceQuery {
+                software: SoftwareRule::Any,
                 first_byte_target: Duration::MAX,
                 cold: ColdTerms::default(),
                 engine: None,
--- a/crates/ebonystand-core/src/ids.rs
+++ b/crates/ebonystand-core/src/ids.rs
@@ -26,6 +26,8 @@
 pub type RoleId = Box<str>;
 /// Name of a plain service.
 pub type ServiceId = Box<str>;
+/// Version of the software that an upstream runs. Versions have no order.
+pub type SoftwareVersion = Box<str>;
 /// Number of tokens of a model's input and output, the unit of every allowance.
 pub type Tokens = u64;
 /// Name of an upstream server.
--- a/crates/ebonystand-core/src/lib.rs
+++ b/crates/ebonystand-core/src/lib.rs
@@ -166,6 +166,7 @@
     stream_fault::StreamFault,
     stream_framing::StreamFraming,
     stream_guard::StreamGuard,
+    stream_origin::*,
     stream_verdict::StreamVerdict,
     target::Target,
     ticket_id::TicketId,
@@ -327,6 +328,7 @@
 mod stream_fault;
 mod stream_framing;
 mod stream_guard;
+mod stream_origin;
 mod stream_verdict;
 mod target;
 mod ticket_id;
--- a/crates/ebonystand-core/tests/gateway/main.rs
+++ b/crates/ebonystand-core/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod next_step;
 mod notices;
 mod shortlist;
+mod software;
 mod upstreams;
 mod zone_loss;
 
@@ -111,6 +112,7 @@
         leaving: false,
         service: "s".into(),
         slots: 64,
+        software: "v1".into(),
         zone: zone.into(),
     }
 }
@@ -183,6 +185,7 @@
             prompt,
             reachable: &self.reachable,
             service: "s",
+            software: SoftwareRule::Any,
         }
     }
 }
--- a/crates/ebonystand-wire/src/lib.rs
+++ b/crates/ebonystand-wire/src/lib.rs
@@ -10,8 +10,8 @@
     bytes::{Buf, BufMut, BytesMut},
     ebonystand_core::{
         AllowanceMessage, CachedPrefix, Command, CommandOutcome, FeedMessage, Incarnation,
-        ListUpdate, LoadMessage, MemberId, Prompt, QuarantineMessage, RegionId, ReplicaMessage,
-        ServiceId, Version, VmId, WorkspaceId,
+        ListUpdate, LoadMessage, MemberId, OriginMessage, Prompt, QuarantineMessage, RegionId,
+        ReplicaMessage, ServiceId, SoftwareVersion, Version, VmId, WorkspaceId,
     },
     hmac::{Hmac, KeyInit, Mac},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
@@ -26,8 +26,15 @@
 use payload::Payload;
 
 pub use {
-    error::Error, forwarded::Forwarded, frame_reader::FrameReader, frame_writer::FrameWriter,
-    hello::Hello, nonce::Nonce, peer_message::PeerMessage, proposed::Proposed, secret::Secret,
+    error::Error,
+    forwarded::{BoundForwarded, Forwarded},
+    frame_reader::FrameReader,
+    frame_writer::FrameWriter,
+    hello::Hello,
+    nonce::Nonce,
+    peer_message::PeerMessage,
+    proposed::Proposed,
+    secret::Secret,
     send_queue::SendQueue,
 };
 
--- a/crates/ebonystand-wire/src/peer_message.rs
+++ b/crates/ebonystand-wire/src/peer_message.rs
@@ -38,6 +38,8 @@
     /// Asks for the whole list of upstreams, because the update in [`Self::Listed`] does not fit the
     /// sender's list.
     ListWanted,
+    /// Message about the origins of streams.
+    Origin(OriginMessage),
     /// Predicted latencies of requests in the sender's region.
     Pressure {
         /// For each service, the time to the first byte of an answer and the time between two events of
--- a/crates/ebonystand-wire/tests/frames.rs
+++ b/crates/ebonystand-wire/tests/frames.rs
@@ -37,6 +37,7 @@
         leaving: false,
         service: "engines".into(),
         slots: 64,
+        software: "v1".into(),
         zone: "utara-a".into(),
     };
     PeerMessage::Listed(ListUpdate::Whole {
--- a/crates/ebonystand/src/gateway/admitted.rs
+++ b/crates/ebonystand/src/gateway/admitted.rs
@@ -2,7 +2,9 @@
 use {
     allowance_controller::Reserved,
     call::{Call, Destination, Outcome},
-    ebonystand_core::{AttemptEnd, CallKind, GatewayRoute, NextStep, TargetChoice},
+    ebonystand_core::{
+        AttemptEnd, CallKind, GatewayRoute, NextStep, StreamKey, StreamOrigin, TargetChoice,
+    },
     in_flight::InFlight,
     node::Node,
     relay::RequestResources,
@@ -25,6 +27,10 @@
     /// Tokens taken from the allowance of the workspace, if it has a quota.
     pub(crate) reserved: Option<Reserved>,
     pub(crate) route: GatewayRoute,
+    /// Stream whose origin is recorded when its first event comes; `None` if it can't be taken up again.
+    pub(crate) stream: Option<StreamKey>,
+    /// Time for which the stream can be taken up again.
+    pub(crate) stream_lifetime: Duration,
     pub(crate) tokens: Tokens,
     /// Number of attempts that count towards the route's limit.
     pub(crate) tried: u32,
@@ -85,11 +91,12 @@
                     is_sound,
                     predicted,
                     report_age,
+                    software,
                     unread,
                 } => {
                     log::info!(
                         request:% = self.call.request, route:% = self.route.name,
-                        workspace:? = self.call.workspace, upstream:% = instance,
+                        workspace:? = self.call.workspace, upstream:% = instance, software:% = software,
                         candidates = candidates, compared = compared, sound = is_sound, tokens = self.tokens, unread = unread,
                         import_from:? = import.as_ref().map(|source| &source.instance),
                         import_tokens = import.as_ref().map_or(0, |source| source.tokens),
@@ -104,6 +111,7 @@
                         address,
                         import,
                         instance,
+                        software,
                         unread,
                     };
                     RetryPermit::begin_attempt(&mut self.permit);
@@ -174,6 +182,7 @@
             .relay
             .record_latencies_for(self.call.workspace.clone());
         if self.route.kind == CallKind::Stream {
+            self.record_origin(node, &answered);
             let resources = RequestResources::new(self.in_flight, self.reserved.take());
             answered.relay.set_resources(resources);
             return Ok(answered.into_response());
@@ -191,6 +200,23 @@
         }
     }
 
+    /// Records which software version sends the first event of a stream.
+    fn record_origin(&self, node: &Node, answered: &call::Answered) {
+        let (Some(key), Some(software)) = (self.stream, &answered.software) else {
+            return;
+        };
+        if !answered.status.is_success() {
+            return;
+        }
+        let origin = StreamOrigin {
+            service: self.call.service.clone(),
+            software: software.clone(),
+        };
+        let lifetime = self.stream_lifetime;
+        let origins = &node.gateway.origins;
+        origins.record(node, &self.route, key, &origin, lifetime);
+    }
+
     /// Validates the API key again, because it may have been revoked while the request waited.
     fn revalidate_key(&self, node: &Node) -> Result<(), Refusal> {
         if self.route.public {
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -2,7 +2,8 @@
 use {
     attempt::Attempt,
     ebonystand_core::{
-        AnswerPause, AttemptEnd, CacheSource, ChoiceQuery, ColdTerms, Prompt, TargetChoice,
+        AnswerPause, AttemptEnd, CacheSource, ChoiceQuery, ColdTerms, Prompt, SoftwareRule,
+        SoftwareVersion, TargetChoice,
     },
     node::Node,
     path_watch::PathWatch,
@@ -39,9 +40,31 @@
     pub(crate) rank: u8,
     pub(crate) request: Box<str>,
     pub(crate) service: Box<str>,
+    pub(crate) software: CallSoftware,
     pub(crate) workspace: Option<WorkspaceId>,
 }
 
+/// Software versions of the service that may get a call.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum CallSoftware {
+    /// All versions.
+    Any,
+    /// Versions that all VMs know, for a stream that may be taken up again.
+    Known,
+    /// The version that began the stream.
+    Only(SoftwareVersion),
+}
+
+impl CallSoftware {
+    fn rule(&self) -> SoftwareRule<'_> {
+        match self {
+            Self::Any => SoftwareRule::Any,
+            Self::Known => SoftwareRule::Known,
+            Self::Only(software) => SoftwareRule::Only(software),
+        }
+    }
+}
+
 /// An upstream of this region that a call is sent to.
 pub(crate) struct Destination {
     pub(crate) address: SocketAddr,
@@ -49,6 +72,7 @@
     /// cache.
     pub(crate) import: Option<CacheSource>,
     pub(crate) instance: UpstreamId,
+    pub(crate) software: SoftwareVersion,
     /// Prompt tokens that the upstream is expected to process because they are not cached.
     pub(crate) unread: Tokens,
 }
@@ -71,6 +95,8 @@
 pub(crate) struct Answered {
     pub(crate) headers: HeaderMap,
     pub(crate) relay: Relay,
+    /// Software version of the upstream; `None` if the VM next to it doesn't tell.
+    pub(crate) software: Option<SoftwareVersion>,
     pub(crate) status: StatusCode,
 }
 
@@ -170,6 +196,7 @@
             prompt: self.prompt.as_ref(),
             reachable,
             service: &self.service,
+            software: self.software.rule(),
         }
     }
 
@@ -266,7 +293,9 @@
             }
         };
         attempt.record_first_byte();
-        Outcome::Answered(Box::new(relay.into_answered(Some(attempt))))
+        let mut answered = relay.into_answered(Some(attempt));
+        answered.software = Some(to.software.clone());
+        Outcome::Answered(Box::new(answered))
     }
 
     /// Longest time to open a connection to an upstream of this region. An upstream that has not
--- a/crates/ebonystand/src/gateway/call_head.rs
+++ b/crates/ebonystand/src/gateway/call_head.rs
@@ -1,5 +1,5 @@
 use super::*;
-use ebonystand_core::Prompt;
+use ebonystand_core::{Prompt, StreamResumption};
 
 /// Decoded head of a caller's request.
 #[derive(Clone, Debug)]
@@ -17,4 +17,6 @@
     pub prompt: Option<Prompt>,
     /// Identifier of the request.
     pub request: Box<str>,
+    /// Stream that the caller takes up again, if it does.
+    pub resumption: Option<StreamResumption>,
 }
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -10,6 +10,7 @@
     list_controller::ListController,
     membership_controller::MembershipController,
     node::Node,
+    origin_controller::OriginController,
     rand::{RngExt as _, SeedableRng as _},
     rand_pcg::Pcg64Mcg,
     retry_budgets::RetryBudgets,
@@ -31,6 +32,7 @@
     leader: RefCell<Option<VmId>>,
     leader_changed: tokio::sync::Notify,
     pub(crate) list: ListController,
+    pub(crate) origins: OriginController,
     pub(crate) pool: ConnectionPool,
     pub(crate) retries: RetryBudgets,
     rng: RefCell<Pcg64Mcg>,
@@ -70,6 +72,7 @@
             zone: settings.zone.clone(),
         };
         let book = UpstreamBook::new(settings.vm.clone(), place, zones)
+            .with_read_interval(gateway.list_every)
             .with_region_delay(gateway.region_delay);
         if !gateway.without.is_empty() {
             let without = gateway.without.iter().map(ToString::to_string);
@@ -87,6 +90,7 @@
             leader: RefCell::default(),
             leader_changed: tokio::sync::Notify::new(),
             list: ListController::new(source, gateway.list_every, now),
+            origins: OriginController::default(),
             pool: ConnectionPool::default(),
             retries: RetryBudgets::new(gateway, now),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
@@ -110,6 +114,7 @@
             return;
         }
         let table = RouteTable::from(document.routing.clone());
+        self.origins.configure(now, &table);
         self.table.replace(Rc::new(table));
         log::info!(
             revision = document.routing.revision, routes = document.routing.routes.len();
--- a/crates/ebonystand/src/gateway/forward.rs
+++ b/crates/ebonystand/src/gateway/forward.rs
@@ -3,15 +3,23 @@
 
 use super::*;
 use {
-    call::{Call, Outcome},
+    call::{Call, CallSoftware, Outcome},
     ebonystand_core::AttemptEnd,
-    ebonystand_wire::Forwarded,
+    ebonystand_wire::{BoundForwarded, Forwarded},
     node::Node,
     relay::Relay,
 };
 
 /// Header of a forwarded request that carries its [`Forwarded`] metadata.
 pub(crate) const FORWARDED: &str = "x-ebonystand-forwarded";
+/// Header of a forwarded request that takes a stream up again, in the place of [`FORWARDED`]; carries its
+/// [`BoundForwarded`] metadata.
+pub(crate) const BOUND: &str = "x-ebonystand-forwarded-bound";
+/// Header of a forwarded request for a stream that may be taken up again, with the value [`KNOWN`], and of its answer,
+/// with the software version of the upstream.
+pub(crate) const SOFTWARE: &str = "x-ebonystand-software";
+/// Value of [`SOFTWARE`] that admits the software versions that all VMs know.
+pub(crate) const KNOWN: &str = "known";
 /// Header of a forwarded request that tells that its VM understands [`UNFRAMED`]. Other VMs would
 /// take the last chunk of an unframed answer for its end.
 pub(crate) const ACCEPTS_UNFRAMED: &str = "x-ebonystand-accepts-unframed";
@@ -86,7 +94,8 @@
     else {
         return outcome;
     };
-    if retry_after.is_some() {
+    // Other software versions of the service may have room.
+    if retry_after.is_some() && !matches!(call.software, CallSoftware::Only(_)) {
         let now = node.clock.now();
         let mut book = node.gateway.book.borrow_mut();
         book.record_region_refusal(now, region, &call.service);
@@ -138,7 +147,9 @@
     let outcome = match relay {
         Ok(relay) => {
             let mut answered = relay.into_answered(None);
+            answered.software = headers::text(&answered.headers, SOFTWARE).map(Into::into);
             answered.headers.remove(ATTEMPT_END);
+            answered.headers.remove(SOFTWARE);
             answered.headers.remove(UNFRAMED);
             Outcome::Answered(Box::new(answered))
         }
@@ -160,8 +171,27 @@
         workspace: call.workspace.clone(),
     };
     let mut headers = call.headers.clone();
-    match forwarded.to_header(&node.peers.secret) {
-        Ok(text) => headers::set(&mut headers, FORWARDED, &text),
+    // A caller may have sent headers of these names.
+    headers.remove(BOUND);
+    headers.remove(SOFTWARE);
+    let secret = &node.peers.secret;
+    let (name, text) = match &call.software {
+        CallSoftware::Any => (FORWARDED, forwarded.to_header(secret)),
+        CallSoftware::Known => {
+            headers::set(&mut headers, SOFTWARE, KNOWN);
+            (FORWARDED, forwarded.to_header(secret))
+        }
+        CallSoftware::Only(software) => {
+            let software = software.clone();
+            let bound = BoundForwarded {
+                forwarded,
+                software,
+            };
+            (BOUND, bound.to_header(secret))
+        }
+    };
+    match text {
+        Ok(text) => headers::set(&mut headers, name, &text),
         Err(error) => {
             log::error!(request:% = call.request, error:% = error; "metadata of a forwarded request not encoded");
         }
--- a/crates/ebonystand/src/gateway/headers.rs
+++ b/crates/ebonystand/src/gateway/headers.rs
@@ -1,7 +1,10 @@
 //! Access to HTTP headers and removal of hop-by-hop headers, which concern only one connection.
 
 use super::*;
-use actix_http::header::{HeaderName, HeaderValue};
+use {
+    actix_http::header::{HeaderName, HeaderValue},
+    ebonystand_core::StreamResumption,
+};
 
 /// Headers that are not passed on to the other side of the gateway.
 const HOP_BY_HOP: [&str; 10] = [
@@ -56,3 +59,18 @@
 pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
+
+/// Returns which stream a request takes up again, by the header with the last event and the one that names the
+/// attempt that brought the first event; `None` if it takes up none.
+pub fn resumption(
+    headers: &HeaderMap,
+    last_event: &str,
+    first_attempt: &str,
+) -> Option<StreamResumption> {
+    let is_resumption = headers.contains_key(last_event) || headers.contains_key(first_attempt);
+    let first_attempt = text(headers, first_attempt).map(str::trim);
+    let first_attempt = first_attempt.filter(|attempt| !attempt.is_empty());
+    is_resumption.then(|| StreamResumption {
+        first_attempt: first_attempt.map(Into::into),
+    })
+}
--- a/crates/ebonystand/src/gateway/list_controller.rs
+++ b/crates/ebonystand/src/gateway/list_controller.rs
@@ -1,8 +1,8 @@
 use super::*;
 use {
     ebonystand_core::{
-        ListMismatch, ListReaderElection, ListScope, ListUpdate, ListedUpstream, UpstreamKind,
-        UpstreamList,
+        ListMismatch, ListReaderElection, ListScope, ListUpdate, ListedUpstream, SoftwareVersion,
+        UpstreamKind, UpstreamList,
     },
     futures_util::future::try_join_all,
     node::Node,
@@ -81,6 +81,8 @@
                 if list.apply_changes(*base, *digest, changed, removed)? {
                     log_changes(list, changed, removed);
                     book.change_list(now, changed.clone(), removed);
+                } else {
+                    book.confirm_list(now);
                 }
             }
             ListUpdate::Unchanged { digest } => {
@@ -89,6 +91,7 @@
                     let base = *digest;
                     return Err(ListMismatch::Base { base, known });
                 }
+                book.confirm_list(now);
             }
             ListUpdate::Whole { scope, upstreams } => {
                 log::info!(upstreams = upstreams.len(); "whole list of upstreams received");
@@ -113,7 +116,7 @@
                 log_changes(list, changed, removed);
                 book.change_list(now, changed.clone(), removed);
             }
-            ListUpdate::Unchanged { .. } => {}
+            ListUpdate::Unchanged { .. } => book.confirm_list(now),
             ListUpdate::Whole { scope, upstreams } => {
                 book.update_list(now, *scope, upstreams.clone());
             }
@@ -270,6 +273,7 @@
                 leaving: upstream.leaving,
                 service: service.clone(),
                 slots: u32::try_from(upstream.speed).unwrap_or(u32::MAX),
+                software: SoftwareVersion::default(),
                 zone: upstream.zone.clone(),
             })
         });
--- a/crates/ebonystand/src/gateway/mod.rs
+++ b/crates/ebonystand/src/gateway/mod.rs
@@ -11,7 +11,7 @@
     extension::{Extension, Handler, Surface},
     fetch::{Fetch, FetchError},
     gateway_handle::Gateway,
-    headers::{passed_on, set as set_header, text as header_text},
+    headers::{passed_on, resumption as header_resumption, set as set_header, text as header_text},
     outgoing_call::OutgoingCall,
     replace_error::ReplaceError,
     settings::GatewaySettings,
@@ -43,6 +43,7 @@
 mod headers;
 mod list_controller;
 mod native_dialect;
+mod origin_controller;
 mod outgoing_call;
 mod path_watch;
 pub(crate) mod receive_forward;
--- a/crates/ebonystand/src/gateway/native_dialect.rs
+++ b/crates/ebonystand/src/gateway/native_dialect.rs
@@ -17,6 +17,10 @@
 /// Header of an answer with the requests that the upstream may turn away in a second, over all VMs,
 /// before it goes down.
 const SHED_TOLERANCE: &str = "x-ebonystand-shed-tolerance";
+/// Header with the last event that a caller has of a stream that it takes up again.
+const LAST_EVENT_ID: &str = "last-event-id";
+/// Header with the request that brought the first event of that stream.
+const RESUMES: &str = "x-ebonystand-resumes";
 const RUN_STATE: &str = "x-ebonystand-run";
 const PROMPT: &str = "x-ebonystand-prompt";
 const RANK: &str = "x-ebonystand-rank";
@@ -70,6 +74,7 @@
             key: authenticate::bearer(incoming).map(KeyHash::from_secret),
             prompt,
             request: headers::text(incoming, REQUEST).unwrap_or_default().into(),
+            resumption: headers::resumption(incoming, LAST_EVENT_ID, RESUMES),
         })
     }
 
--- /dev/null
+++ b/crates/ebonystand/src/gateway/origin_controller.rs
@@ -0,0 +1,240 @@
+use super::*;
+use {
+    ebonystand_core::{
+        CallKind, GatewayRoute, InquiryState, KnownOrigin, OriginAnswer, OriginHolders,
+        OriginInquiry, OriginMessage, OriginTable, RouteTable, StreamKey, StreamOrigin,
+    },
+    node::Node,
+    std::collections::BTreeMap,
+};
+
+/// Records at which software version streams began, and finds out for those that are taken up again.
+#[derive(Default)]
+pub(crate) struct OriginController {
+    held: RefCell<OriginTable>,
+    inquiries: RefCell<FxHashMap<u64, OpenInquiry>>,
+    next_inquiry: Cell<u64>,
+    /// Services of each route that may be resumed, by the name of the route.
+    services: RefCell<BTreeMap<Box<str>, RouteServices>>,
+}
+
+/// Services that get the requests of a route.
+struct RouteServices {
+    services: Vec<ServiceId>,
+    /// Time from which on they have been the same.
+    since: Duration,
+}
+
+struct OpenInquiry {
+    inquiry: OriginInquiry,
+    tx: oneshot::Sender<Option<KnownOrigin>>,
+}
+
+impl OriginController {
+    /// Longest wait for the VMs of the own region to tell an origin.
+    const NEAR_WAIT: Duration = Duration::from_millis(100);
+    /// Longest wait for VMs of all regions to tell an origin.
+    const WAIT: Duration = Duration::from_millis(400);
+    /// Least time for which streams count as alive. Callers may be more patient than a route's timeout.
+    const MIN_LIFETIME: Duration = Duration::from_secs(15);
+
+    /// Returns the longest time for which a stream of the route can be taken up again.
+    pub(crate) fn max_lifetime(route: &GatewayRoute) -> Duration {
+        let timeout = Duration::from_millis(route.timeout_ms);
+        (2 * timeout).clamp(Self::MIN_LIFETIME, OriginTable::MAX_LIFETIME)
+    }
+
+    /// Whether streams of the route may be taken up at another upstream.
+    pub(crate) fn is_resumable(route: &GatewayRoute) -> bool {
+        route.kind == CallKind::Stream && route.resumable
+    }
+
+    /// Applies new routes: the services of a route that has changed do not tell where its streams began.
+    pub(crate) fn configure(&self, now: Duration, table: &RouteTable) {
+        let mut services = self.services.borrow_mut();
+        let routes = table.routing().routes.iter();
+        let resumable = routes.filter(|route| Self::is_resumable(route));
+        let changed = resumable.map(|route| {
+            let in_force = route.services();
+            let known = services.remove(&route.name);
+            let known = known.filter(|known| known.services == in_force);
+            let in_force = known.unwrap_or(RouteServices {
+                services: in_force,
+                since: now,
+            });
+            (route.name.clone(), in_force)
+        });
+        *services = changed.collect();
+    }
+
+    /// Records the origin of a stream that may be taken up again, unless it follows from the lists of all VMs.
+    pub(crate) fn record(
+        &self,
+        node: &Node,
+        route: &GatewayRoute,
+        key: StreamKey,
+        origin: &StreamOrigin,
+        lifetime: Duration,
+    ) {
+        let now = node.clock.now();
+        if self.only_origin(node, &route.name).as_ref() == Some(origin) {
+            return;
+        }
+        let mut held = self.held.borrow_mut();
+        held.hold(now, key, origin.clone(), lifetime);
+        node.metrics.stream_origins.set(held.len() as i64);
+        drop(held);
+        for vm in Self::holders(node).to_tell(key) {
+            Self::tell(node, &vm, key, origin.clone(), lifetime);
+        }
+    }
+
+    /// Finds out at which version a stream began; `None` if it can have been several.
+    pub(crate) async fn find(
+        &self,
+        node: &Node,
+        route: &GatewayRoute,
+        key: Option<StreamKey>,
+    ) -> Option<KnownOrigin> {
+        let only = self.only_origin(node, &route.name);
+        let Some(key) = key else {
+            return only.map(KnownOrigin::OnlyVersion);
+        };
+        let held = self.held.borrow().get(node.clock.now(), key).cloned();
+        if let Some(origin) = held {
+            return Some(KnownOrigin::Recorded(origin));
+        }
+        let holders = Self::holders(node);
+        let (asked, wait) = match only {
+            Some(_) => (holders.to_ask_near(key), Self::NEAR_WAIT),
+            None => (holders.to_ask(key), Self::WAIT),
+        };
+        self.ask(node, route, key, asked, only, wait).await
+    }
+
+    /// Handles a message of another VM.
+    pub(crate) fn receive(&self, node: &Node, from: &VmId, message: OriginMessage) {
+        let now = node.clock.now();
+        match message {
+            OriginMessage::Answer { answer, id } => self.receive_answer(from, id, answer),
+            OriginMessage::Ask { id, key, route } => {
+                let held = self.held.borrow().get(now, key).cloned();
+                let known = held
+                    .map(KnownOrigin::Recorded)
+                    .or_else(|| self.only_origin(node, &route).map(KnownOrigin::OnlyVersion));
+                let answer = OriginAnswer::from(known);
+                node.send(
+                    from,
+                    PeerMessage::Origin(OriginMessage::Answer { answer, id }),
+                );
+            }
+            OriginMessage::Hold {
+                key,
+                lifetime_ms,
+                origin,
+            } => {
+                let lifetime = Duration::from_millis(lifetime_ms);
+                let mut held = self.held.borrow_mut();
+                held.hold(now, key, origin, lifetime);
+                node.metrics.stream_origins.set(held.len() as i64);
+            }
+        }
+    }
+
+    /// Has other VMs hold the origins that this one, which is about to stop, holds.
+    pub(crate) fn hand_over(&self, node: &Node) {
+        let held = self.held.borrow();
+        let holders = Self::holders(node);
+        for (key, origin, left) in held.iter(node.clock.now()) {
+            for vm in holders.to_tell(key) {
+                Self::tell(node, &vm, key, origin.clone(), left);
+            }
+        }
+        if !held.is_empty() {
+            log::info!(origins = held.len(); "origins of streams handed over");
+        }
+    }
+
+    async fn ask(
+        &self,
+        node: &Node,
+        route: &GatewayRoute,
+        key: StreamKey,
+        asked: Vec<VmId>,
+        only: Option<StreamOrigin>,
+        wait: Duration,
+    ) -> Option<KnownOrigin> {
+        let inquiry = OriginInquiry::new(asked.clone(), only);
+        if asked.is_empty() {
+            return inquiry.conclude();
+        }
+        let id = self.next_inquiry.replace(self.next_inquiry.get() + 1);
+        let (tx, rx) = oneshot::channel();
+        let open = OpenInquiry { inquiry, tx };
+        self.inquiries.borrow_mut().insert(id, open);
+        for vm in &asked {
+            let ask = OriginMessage::Ask {
+                id,
+                key,
+                route: route.name.clone(),
+            };
+            node.send(vm, PeerMessage::Origin(ask));
+        }
+        let answered = actix_rt::time::timeout(wait, rx).await;
+        let open = self.inquiries.borrow_mut().remove(&id);
+        match answered {
+            Ok(Ok(known)) => known,
+            _ => open.and_then(|open| open.inquiry.conclude()),
+        }
+    }
+
+    fn receive_answer(&self, from: &VmId, id: u64, answer: OriginAnswer) {
+        let mut inquiries = self.inquiries.borrow_mut();
+        let Some(open) = inquiries.get_mut(&id) else {
+            return;
+        };
+        if let InquiryState::Complete(known) = open.inquiry.receive(from, answer)
+            && let Some(open) = inquiries.remove(&id)
+        {
+            // The caller may have left.
+            let _ = open.tx.send(known);
+        }
+    }
+
+    /// Returns the only origin that streams of a route can have, by what this VM has seen.
+    fn only_origin(&self, node: &Node, route: &str) -> Option<StreamOrigin> {
+        let now = node.clock.now();
+        let table = node.gateway.table();
+        let lifetime = Self::max_lifetime(table.route(route)?);
+        let services = self.services.borrow();
+        let in_force = services.get(route)?;
+        let [service] = in_force.services.as_slice() else {
+            return None;
+        };
+        if in_force.since + lifetime > now {
+            return None;
+        }
+        let book = node.gateway.book.borrow();
+        let software = book.only_software(now, service, lifetime)?;
+        Some(StreamOrigin {
+            service: service.clone(),
+            software: software.clone(),
+        })
+    }
+
+    fn holders(node: &Node) -> OriginHolders {
+        let live = node.membership.live(node.clock.now());
+        let records = live.iter().map(|entry| &entry.record);
+        let (vm, region) = (&node.settings.vm, &node.settings.region);
+        OriginHolders::new(vm.clone(), region.clone(), records)
+    }
+
+    fn tell(node: &Node, vm: &VmId, key: StreamKey, origin: StreamOrigin, lifetime: Duration) {
+        let hold = OriginMessage::Hold {
+            key,
+            lifetime_ms: lifetime.as_millis() as u64,
+            origin,
+        };
+        node.send(vm, PeerMessage::Origin(hold));
+    }
+}
--- a/crates/ebonystand/src/gateway/receive_forward.rs
+++ b/crates/ebonystand/src/gateway/receive_forward.rs
@@ -2,9 +2,9 @@
 
 use super::*;
 use {
-    call::{Call, Destination, Outcome},
+    call::{Call, CallSoftware, Destination, Outcome},
     ebonystand_core::{AttemptEnd, Mechanism, TargetChoice},
-    ebonystand_wire::Forwarded,
+    ebonystand_wire::{BoundForwarded, Forwarded},
     in_flight::InFlight,
     node::Node,
     relay::RequestResources,
@@ -20,8 +20,10 @@
     let mut payload = req.take_payload();
     let outcome = serve(&node, &req, &mut payload).await;
     let accepts_unframed = req.headers().contains_key(forward::ACCEPTS_UNFRAMED);
+    let mut software = None;
     let (mut response, end, retry_after) = match outcome {
         Outcome::Answered(mut answered) => {
+            software = answered.software.take();
             if !accepts_unframed {
                 answered.relay.require_framing();
             }
@@ -40,6 +42,10 @@
         }
     };
     headers::set(response.headers_mut(), forward::ATTEMPT_END, end);
+    response.headers_mut().remove(forward::SOFTWARE);
+    if let Some(software) = software {
+        headers::set(response.headers_mut(), forward::SOFTWARE, &software);
+    }
     if let Some(delay) = retry_after {
         let seconds = format!("{:.3}", delay.as_secs_f64());
         headers::set(response.headers_mut(), "retry-after", &seconds);
@@ -55,9 +61,8 @@
 
 async fn serve(node: &Rc<Node>, req: &Request, payload: &mut Payload) -> Outcome {
     let now = node.clock.now();
-    let text = headers::text(req.headers(), forward::FORWARDED).unwrap_or_default();
-    let forwarded = match Forwarded::from_header(&node.peers.secret, text) {
-        Ok(forwarded) => forwarded,
+    let (forwarded, software) = match read_metadata(node, req.headers()) {
+        Ok(metadata) => metadata,
         Err(error) => {
             node.metrics.peer_refused.inc();
             log::warn!(error:% = error; "forwarded request refused: its metadata header is invalid");
@@ -96,7 +101,12 @@
         full_regions: BTreeSet::new(),
         headers: headers::passed_on(
             req.headers(),
-            &[forward::FORWARDED, forward::ACCEPTS_UNFRAMED],
+            &[
+                forward::ACCEPTS_UNFRAMED,
+                forward::BOUND,
+                forward::FORWARDED,
+                forward::SOFTWARE,
+            ],
         ),
         homes: forwarded.homes,
         method: req.method().clone(),
@@ -105,6 +115,7 @@
         rank: forwarded.rank,
         request: forwarded.request,
         service: forwarded.service,
+        software,
         workspace: forwarded.workspace,
     };
     // The request has not run, so another upstream of this region is tried before it travels between
@@ -133,6 +144,24 @@
     }
 }
 
+/// Reads the metadata of a forwarded request, and the software versions that may get it.
+fn read_metadata(
+    node: &Node,
+    headers: &HeaderMap,
+) -> ebonystand_wire::Result<(Forwarded, CallSoftware)> {
+    let secret = &node.peers.secret;
+    if let Some(text) = headers::text(headers, forward::BOUND) {
+        let bound = BoundForwarded::from_header(secret, text)?;
+        return Ok((bound.forwarded, CallSoftware::Only(bound.software)));
+    }
+    let text = headers::text(headers, forward::FORWARDED).unwrap_or_default();
+    let software = match headers::text(headers, forward::SOFTWARE) {
+        Some(forward::KNOWN) => CallSoftware::Known,
+        _ => CallSoftware::Any,
+    };
+    Ok((Forwarded::from_header(secret, text)?, software))
+}
+
 /// Sends a forwarded call to an upstream of this region. Returns how the attempt ended, and the
 /// upstream unless nothing was sent to any.
 async fn serve_here(node: &Rc<Node>, call: &Call) -> (Outcome, Option<UpstreamId>) {
@@ -158,11 +187,12 @@
             import,
             instance,
             predicted,
+            software,
             unread,
             ..
         } => {
             log::info!(
-                request:% = call.request, upstream:% = instance, unread = unread,
+                request:% = call.request, upstream:% = instance, software:% = software, unread = unread,
                 import_from:? = import.as_ref().map(|source| &source.instance),
                 import_tokens = import.as_ref().map_or(0, |source| source.tokens),
                 predicted_ms = predicted.as_millis() as u64; "forwarded request sent"
@@ -172,6 +202,7 @@
                 address,
                 import,
                 instance,
+                software,
                 unread,
             };
             let outcome = call.send_here(node, &to, wait).await;
--- a/crates/ebonystand/src/gateway/relay.rs
+++ b/crates/ebonystand/src/gateway/relay.rs
@@ -130,6 +130,7 @@
         Answered {
             headers,
             relay: self,
+            software: None,
             status,
         }
     }
--- a/crates/ebonystand/src/gateway/serve_call.rs
+++ b/crates/ebonystand/src/gateway/serve_call.rs
@@ -4,10 +4,15 @@
 use {
     admitted::Admitted,
     allowance_controller::{AllowanceController, Reserved},
-    call::Call,
-    ebonystand_core::{GatewayRoute, GatewayWorkspace, Prompt, RouteTable},
+    call::{Call, CallSoftware},
+    ebonystand_core::{
+        GatewayRoute, GatewayWorkspace, KnownOrigin, Prompt, RouteTable, StreamKey, StreamOrigin,
+        StreamResumption,
+    },
     in_flight::InFlight,
+    metrics::ResumptionLabel,
     node::Node,
+    origin_controller::OriginController,
     request_content::RequestContent,
     std::collections::BTreeSet,
 };
@@ -153,15 +158,37 @@
     if let Some(refusal) = node.quarantine.check(node, fingerprint).await {
         return Err(refusal);
     }
+    let origin = match head
+        .resumption
+        .as_ref()
+        .filter(|_| OriginController::is_resumable(&route))
+    {
+        Some(resumption) => {
+            let name = workspace.as_ref().map(|workspace| &*workspace.name);
+            Some(find_origin(node, &route, name, resumption, &head.request).await?)
+        }
+        None => None,
+    };
     let longest = Duration::from_millis(route.timeout_ms);
     let tokens = workspace
         .as_ref()
         .map_or(0, |w| w.quota_cost(head.prompt.as_ref()));
     let reserved = reserve(node, &route, workspace.as_ref(), tokens, head.deadline).await?;
-    let shared = head.prompt.as_ref().and_then(Prompt::placement_hash);
-    let hash = shared.unwrap_or_else(|| node.gateway.draw());
-    // The default is never used: a route in force always has a service with a weight.
-    let service = route.select_service(hash).cloned().unwrap_or_default();
+    let stream = stream_key(&route, workspace.as_ref(), &head);
+    let (service, software) = match origin {
+        Some(origin) => (origin.service, CallSoftware::Only(origin.software)),
+        None => {
+            let shared = head.prompt.as_ref().and_then(Prompt::placement_hash);
+            let hash = shared.unwrap_or_else(|| node.gateway.draw());
+            // The default is never used: a route in force always has a service with a weight.
+            let service = route.select_service(hash).cloned().unwrap_or_default();
+            let software = match OriginController::is_resumable(&route) {
+                true => CallSoftware::Known,
+                false => CallSoftware::Any,
+            };
+            (service, software)
+        }
+    };
     node.gateway.retries.record_request(arrived, &service);
     if let Some(workspace) = &workspace {
         let label = node.metrics.workspace(&workspace.name);
@@ -188,6 +215,7 @@
         rank,
         request: head.request,
         service,
+        software,
         workspace: workspace.map(|workspace| workspace.name),
     };
     Ok(Admitted {
@@ -198,11 +226,72 @@
         permit: None,
         reserved,
         route,
+        stream,
+        stream_lifetime: head.deadline.unwrap_or(longest).max(longest),
         tokens,
         tried: 0,
     })
 }
 
+/// Returns the key of the stream that a request begins or takes up again; `None` if it can't be taken up again.
+fn stream_key(
+    route: &GatewayRoute,
+    workspace: Option<&GatewayWorkspace>,
+    head: &CallHead,
+) -> Option<StreamKey> {
+    let first_attempt = match &head.resumption {
+        Some(resumption) => resumption.first_attempt.as_ref()?,
+        None => &head.request,
+    };
+    let workspace = workspace.map(|workspace| &*workspace.name);
+    OriginController::is_resumable(route).then(|| StreamKey::new(workspace, first_attempt))
+}
+
+/// Finds out which service and software version must go on with a stream that a caller takes up again.
+async fn find_origin(
+    node: &Node,
+    route: &GatewayRoute,
+    workspace: Option<&str>,
+    resumption: &StreamResumption,
+    request: &str,
+) -> Result<StreamOrigin, Refusal> {
+    let asked = node.clock.now();
+    let first_attempt = resumption.first_attempt.as_deref();
+    let key = first_attempt.map(|attempt| StreamKey::new(workspace, attempt));
+    let known = node.gateway.origins.find(node, route, key).await;
+    let took = node.clock.now().saturating_sub(asked);
+    let source = known.as_ref().map_or("none", KnownOrigin::source);
+    let origin = known.map(KnownOrigin::into_origin);
+    let is_routed = |origin: &StreamOrigin| route.services().contains(&origin.service);
+    let outcome = match &origin {
+        None => "unknown",
+        Some(origin) if !is_routed(origin) => "not routed",
+        Some(_) => "found",
+    };
+    log::info!(
+        request:% = request, resumes:% = first_attempt.unwrap_or("not named"), route:% = route.name, source:% = source,
+        service:% = origin.as_ref().map_or("", |origin| &origin.service),
+        software:% = origin.as_ref().map_or("", |origin| &origin.software),
+        outcome:% = outcome, took_ms = took.as_millis() as u64;
+        "stream taken up again"
+    );
+    let label = ResumptionLabel {
+        outcome: outcome.into(),
+    };
+    node.metrics.stream_resumptions.get_or_create(&label).inc();
+    match origin {
+        Some(origin) if is_routed(&origin) => Ok(origin),
+        Some(_) => {
+            let message = "the route no longer leads to the service that began the stream";
+            Err(not_ready_refusal(RefusalCode::NoUpstream, message))
+        }
+        None => {
+            let message = "the software version that began the stream is not known";
+            Err(not_ready_refusal(RefusalCode::NoUpstream, message))
+        }
+    }
+}
+
 /// Waits until a VM that has just started can serve, and returns the body if it was read for that.
 ///
 /// When all VMs start together, a region has no other VM that could answer during the two seconds
--- a/crates/ebonystand/src/lib.rs
+++ b/crates/ebonystand/src/lib.rs
@@ -53,7 +53,7 @@
     gateway::{
         AnswerMarks, CallHead, ConnectionFault, Dialect, Extension, Fetch, FetchError, Gateway,
         GatewaySettings, Handler, OutgoingCall, ReplaceError, Surface, UpstreamRead,
-        UpstreamSource, header_text, passed_on, set_header,
+        UpstreamSource, header_resumption, header_text, passed_on, set_header,
     },
     group::Group,
     group_effect::GroupEffect,
--- a/crates/ebonystand/src/metrics.rs
+++ b/crates/ebonystand/src/metrics.rs
@@ -29,6 +29,8 @@
     pub(crate) retry_grants: Family<GrantLabel, Counter>,
     pub(crate) sent_away: Counter,
     pub(crate) sent_beside: Counter,
+    pub(crate) stream_origins: Gauge,
+    pub(crate) stream_resumptions: Family<ResumptionLabel, Counter>,
     pub(crate) streams: Gauge,
     pub(crate) suspects: Gauge,
     pub(crate) tokens: Family<WorkspaceLabel, Counter>,
@@ -51,6 +53,12 @@
     pub(crate) grant: String,
 }
 
+/// How a caller's try to take up a stream ended.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct ResumptionLabel {
+    pub(crate) outcome: String,
+}
+
 /// Why a request was refused.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct RefusalLabels {
@@ -105,6 +113,8 @@
             retry_grants: Family::default(),
             sent_away: Counter::default(),
             sent_beside: Counter::default(),
+            stream_origins: Gauge::default(),
+            stream_resumptions: Family::default(),
             streams: Gauge::default(),
             suspects: Gauge::default(),
             tokens: Family::default(),
@@ -212,6 +222,16 @@
             "Requests sent to another VM of the region, because this one reaches no upstream",
             self.sent_beside.clone(),
         );
+        r.register(
+            "stream_origins",
+            "Streams of which this VM holds the software version that began them",
+            self.stream_origins.clone(),
+        );
+        r.register(
+            "stream_resumptions",
+            "Streams that callers took up again, by what became of it",
+            self.stream_resumptions.clone(),
+        );
         r.register("streams", "Streams that run", self.streams.clone());
         r.register(
             "suspected_requests",
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -101,6 +101,7 @@
             actix_rt::time::sleep(Self::DRAIN_LOOK).await;
         }
         self.draining.set(true);
+        self.gateway.origins.hand_over(self);
         let end = asked + limits.linger + limits.drain;
         while self.in_flight.get() > 0 && self.clock.now() < end {
             actix_rt::time::sleep(Self::DRAIN_LOOK).await;
@@ -259,6 +260,7 @@
             PeerMessage::Load(message) => {
                 GatewayController::receive_load_message(self, from, message);
             }
+            PeerMessage::Origin(message) => self.gateway.origins.receive(self, from, message),
             PeerMessage::Pressure {
                 first_byte_and_gap_ms,
                 region,
