--- a/crates/ebonystand-core/src/gateway/upstream_listing.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_listing.rs
@@ -82,6 +82,28 @@
         self.upstreams.values().map(|known| &known.listed)
     }
 
+    /// Returns the software versions of each service on the list.
+    pub fn software_statuses(&self, now: Duration) -> impl Iterator<Item = SoftwareStatus> {
+        let mut counts = BTreeMap::<_, (u32, u32)>::new();
+        for listed in self.listed_upstreams() {
+            let (all, leaving) = counts
+                .entry((&listed.service, &listed.software))
+                .or_default();
+            *all += 1;
+            *leaving += u32::from(listed.leaving);
+        }
+        let counts = counts.into_iter();
+        counts.map(
+            move |((service, software), (listed, leaving))| SoftwareStatus {
+                leaving,
+                listed,
+                service: service.clone(),
+                software: software.clone(),
+                takes_streams: self.software.may_begin(now, service, software),
+            },
+        )
+    }
+
     /// Returns whether an upstream was going to end: it is leaving, or is no longer on the list.
     #[must_use]
     pub fn is_end_expected(&self, instance: &str) -> bool {
--- a/crates/ebonystand-core/src/lib.rs
+++ b/crates/ebonystand-core/src/lib.rs
@@ -162,6 +162,7 @@
     run_state::RunState,
     service::Service,
     smoothed_rate::SmoothedRate,
+    software_status::SoftwareStatus,
     state_machine::StateMachine,
     stream_fault::StreamFault,
     stream_framing::StreamFraming,
@@ -324,6 +325,7 @@
 mod smoothed_rate;
 mod snapshot_assembly;
 mod snapshot_transfer;
+mod software_status;
 mod state_machine;
 mod stream_fault;
 mod stream_framing;
--- a/crates/ebonystand-core/src/operator_status.rs
+++ b/crates/ebonystand-core/src/operator_status.rs
@@ -22,6 +22,12 @@
     /// Retry budgets of the services on routes.
     #[serde(default)]
     pub retry_budgets: Vec<RetryBudgetStatus>,
+    /// Software versions of the services on the list of upstreams.
+    #[serde(default)]
+    pub software: Vec<SoftwareStatus>,
+    /// Number of streams of which this VM holds the version that began them.
+    #[serde(default)]
+    pub stream_origins: usize,
     /// Requests that crash upstreams, as far as this VM knows.
     #[serde(default)]
     pub suspects: Vec<SuspectStatus>,
--- a/crates/ebonystand/src/gateway/origin_controller.rs
+++ b/crates/ebonystand/src/gateway/origin_controller.rs
@@ -89,6 +89,11 @@
         }
     }
 
+    /// Returns the number of streams whose origins this VM holds.
+    pub(crate) fn held(&self) -> usize {
+        self.held.borrow().len()
+    }
+
     /// Finds out at which version a stream began; `None` if it can have been several.
     pub(crate) async fn find(
         &self,
--- a/crates/ebonystand/src/operator_status.rs
+++ b/crates/ebonystand/src/operator_status.rs
@@ -29,6 +29,8 @@
         preset: document.preset,
         ready: node.ready(),
         retry_budgets: node.gateway.retries.statuses(now),
+        software: node.gateway.book.borrow().software_statuses(now).collect(),
+        stream_origins: node.gateway.origins.held(),
         suspects: node.quarantine.statuses(now),
         upstreams: upstreams
             .map(|(id, upstream)| upstream_status(node, now, id, upstream))
--- a/crates/ebonystandctl/src/status.rs
+++ b/crates/ebonystandctl/src/status.rs
@@ -59,6 +59,21 @@
         format!("  upstream {upstream}: wants a pause of {pause_ms} ms more{leaves}{sheds}")
     });
     lines.extend(listed(notices, "notices of upstreams"));
+    let software = status.software.iter().map(|software| {
+        let held_back = match software.takes_streams {
+            true => "",
+            false => ", too new for streams that may be taken up again",
+        };
+        format!(
+            "  software {} of {}: {} upstreams, {} leaving{held_back}",
+            software.software, software.service, software.listed, software.leaving
+        )
+    });
+    lines.extend(listed(software, "software versions of services"));
+    if status.stream_origins > 0 {
+        let held = status.stream_origins;
+        lines.push(format!("  origins of {held} streams held here"));
+    }
     let budgets = status.retry_budgets.iter().map(|budget| {
         format!(
             "  retries of {}: {:.1} available and {} on their way, of {:.1}; {} requests in 10 s",
--- a/crates/ebonystandctl/tests/status.rs
+++ b/crates/ebonystandctl/tests/status.rs
@@ -2,8 +2,8 @@
 
 use {
     ebonystand_core::{
-        OperatorStatus, PresetName, RetryBudgetStatus, SuspectStatus, UpstreamNoticeStatus,
-        VmHealth, VmStatus,
+        OperatorStatus, PresetName, RetryBudgetStatus, SoftwareStatus, SuspectStatus,
+        UpstreamNoticeStatus, VmHealth, VmStatus,
     },
     ebonystandctl::format_status,
 };
@@ -32,6 +32,8 @@
         preset: PresetName::default(),
         ready: true,
         retry_budgets: Vec::new(),
+        software: Vec::new(),
+        stream_origins: 0,
         suspects: Vec::new(),
         upstreams: Vec::new(),
         version: 7,
@@ -106,3 +108,24 @@
     let line = "retries of registry: 0.2 available and 2 on their way, of 4.0; 80 requests in 10 s";
     assert!(text.contains(line), "{text}");
 }
+
+/// Guards against operators who cannot tell which software versions serve side by side.
+#[test]
+fn software_versions_are_listed_by_service() {
+    let software = SoftwareStatus {
+        leaving: 1,
+        listed: 3,
+        service: "engines".into(),
+        software: "v2".into(),
+        takes_streams: false,
+    };
+    let status = OperatorStatus {
+        software: vec![software],
+        stream_origins: 12,
+        ..status(1, 0)
+    };
+    let text = format_status(&status);
+    let line = "software v2 of engines: 3 upstreams, 1 leaving, too new for streams that may be taken up again";
+    assert!(text.contains(line), "{text}");
+    assert!(text.contains("origins of 12 streams held here"), "{text}");
+}
