--- a/crates/ebonystand/tests/integration/unframed.rs
+++ b/crates/ebonystand/tests/integration/unframed.rs
@@ -8,7 +8,7 @@
         scripted::{Received, Reply, Scripted, Then},
         vm::Vm,
     },
-    ebonystand_wire::Forwarded,
+    ebonystand_wire::{BoundForwarded, Forwarded},
     rstest::rstest,
     std::time::Duration,
     tokio::{
@@ -183,14 +183,16 @@
     assert!(!answer.looks_whole(), "{answer:?}");
 }
 
-/// Guards against a VM of an earlier build that frames an unframed answer as whole: it gets the answer cut off.
-#[actix_rt::test]
-async fn a_vm_that_does_not_know_of_unframed_answers_gets_a_cut_one() {
-    let fleet = start(Way::OverAHop, unframed(EVENT, Then::Close)).await;
-    let log = fleet.vms[1].log_with("\"forwards\":\"").await;
+/// Where a VM takes forwarded requests.
+async fn forwards_address(vm: &Vm) -> String {
+    let log = vm.log_with("\"forwards\":\"").await;
     let address = log.split("\"forwards\":\"").nth(1).unwrap();
-    let address = address.split('"').next().unwrap();
-    let forwarded = Forwarded {
+    address.split('"').next().unwrap().to_owned()
+}
+
+/// Metadata of a request that another VM forwards.
+fn forwarded() -> Forwarded {
+    Forwarded {
         aim_ms: 5_000,
         homes: None,
         left_ms: 5_000,
@@ -199,14 +201,48 @@
         request: "raw".into(),
         service: "orders".into(),
         workspace: Some("akademi".into()),
+    }
+}
+
+/// Guards against a hop at which a stream goes on at another software version. The upstreams of a document state none.
+#[rstest]
+#[case::its_own("", "x-ebonystand-ended: upstream")]
+#[case::another("v2", "x-ebonystand-ended: not_sent")]
+#[actix_rt::test]
+async fn a_forwarded_resumption_goes_to_its_software_version_only(
+    #[case] software: &str,
+    #[case] expected: &str,
+) {
+    let fleet = start(Way::OverAHop, unframed(EVENT, Then::Close)).await;
+    let address = forwards_address(&fleet.vms[1]).await;
+    let bound = BoundForwarded {
+        forwarded: forwarded(),
+        software: software.into(),
     };
-    let header = forwarded.to_header(&Fleet::secret()).unwrap();
+    let header = bound.to_header(&Fleet::secret()).unwrap();
+    let request = format!(
+        "GET /stream/unframed HTTP/1.1\r\nhost: {HOST}\r\nx-ebonystand-forwarded-bound: {header}\r\nx-ebonystand-accepts-unframed: 1\r\n\r\n"
+    );
+    let mut io = TcpStream::connect(&*address).await.unwrap();
+    io.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = vec![0; 4_096];
+    let len = io.read(&mut answer).await.unwrap();
+    let head = String::from_utf8_lossy(&answer[..len]).to_ascii_lowercase();
+    assert!(head.contains(expected), "{head}");
+}
+
+/// Guards against a VM of an earlier build that frames an unframed answer as whole: it gets the answer cut off.
+#[actix_rt::test]
+async fn a_vm_that_does_not_know_of_unframed_answers_gets_a_cut_one() {
+    let fleet = start(Way::OverAHop, unframed(EVENT, Then::Close)).await;
+    let address = forwards_address(&fleet.vms[1]).await;
+    let header = forwarded().to_header(&Fleet::secret()).unwrap();
     let mut answers = Vec::new();
     for accepts in ["", "x-ebonystand-accepts-unframed: 1\r\n"] {
         let request = format!(
             "GET /stream/unframed HTTP/1.1\r\nhost: {HOST}\r\nx-ebonystand-forwarded: {header}\r\n{accepts}\r\n"
         );
-        let mut io = TcpStream::connect(address).await.unwrap();
+        let mut io = TcpStream::connect(&*address).await.unwrap();
         io.write_all(request.as_bytes()).await.unwrap();
         answers.push(Raw::receive(io).await);
     }
