Hold a software version back again when it comes back

A version that had left the list and came back (a release that is rolled back) kept the time at which it was first seen, so that streams began at it at once, while VMs with older lists concluded that only the other version can have begun any. The test of all courses of lists gets such a course and failed: begun at 60000 ms at one of [v1, v2], taken up at v2. BoundForwarded gets a file of its own, and StreamOrigin the file of its subsystem.

--- a/crates/ebonystand-core/src/gateway/software_history.rs
+++ b/crates/ebonystand-core/src/gateway/software_history.rs
@@ -101,7 +101,9 @@
         for (service, seen) in &mut self.services {
             for seen in seen.iter_mut() {
                 match listed.contains(&(service, &seen.software)) {
-                    true => seen.gone_at = None,
+                    // A version that comes back is as new to the other VMs as any.
+                    true if seen.gone_at.take().is_some() => seen.first_seen = now,
+                    true => {}
                     false => {
                         seen.gone_at.get_or_insert(now);
                     }
--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -104,12 +104,6 @@
         self
     }
 
-    /// Returns the software versions that the lists have shown.
-    #[must_use]
-    pub fn software(&self) -> &SoftwareHistory {
-        &self.software
-    }
-
     /// Disables features of the selection, to measure their effect.
     #[must_use]
     pub fn with_disabled_mechanisms(mut self, mechanisms: BTreeSet<Mechanism>) -> Self {
--- a/crates/ebonystand-core/src/stream_origin/mod.rs
+++ b/crates/ebonystand-core/src/stream_origin/mod.rs
@@ -9,8 +9,8 @@
     origin_inquiry::{InquiryState, OriginInquiry},
     origin_message::{OriginAnswer, OriginMessage},
     origin_table::OriginTable,
+    state::StreamOrigin,
     stream_key::StreamKey,
-    stream_origin::StreamOrigin,
     stream_resumption::StreamResumption,
 };
 
@@ -19,10 +19,6 @@
 mod origin_inquiry;
 mod origin_message;
 mod origin_table;
+mod state;
 mod stream_key;
-#[expect(
-    clippy::module_inception,
-    reason = "the type has the name of the subsystem"
-)]
-mod stream_origin;
 mod stream_resumption;
--- a/crates/ebonystand-core/tests/gateway/software.rs
+++ b/crates/ebonystand-core/tests/gateway/software.rs
@@ -214,7 +214,8 @@
 #[test]
 fn no_two_vms_differ_on_where_a_stream_can_have_begun() {
     const RELEASE: u64 = 60_000;
-    let courses: [Course; 4] = [
+    let courses: [Course; 5] = [
+        &[(0, "v1"), (10_000, "v2"), (RELEASE, "v1 v2")],
         &[(0, "v1"), (RELEASE, "v1 v2")],
         &[(0, "v1"), (RELEASE, "v2")],
         &[(0, "v1"), (RELEASE, "v1 v2"), (RELEASE + 5_000, "v2")],
--- a/crates/ebonystand-wire/src/lib.rs
+++ b/crates/ebonystand-wire/src/lib.rs
@@ -26,18 +26,12 @@
 use payload::Payload;
 
 pub use {
-    error::Error,
-    forwarded::{BoundForwarded, Forwarded},
-    frame_reader::FrameReader,
-    frame_writer::FrameWriter,
-    hello::Hello,
-    nonce::Nonce,
-    peer_message::PeerMessage,
-    proposed::Proposed,
-    secret::Secret,
-    send_queue::SendQueue,
+    bound_forwarded::BoundForwarded, error::Error, forwarded::Forwarded, frame_reader::FrameReader,
+    frame_writer::FrameWriter, hello::Hello, nonce::Nonce, peer_message::PeerMessage,
+    proposed::Proposed, secret::Secret, send_queue::SendQueue,
 };
 
+mod bound_forwarded;
 mod error;
 mod forwarded;
 mod frame_reader;
