--- a/crates/ebonystand-wire/tests/frames.rs
+++ b/crates/ebonystand-wire/tests/frames.rs
@@ -2,7 +2,9 @@
 
 use {
     bytes::BytesMut,
-    ebonystand_core::{ListScope, ListUpdate, ListedUpstream},
+    ebonystand_core::{
+        ListScope, ListUpdate, ListedUpstream, OriginMessage, StreamKey, StreamOrigin,
+    },
     ebonystand_wire::{Error, FrameReader, FrameWriter, Hello, Nonce, PeerMessage, Secret},
     hmac::{Hmac, KeyInit, Mac},
     rstest::rstest,
@@ -83,6 +85,21 @@
     assert!(frame * 2 <= plain, "{frame} of {plain} bytes");
 }
 
+/// Guards against records of streams that take more of a link than four of them a stream may.
+#[test]
+fn the_origin_of_a_stream_takes_few_bytes_on_a_link() {
+    let hold = PeerMessage::Origin(OriginMessage::Hold {
+        key: StreamKey::new(Some("akademi"), "9c41d07be2a35f68"),
+        lifetime_ms: 12_000,
+        origin: StreamOrigin {
+            service: "conseil-llm".into(),
+            software: "v1.1".into(),
+        },
+    });
+    let frame = encode_frames(std::slice::from_ref(&hold)).len();
+    assert!(frame <= 80, "{frame} bytes");
+}
+
 /// Guards against accepting a frame that was altered in transit, in its format byte or in the message.
 #[test]
 fn a_changed_frame_is_refused() {
@@ -109,6 +126,8 @@
 #[case(7)]
 #[case(8)]
 #[case(9)]
+#[case(10)]
+#[case(11)]
 fn a_frame_of_an_earlier_build_is_refused_by_its_form(#[case] form: u8) {
     let payload = [form, 6];
     let mac = Hmac::<Sha256>::new_from_slice(SECRET).expect("a secret");
