Order the slots of a region's engines over all its VMs while room is short

Cause: VMs of a region choose engines blindly between load reports that are 100 to 290 ms late; engines hold requests beyond their slots beside idle ones, and a workspace that asks for more takes from the others.

Change: each engine has a scheduler, a VM picked by rendezvous hashing. A VM that finds room short asks it for a slot before it sends a prompt; the scheduler grants, queues (ranks by weight in slot time, workspaces equally, least slack first) or refuses with a retry time. Without a scheduler's answer in 40 ms the VM decides by itself. Small regions, plain services and regions with room send no message.

Not yet run: process tests.

--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -46,12 +46,13 @@
     weighted_fair_queue::WeightedFairQueue,
 };
 
+pub(crate) use work_window::WorkWindow;
+
 use {
     cold_start_limiter::ColdStartLimiter, event_gap_meter::EventGapMeter,
     ineligibility::Ineligibility, known_upstream::KnownUpstream, limit_share::LimitShare,
     named_limit::NamedLimit, path_health::PathHealth, send_pacer::SendPacer,
-    sent_prefixes::SentPrefixes, upstream_pause::UpstreamPause, work_window::WorkWindow,
-    zone_health::ZoneHealth,
+    sent_prefixes::SentPrefixes, upstream_pause::UpstreamPause, zone_health::ZoneHealth,
 };
 
 mod answer_limit;
@@ -111,6 +112,7 @@
 mod upstream_pause;
 mod upstream_pressure;
 mod upstream_shortlist;
+mod upstream_slots;
 mod weighted_fair_queue;
 mod work_window;
 mod zone_health;
--- a/crates/ebonystand-core/src/gateway/upstream_choice.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_choice.rs
@@ -4,18 +4,18 @@
 use prompt_placement::{PrefixSources, PromptPlacement};
 
 /// Upstream considered for a request, with the request's cost there.
-struct UpstreamCandidate<'a> {
+pub(crate) struct UpstreamCandidate<'a> {
     /// Delay of the request plus what it costs other requests.
-    cost: Duration,
+    pub(super) cost: Duration,
     /// Predicted time to the first byte of the answer.
-    delay: Duration,
+    pub(super) delay: Duration,
     /// Engine to import from, with the number of tokens to import.
-    import: Option<(&'a KnownUpstream, Tokens)>,
+    pub(super) import: Option<(&'a KnownUpstream, Tokens)>,
     /// Whether the upstream has no room for the request.
-    is_full: bool,
-    known: &'a KnownUpstream,
+    pub(super) is_full: bool,
+    pub(super) known: &'a KnownUpstream,
     /// Prompt tokens that the upstream has to read.
-    unread: Tokens,
+    pub(super) unread: Tokens,
 }
 
 /// Other region considered for a request.
@@ -193,10 +193,22 @@
                 predicted: best.delay,
             };
         }
+        let (candidates, compared) = (candidates.len(), shortlist.len());
+        Self::target(now, &best, candidates, compared, is_sound)
+    }
+
+    /// Returns the choice to send a request to a candidate.
+    pub(super) fn target(
+        now: Duration,
+        best: &UpstreamCandidate<'_>,
+        candidates: usize,
+        compared: usize,
+        is_sound: bool,
+    ) -> TargetChoice {
         TargetChoice::Upstream {
             address: best.known.listed.address,
-            candidates: u32::try_from(candidates.len()).unwrap_or(u32::MAX),
-            compared: u32::try_from(shortlist.len()).unwrap_or(u32::MAX),
+            candidates: u32::try_from(candidates).unwrap_or(u32::MAX),
+            compared: u32::try_from(compared).unwrap_or(u32::MAX),
             import: best.import.map(|(source, tokens)| CacheSource {
                 address: source.listed.address,
                 instance: source.listed.instance.clone(),
@@ -235,7 +247,7 @@
     }
 
     /// Returns the upstreams of the request's service that `admits` accepts.
-    fn find_candidates<'a>(
+    pub(super) fn find_candidates<'a>(
         &'a self,
         query: &ChoiceQuery,
         admits: impl Fn(&KnownUpstream) -> bool,
@@ -311,7 +323,7 @@
 
     /// Returns the mean number of prompt tokens that an engine reads per millisecond, from the
     /// engines of the own region; those of other regions are not measured here.
-    fn mean_reading_speed(&self, service: &str) -> f64 {
+    pub(super) fn mean_reading_speed(&self, service: &str) -> f64 {
         let all = self.upstreams.values();
         let local = all.filter(|known| *known.listed.service == *service && self.is_local(known));
         let (sum, count) = local.fold((0.0, 0.0), |(sum, count), known| {
@@ -347,7 +359,7 @@
     }
 
     /// Scores an engine for a prompt, with the prefix that it caches or can import.
-    fn score_prompt<'a>(
+    pub(super) fn score_prompt<'a>(
         &self,
         now: Duration,
         query: &ChoiceQuery,
--- a/crates/ebonystand-core/src/gateway/work_window.rs
+++ b/crates/ebonystand-core/src/gateway/work_window.rs
@@ -71,6 +71,11 @@
         self.used += work;
     }
 
+    /// Returns the units that fit.
+    pub(crate) fn limit(&self) -> f64 {
+        self.limit
+    }
+
     /// Returns the units reserved by this VM's requests whose answers have not begun.
     pub(crate) fn used(&self) -> u64 {
         self.used
--- a/crates/ebonystand-core/src/lib.rs
+++ b/crates/ebonystand-core/src/lib.rs
@@ -20,6 +20,7 @@
     feed_peers::FeedPeers,
     fenced_role_phase::FencedRolePhase,
     fleet_load_factor::FleetLoadFactor,
+    gateway::WorkWindow,
     handover::Handover,
     lent_lease::LentLease,
     link_budgets::LinkBudgets,
@@ -162,6 +163,7 @@
     router::Router,
     run_state::RunState,
     service::Service,
+    slots::*,
     smoothed_rate::SmoothedRate,
     software_status::SoftwareStatus,
     state_machine::StateMachine,
@@ -324,6 +326,7 @@
 mod service;
 mod slack_entry;
 mod slack_history;
+mod slots;
 mod smoothed_rate;
 mod snapshot_assembly;
 mod snapshot_transfer;
--- a/crates/ebonystand-core/src/load_exchange/state.rs
+++ b/crates/ebonystand-core/src/load_exchange/state.rs
@@ -114,6 +114,12 @@
         load
     }
 
+    /// Returns whether the region is small enough for each VM to send its load to all others.
+    #[must_use]
+    pub fn is_direct(&self) -> bool {
+        self.plan.is_direct()
+    }
+
     /// Returns the time between two calls of [`Self::build_messages`].
     #[must_use]
     pub fn message_interval(&self) -> Duration {
--- a/crates/ebonystand-core/src/load_exchange/upstream_key.rs
+++ b/crates/ebonystand-core/src/load_exchange/upstream_key.rs
@@ -12,6 +12,13 @@
 /// Requests in flight by upstream; upstreams without any are left out.
 pub type UpstreamLoads = Vec<(UpstreamKey, UnderWay)>;
 
+impl UpstreamKey {
+    /// Returns the hash.
+    pub(crate) fn hash(self) -> u64 {
+        u64::from(self.0)
+    }
+}
+
 impl From<&str> for UpstreamKey {
     fn from(id: &str) -> Self {
         Self(xxh3_64(id.as_bytes()) as u32)
--- /dev/null
+++ b/crates/ebonystand-core/src/slots/slot_pressure.rs
@@ -0,0 +1,10 @@
+/// Load of a region's engines of one service, as far as a VM knows it.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct SlotPressure {
+    /// Requests in flight at the usable engines.
+    pub in_flight: u32,
+    /// Slots of the usable engines.
+    pub slots: u32,
+    /// Share of the work windows in use, in permille.
+    pub window_permille: u32,
+}
--- a/crates/ebonystand-wire/src/lib.rs
+++ b/crates/ebonystand-wire/src/lib.rs
@@ -11,7 +11,8 @@
     ebonystand_core::{
         AllowanceMessage, CachedPrefix, Command, CommandOutcome, FeedMessage, Incarnation,
         ListUpdate, LoadMessage, MemberId, OriginMessage, PartMessage, Prompt, QuarantineMessage,
-        RegionId, ReplicaMessage, ServiceId, SoftwareVersion, Version, VmId, WorkspaceId,
+        RegionId, ReplicaMessage, ServiceId, SlotMessage, SoftwareVersion, Version, VmId,
+        WorkspaceId,
     },
     hmac::{Hmac, KeyInit, Mac},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
--- a/crates/ebonystand-wire/src/peer_message.rs
+++ b/crates/ebonystand-wire/src/peer_message.rs
@@ -73,6 +73,8 @@
         /// Message of the protocol that replicates the log.
         message: ReplicaMessage,
     },
+    /// Message about slots of engines in the region of both sender and recipient.
+    Slots(SlotMessage),
 }
 
 impl PeerMessage {
--- a/crates/ebonystand/src/gateway/admitted.rs
+++ b/crates/ebonystand/src/gateway/admitted.rs
@@ -10,6 +10,7 @@
     relay::RequestResources,
     retry_permit::RetryPermit,
     serve_call::{UNCONFIRMED_RETRY, unconfirmed_refusal},
+    slot_turn::SlotTurn,
 };
 
 /// Longest retry delay for a caller whose request an upstream has turned away.
@@ -49,6 +50,28 @@
             let mut reachable = node.gateway.reachable(node, &self.call.excluded_vms);
             reachable.retain(|region| !self.call.full_regions.contains(region));
             let choice = self.call.choose(node, &reachable);
+            let (choice, slot) = match SlotTurn::wait(node, &self.call, &choice).await {
+                SlotTurn::NotAsked => (choice, None),
+                SlotTurn::Granted { engine, hold } => {
+                    self.check_quarantine(node).await?;
+                    self.revalidate_key(node)?;
+                    match self.call.granted_target(node, engine) {
+                        Some(choice) => (choice, Some(hold)),
+                        None => continue,
+                    }
+                }
+                SlotTurn::Refused { retry_after } => {
+                    self.count_limit_refusal(node);
+                    let message = "no slot of an engine comes free in time";
+                    let refusal = self.refusal(RefusalCode::Overloaded, message);
+                    return Err(refusal.with_retry_after(self.retry_delay(node, retry_after)));
+                }
+                SlotTurn::Unscheduled => {
+                    self.call.unscheduled = true;
+                    continue;
+                }
+            };
+            let left = self.call.remaining_time(node);
             let wait = self.first_byte_wait(left);
             let (outcome, instance) = match choice {
                 TargetChoice::Unavailable {
@@ -115,7 +138,7 @@
                         unread,
                     };
                     RetryPermit::begin_attempt(&mut self.permit);
-                    let outcome = self.call.send_here(node, &to, wait).await;
+                    let outcome = self.call.send_here(node, &to, slot, wait).await;
                     (outcome, Some(to.instance))
                 }
                 TargetChoice::Forward {
--- a/crates/ebonystand/src/gateway/attempt.rs
+++ b/crates/ebonystand/src/gateway/attempt.rs
@@ -29,6 +29,8 @@
     has_survived: bool,
     /// Parts of the prompt that other prompts may share.
     parts: Box<[PromptPartId]>,
+    /// Slot that the attempt holds, if a scheduler has granted one.
+    slot: Option<SlotHold>,
     /// Prefixes of the prompt that the upstream has cached once its answer has begun.
     prefixes: Vec<SharedPrefix>,
     request: Box<str>,
@@ -48,6 +50,7 @@
         call: &Call,
         query: &ChoiceQuery,
         to: &Destination,
+        slot: Option<SlotHold>,
     ) -> Self {
         let started = node.clock.now();
         let Destination {
@@ -75,6 +78,7 @@
             parts: prompt.map(Prompt::shared_part_ids).unwrap_or_default(),
             prefixes,
             request: call.request.clone(),
+            slot,
             service: call.service.clone(),
             started,
             unread,
@@ -92,6 +96,9 @@
             book.record_first_byte(now, &self.instance, self.unread, self.aim, Some(waited));
             book.record_cached_prefixes(now, &self.instance, &self.prefixes, self.homes.as_ref());
             drop(book);
+            if let Some(slot) = &self.slot {
+                slot.begin(waited);
+            }
             RoomQueues::advance(&self.node);
         }
     }
@@ -200,6 +207,7 @@
         let waited = now.saturating_sub(self.started);
         book.record_attempt_end(now, &self.instance, end, waited);
         drop(book);
+        self.slot = None;
         match end {
             AttemptEnd::Answered => {
                 let quarantine = &self.node.quarantine;
@@ -230,4 +238,4 @@
     }
 }
 
-use {controller::GatewayController, node::Node, room_queues::RoomQueues};
+use {controller::GatewayController, node::Node, room_queues::RoomQueues, slot_hold::SlotHold};
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -3,7 +3,7 @@
     attempt::Attempt,
     ebonystand_core::{
         AnswerPause, AttemptEnd, CacheSource, ChoiceQuery, ColdTerms, Prompt, SoftwareRule,
-        SoftwareVersion, TargetChoice,
+        SoftwareVersion, TargetChoice, UpstreamKey,
     },
     node::Node,
     part_controller::PartQuery,
@@ -11,6 +11,7 @@
     relay::Relay,
     request_content::RequestContent,
     room_queues::RoomQueues,
+    slot_hold::SlotHold,
     std::collections::BTreeSet,
 };
 
@@ -42,6 +43,8 @@
     pub(crate) request: Box<str>,
     pub(crate) service: Box<str>,
     pub(crate) software: CallSoftware,
+    /// Whether the call no longer asks for slots, because no scheduler answered.
+    pub(crate) unscheduled: bool,
     pub(crate) workspace: Option<WorkspaceId>,
 }
 
@@ -230,12 +233,23 @@
         }
     }
 
+    /// Returns the choice to send the call to the engine that a scheduler has granted; `None` if the engine may
+    /// not get it any more.
+    pub(crate) fn granted_target(&self, node: &Node, engine: UpstreamKey) -> Option<TargetChoice> {
+        let now = node.clock.now();
+        let document = node.document();
+        let none = BTreeSet::new();
+        let book = node.gateway.book.borrow();
+        book.granted_target(now, &self.query(node, &document, &none), engine)
+    }
+
     /// Sends the call to an upstream of this region and waits up to `wait` for the first bytes of
     /// the answer.
     pub(crate) async fn send_here(
         &self,
         node: &Rc<Node>,
         to: &Destination,
+        slot: Option<SlotHold>,
         wait: Duration,
     ) -> Outcome {
         let Destination {
@@ -248,7 +262,7 @@
             let document = node.document();
             let none = BTreeSet::new();
             let query = self.query(node, &document, &none);
-            Attempt::begin(node, self, &query, to)
+            Attempt::begin(node, self, &query, to, slot)
         };
         let headers = || {
             let outgoing = OutgoingCall {
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -15,6 +15,7 @@
     rand_pcg::Pcg64Mcg,
     retry_budgets::RetryBudgets,
     room_queues::RoomQueues,
+    slot_controller::SlotController,
     std::collections::{BTreeMap, BTreeSet},
 };
 
@@ -36,6 +37,7 @@
     pub(crate) pool: ConnectionPool,
     pub(crate) retries: RetryBudgets,
     rng: RefCell<Pcg64Mcg>,
+    pub(crate) slots: SlotController,
     /// VMs that left a forwarded request unanswered, and until when they get no others.
     suspects: RefCell<FxHashMap<VmId, Duration>>,
     table: RefCell<Rc<RouteTable>>,
@@ -94,6 +96,7 @@
             pool: ConnectionPool::default(),
             retries: RetryBudgets::new(gateway, now),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
+            slots: SlotController::new(seed),
             suspects: RefCell::default(),
             table: RefCell::default(),
             room_queues: RoomQueues::default(),
@@ -311,11 +314,12 @@
                 let vms = live
                     .iter()
                     .filter_map(|entry| serving_vm_in(entry, &node.settings.region));
-                this.book
-                    .borrow_mut()
-                    .set_vms(now, &vms.collect::<Vec<_>>());
+                let vms = vms.collect::<Vec<_>>();
+                this.book.borrow_mut().set_vms(now, &vms);
+                this.slots.set_vms(now, vms);
                 known = live;
             }
+            this.slots.update_engines(&node);
             let messages = this.book.borrow_mut().build_load_messages(now);
             let limited = this.book.borrow().limits(now).count();
             node.metrics.limited_upstreams.set(limited as i64);
--- a/crates/ebonystand/src/gateway/mod.rs
+++ b/crates/ebonystand/src/gateway/mod.rs
@@ -18,7 +18,9 @@
     upstream_source::{UpstreamRead, UpstreamSource},
 };
 
-pub(crate) use {controller::GatewayController, list_controller::ListController};
+pub(crate) use {
+    controller::GatewayController, list_controller::ListController, slot_controller::SlotController,
+};
 
 use {
     connection::{Connection, ResponseReader},
@@ -54,4 +56,7 @@
 mod room_queues;
 pub(crate) mod serve_call;
 mod settings;
+mod slot_controller;
+mod slot_hold;
+mod slot_turn;
 mod upstream_source;
--- a/crates/ebonystand/src/gateway/receive_forward.rs
+++ b/crates/ebonystand/src/gateway/receive_forward.rs
@@ -9,6 +9,7 @@
     node::Node,
     relay::RequestResources,
     retry_permit::RetryPermit,
+    slot_turn::SlotTurn,
     std::collections::BTreeSet,
 };
 
@@ -116,6 +117,7 @@
         request: forwarded.request,
         service: forwarded.service,
         software,
+        unscheduled: false,
         workspace: forwarded.workspace,
     };
     // The request has not run, so another upstream of this region is tried before it travels between
@@ -170,6 +172,22 @@
         return (quarantined_outcome(call, &refusal), None);
     }
     let mut choice = call.choose(node, &none);
+    let mut slot = None;
+    match SlotTurn::wait(node, call, &choice).await {
+        SlotTurn::Granted { engine, hold } => {
+            if let Err(refusal) = call.check_quarantine(node).await {
+                return (quarantined_outcome(call, &refusal), None);
+            }
+            match call.granted_target(node, engine) {
+                Some(granted) => (choice, slot) = (granted, Some(hold)),
+                // The engine has changed meanwhile.
+                None => choice = call.choose(node, &none),
+            }
+        }
+        SlotTurn::Refused { retry_after } => return (no_room_outcome(retry_after), None),
+        SlotTurn::Unscheduled => choice = call.choose(node, &none),
+        SlotTurn::NotAsked => {}
+    }
     let waits = node
         .gateway
         .book
@@ -205,7 +223,7 @@
                 software,
                 unread,
             };
-            let outcome = call.send_here(node, &to, wait).await;
+            let outcome = call.send_here(node, &to, slot, wait).await;
             (outcome, Some(to.instance))
         }
         // Nothing was sent to an upstream, so the forwarding VM may try another region.
--- a/crates/ebonystand/src/gateway/serve_call.rs
+++ b/crates/ebonystand/src/gateway/serve_call.rs
@@ -224,6 +224,7 @@
         request: head.request,
         service,
         software,
+        unscheduled: false,
         workspace: workspace.map(|workspace| workspace.name),
     };
     Ok(Admitted {
--- a/crates/ebonystand/src/metrics.rs
+++ b/crates/ebonystand/src/metrics.rs
@@ -32,6 +32,8 @@
     pub(crate) retry_grants: Family<GrantLabel, Counter>,
     pub(crate) sent_away: Counter,
     pub(crate) sent_beside: Counter,
+    pub(crate) slot_waiting: Gauge,
+    pub(crate) slots: Family<SlotLabel, Counter>,
     pub(crate) stream_origins: Gauge,
     pub(crate) stream_resumptions: Family<ResumptionLabel, Counter>,
     pub(crate) streams: Gauge,
@@ -70,6 +72,12 @@
     pub(crate) run: String,
 }
 
+/// How a request's wait for a slot ended.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct SlotLabel {
+    pub(crate) outcome: String,
+}
+
 /// Workspace that a figure belongs to.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct WorkspaceLabel {
@@ -120,6 +128,8 @@
             retry_grants: Family::default(),
             sent_away: Counter::default(),
             sent_beside: Counter::default(),
+            slot_waiting: Gauge::default(),
+            slots: Family::default(),
             stream_origins: Gauge::default(),
             stream_resumptions: Family::default(),
             streams: Gauge::default(),
@@ -245,6 +255,16 @@
             "Requests sent to another VM of the region, because this one reaches no upstream",
             self.sent_beside.clone(),
         );
+        r.register(
+            "slot_waiting",
+            "Requests of all VMs that wait for a slot of the engines that this VM schedules",
+            self.slot_waiting.clone(),
+        );
+        r.register(
+            "slots",
+            "Requests of this VM that asked a scheduler for a slot, by what became of it",
+            self.slots.clone(),
+        );
         r.register(
             "stream_origins",
             "Streams of which this VM holds the software version that began them",
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -5,7 +5,7 @@
     client_pool::ClientPool,
     clock::Clock,
     ebonystand_core::{EntryList, EntryVm, Place, VmRecord},
-    gateway::GatewayController,
+    gateway::{GatewayController, SlotController},
     group_controller::GroupController,
     group_thread::GroupThread,
     membership_controller::MembershipController,
@@ -297,6 +297,7 @@
             }
             PeerMessage::Proposed { id, proposed } => self.group.answered(id, *proposed),
             PeerMessage::Quarantine(message) => self.quarantine.receive(self, from, message),
+            PeerMessage::Slots(message) => SlotController::receive(self, from, message),
             PeerMessage::Replica { from, message } => self.group.receive(from, message),
         }
     }
--- a/crates/ebonystand/src/serve.rs
+++ b/crates/ebonystand/src/serve.rs
@@ -5,7 +5,7 @@
     allowance_controller::AllowanceController,
     clock::Clock,
     ebonystand_core::ReplicaConfig,
-    gateway::{GatewayController, ListController, receive_forward, serve_call},
+    gateway::{GatewayController, ListController, SlotController, receive_forward, serve_call},
     group_controller::GroupController,
     group_thread::{GroupEvent, GroupThread},
     http_server::HttpBounds,
@@ -206,6 +206,7 @@
         actix_rt::spawn(ListController::run(Rc::clone(node)));
         actix_rt::spawn(GatewayController::run_pressure(Rc::clone(node)));
         actix_rt::spawn(GatewayController::run_load(Rc::clone(node)));
+        actix_rt::spawn(SlotController::run(Rc::clone(node)));
     }
     actix_rt::spawn(MembershipController::run(Rc::clone(node)));
     actix_rt::spawn(MembershipController::run_refresh(Rc::clone(node)));
