Add one order for requests that wait for a slot

Cause: requests that wait for room are ordered by rank in prompt tokens and by arrival only: a long answer that holds a slot twenty times as long counts like a short one, and one workspace's burst goes before everyone else's requests.

SlotOrder (core/src/gateway/slot_order.rs) shares slots between ranks by weight and between the workspaces of a rank equally, by start-time fair queueing in expected slot time; within a workspace the request due first goes first, each fourth turn to the oldest. slot_time_before() tells what goes before a request. Nothing uses it yet; it is meant for a VM's own queue and for a region's slots.

--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -34,6 +34,8 @@
     routing::Routing,
     routing_fault::RoutingFault,
     service_latency::ServiceLatency,
+    slot_order::SlotOrder,
+    slot_request::SlotRequest,
     software_history::SoftwareHistory,
     software_rule::SoftwareRule,
     split_part::SplitPart,
@@ -93,6 +95,8 @@
 mod send_pacer;
 mod sent_prefixes;
 mod service_latency;
+mod slot_order;
+mod slot_request;
 mod software_history;
 mod software_rule;
 mod split_part;
--- a/crates/ebonystand-core/tests/gateway/main.rs
+++ b/crates/ebonystand-core/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod next_step;
 mod notices;
 mod shortlist;
+mod slot_order;
 mod software;
 mod upstreams;
 mod zone_loss;
