Send requests to another region only within the room that it offers

Cause: a VM chose another region by its predicted latency alone. All VMs did so with the same news: two regions without room sent each other requests, each of which cost a round trip to be refused.

A region now tells with its latencies the slots and the reading work that it offers to others until its next report: what is free, plus what requests of other regions are about to leave, less a reserve; nothing while a request waits on any of its VMs (told with the load messages). Each VM keeps its part as a budget, refilled by reports, small parts rounded at random; parts go to the VMs of regions that offer nothing themselves. A VM that gets a region's requests sends it none. What a region can't serve at all goes on by latency, and so does all where no figure is told. A VM without a path to the upstreams no longer speaks for its region. Messages between VMs change: a build without them is another fleet.

--- a/crates/ebonystand-core/src/gateway/mechanism.rs
+++ b/crates/ebonystand-core/src/gateway/mechanism.rs
@@ -16,6 +16,8 @@
     ForwardedWait,
     /// Let an engine import cached prompt prefixes from another one.
     Imports,
+    /// Send requests to another region only within the room that it offers.
+    OfferedRoom,
     /// Assign each shared prompt part to one engine on which all VMs agree without a message.
     Owner,
     /// Count the requests that other VMs of the region have in flight.
--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -26,6 +26,7 @@
     live_vms::LiveVms,
     mechanism::Mechanism,
     next_step::NextStep,
+    offered_room::OfferedRoom,
     path_health::ProbeOutcome,
     prompt::{Prompt, PromptPart},
     quota::{Quota, QuotaUnit},
@@ -49,16 +50,17 @@
 };
 
 use {
-    cold_start_limiter::ColdStartLimiter, event_gap_meter::EventGapMeter,
-    ineligibility::Ineligibility, known_upstream::KnownUpstream, limit_share::LimitShare,
-    named_limit::NamedLimit, path_health::PathHealth, send_pacer::SendPacer,
-    sent_prefixes::SentPrefixes, upstream_pause::UpstreamPause, work_window::WorkWindow,
-    zone_health::ZoneHealth,
+    arrival_meter::ArrivalMeter, cold_start_limiter::ColdStartLimiter,
+    event_gap_meter::EventGapMeter, ineligibility::Ineligibility, known_upstream::KnownUpstream,
+    limit_share::LimitShare, named_limit::NamedLimit, path_health::PathHealth,
+    region_budget::RegionBudget, send_pacer::SendPacer, sent_prefixes::SentPrefixes,
+    upstream_pause::UpstreamPause, work_window::WorkWindow, zone_health::ZoneHealth,
 };
 
 mod answer_limit;
 mod answer_pause;
 mod answer_pause_error;
+mod arrival_meter;
 mod attempt_end;
 mod call_kind;
 mod choice_query;
@@ -84,10 +86,12 @@
 mod mechanism;
 mod named_limit;
 mod next_step;
+mod offered_room;
 mod path_health;
 mod prompt;
 mod prompt_placement;
 mod quota;
+mod region_budget;
 mod reported_slots;
 mod route_table;
 mod routing;
@@ -114,6 +118,7 @@
 mod upstream_paths;
 mod upstream_pause;
 mod upstream_pressure;
+mod upstream_room;
 mod upstream_shortlist;
 mod weighted_fair_queue;
 mod work_window;
--- a/crates/ebonystand-core/src/gateway/prompt.rs
+++ b/crates/ebonystand-core/src/gateway/prompt.rs
@@ -59,6 +59,12 @@
         tokens.min(self.input)
     }
 
+    /// Returns the length of the prompt without its shared parts in tokens.
+    #[must_use]
+    pub fn own_tokens(&self) -> Tokens {
+        self.input - self.shared_tokens()
+    }
+
     /// Returns the tokens of the prompt plus the most tokens of its answer.
     #[must_use]
     pub fn max_total_tokens(&self) -> Tokens {
--- a/crates/ebonystand-core/src/gateway/service_latency.rs
+++ b/crates/ebonystand-core/src/gateway/service_latency.rs
@@ -7,4 +7,6 @@
     pub event_gap: Duration,
     /// Time to the first byte of an answer, without the reading of the request's own prompt.
     pub first_byte: Duration,
+    /// Room that the region offers to the others; `None` if it tells none.
+    pub offered: Option<OfferedRoom>,
 }
--- a/crates/ebonystand-core/src/gateway/slot_order.rs
+++ b/crates/ebonystand-core/src/gateway/slot_order.rs
@@ -149,7 +149,11 @@
         let others = self.ranks.iter().filter(|(other, _)| **other != rank);
         let others = others.map(|(other, share)| {
             let most = own.mul_f64(Self::weight(*other) as f64 / Self::weight(rank) as f64);
-            let waiting: Duration = share.workspaces.values().map(|w| w.slot_time()).sum();
+            let waiting: Duration = share
+                .workspaces
+                .values()
+                .map(WorkspaceShare::slot_time)
+                .sum();
             waiting.min(most)
         });
         others.sum()
--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -31,6 +31,14 @@
     pub(super) instances_by_key: FxHashMap<UpstreamKey, UpstreamId>,
     /// Predicted latencies in other regions, with the times at which they were reported.
     pub(super) region_latencies: FxHashMap<(RegionId, ServiceId), (Duration, ServiceLatency)>,
+    /// Requests that arrived from other regions, by service.
+    pub(super) region_arrivals: FxHashMap<ServiceId, ArrivalMeter>,
+    /// This VM's parts of the room that other regions offer.
+    pub(super) region_budgets: FxHashMap<(RegionId, ServiceId), RegionBudget>,
+    /// Number of VMs of each region that serve callers.
+    pub(super) region_vms: BTreeMap<RegionId, usize>,
+    /// Requests that wait on this VM for room of a service.
+    pub(super) waiting: FxHashMap<ServiceId, u32>,
     /// Network round trip of a request to another region and of its first byte.
     pub(super) region_round_trip: Duration,
     /// Time between stream events of the engines of this region, by service.
@@ -80,6 +88,10 @@
             upstreams: BTreeMap::new(),
             instances_by_key: FxHashMap::default(),
             region_latencies: FxHashMap::default(),
+            region_arrivals: FxHashMap::default(),
+            region_budgets: FxHashMap::default(),
+            region_vms: BTreeMap::new(),
+            waiting: FxHashMap::default(),
             region_round_trip: 2 * Self::DEFAULT_REGION_DELAY,
             event_gaps: FxHashMap::default(),
             next_share_update: Duration::ZERO,
@@ -264,6 +276,7 @@
                 let latency = ServiceLatency {
                     event_gap: Duration::from_millis(reported.event_gap_ms),
                     first_byte: Duration::from_millis(reported.first_byte_ms),
+                    offered: reported.offered,
                 };
                 self.record_region_latency(at, &reported.region, reported.service.clone(), latency);
             }
@@ -291,7 +304,7 @@
         let latencies = self.recent_region_latencies(now);
         let messages = self
             .exchange
-            .build_messages(now, self.under_way(), cached, &latencies);
+            .build_messages(now, self.under_way(now), cached, &latencies);
         if !self.exchange.is_relay() {
             // Only the relay sends cached prefixes to the other regions.
             self.caches.take_for_other_regions();
@@ -334,9 +347,12 @@
                 && self.can_accept(now, known, is_engine, work)
         });
         let mut regions = self.region_latencies.iter();
-        here || regions.any(|((_, of), (at, latency))| {
+        here || regions.any(|((region, of), (at, latency))| {
             let is_fresh = now.saturating_sub(*at) < Self::REGION_LATENCY_LIFETIME;
-            **of == *service && is_fresh && latency.first_byte < Self::NO_ROOM_DELAY
+            **of == *service
+                && is_fresh
+                && latency.first_byte < Self::NO_ROOM_DELAY
+                && self.may_send_away(now, region, service, if is_engine { work } else { 0 })
         })
     }
 
@@ -391,10 +407,11 @@
     }
 
     /// Returns the requests that this VM has in flight, by upstream.
-    fn under_way(&self) -> UpstreamLoads {
+    fn under_way(&self, now: Duration) -> UpstreamLoads {
         let busy = self.busy.iter();
         let busy = busy.filter_map(|instance| self.upstreams.get(instance));
-        busy.map(|known| (known.key, known.under_way())).collect()
+        let loads = busy.map(|known| (known.key, known.under_way()));
+        loads.chain(self.service_loads(now)).collect()
     }
 
     /// Returns the requests that the other VMs of the region have in flight at an upstream.
--- a/crates/ebonystand-core/src/gateway/upstream_choice.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_choice.rs
@@ -79,7 +79,8 @@
         }
         let is_sound = matches!(local, TargetChoice::Upstream { is_sound: true, .. });
         let cost = cost.filter(|_| is_sound || matches!(local, TargetChoice::NoRoom { .. }));
-        match self.choose_region(now, query) {
+        let serves_here = !matches!(local, TargetChoice::Unavailable { .. });
+        match self.choose_region(now, query, serves_here) {
             Some(candidate)
                 if cost.is_none_or(|local| {
                     self.is_enabled(Mechanism::Away) && candidate.cost < local
@@ -124,7 +125,9 @@
             delay,
             region: self.own_region.clone(),
         });
-        let candidates = beside.into_iter().chain(self.choose_region(now, query));
+        let candidates = beside
+            .into_iter()
+            .chain(self.choose_region(now, query, false));
         let best = candidates.min_by_key(|candidate| candidate.cost)?;
         Some(TargetChoice::Forward {
             local_cost: None,
@@ -246,13 +249,24 @@
             .collect()
     }
 
-    /// Chooses the other region with the lowest cost that may serve the request and has room.
-    fn choose_region(&self, now: Duration, query: &ChoiceQuery) -> Option<RegionCandidate> {
+    /// Chooses the other region with the lowest cost that may serve the request and has room. A
+    /// request that this region can serve, as `serves_here` tells, goes only where its room is
+    /// offered. One that it can't serve goes there first.
+    fn choose_region(
+        &self,
+        now: Duration,
+        query: &ChoiceQuery,
+        serves_here: bool,
+    ) -> Option<RegionCandidate> {
         let reading = query.prompt.map_or(Duration::ZERO, |prompt| {
             let ms = prompt.input as f64 / self.mean_reading_speed(query.service);
             Duration::from_secs_f64(ms / 1_000.0)
         });
+        let work = query.prompt.map_or(0, Prompt::own_tokens);
+        let has_offer = |region: &&RegionId| self.may_send_away(now, region, query.service, work);
+        let is_restricted = serves_here || self.eligible_regions(query).any(|r| has_offer(&r));
         let regions = self.eligible_regions(query);
+        let regions = regions.filter(|region| !is_restricted || has_offer(region));
         let candidates = regions.filter_map(|region| {
             let latency = self.region_latency(now, region, query.service)?;
             let delay = latency.first_byte + reading;
@@ -300,8 +314,8 @@
         let reported = reported
             .map(|(_, latency)| *latency)
             .unwrap_or(ServiceLatency {
-                event_gap: Duration::ZERO,
                 first_byte: Self::UNKNOWN_REGION_LATENCY,
+                ..ServiceLatency::default()
             });
         (reported.first_byte < Self::NO_ROOM_DELAY).then(|| ServiceLatency {
             first_byte: self.region_round_trip + reported.first_byte,
--- a/crates/ebonystand-core/src/gateway/upstream_pressure.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_pressure.rs
@@ -35,6 +35,9 @@
         let services: BTreeSet<_> = self.upstreams.values().map(|u| &u.listed.service).collect();
         let reachable = BTreeSet::new();
         let empty = Prompt::default();
+        // A VM without a path to the upstreams doesn't speak for its region.
+        let services = services.into_iter();
+        let services = services.filter(|service| !self.paths.is_cut(service));
         let predicted = |service: &ServiceId| {
             let query = ChoiceQuery {
                 software: SoftwareRule::Any,
@@ -60,10 +63,11 @@
             let latency = ServiceLatency {
                 event_gap,
                 first_byte,
+                offered: None,
             };
             Some((service.clone(), latency))
         };
-        services.into_iter().filter_map(predicted).collect()
+        services.filter_map(predicted).collect()
     }
 
     /// Records that another region refused a request for lack of room. No request is sent there
@@ -76,6 +80,7 @@
             first_byte: Self::NO_ROOM_DELAY,
             ..known.unwrap_or_default()
         };
+        self.clear_region_budget(region, service);
         self.region_latencies.insert(key, (now, no_room));
     }
 
@@ -104,6 +109,7 @@
             .get(&key)
             .is_none_or(|(known, _)| *known <= at)
         {
+            self.refill_region_budget(at, region, &key.1, latency.offered);
             self.region_latencies.insert(key, (at, latency));
         }
     }
@@ -117,6 +123,7 @@
                 age_ms: age.as_millis() as u64,
                 event_gap_ms: latency.event_gap.as_millis() as u64,
                 first_byte_ms: latency.first_byte.as_millis() as u64,
+                offered: latency.offered,
                 region: region.clone(),
                 service: service.clone(),
             })
--- a/crates/ebonystand-core/src/gateway/weighted_fair_queue.rs
+++ b/crates/ebonystand-core/src/gateway/weighted_fair_queue.rs
@@ -29,6 +29,12 @@
         self.requests.is_empty()
     }
 
+    /// Returns the number of waiting requests.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.requests.len()
+    }
+
     /// Adds a request unless the queue is full, and returns whether it was added.
     pub fn push(&mut self, number: u64, rank: u8, work: u64) -> bool {
         if self.requests.len() >= Self::MAX_WAITING {
--- a/crates/ebonystand-core/src/gateway/work_window.rs
+++ b/crates/ebonystand-core/src/gateway/work_window.rs
@@ -29,6 +29,11 @@
         used == 0 || (used + work) as f64 <= self.limit
     }
 
+    /// Returns the units that fit beside those of this VM and `others`.
+    pub(crate) fn free(&self, others: u64) -> u64 {
+        (self.limit as u64).saturating_sub(self.used.saturating_add(others))
+    }
+
     /// Releases the units of a request whose answer has begun or never will.
     pub(crate) fn release(&mut self, work: u64) {
         self.used = self.used.saturating_sub(work);
--- a/crates/ebonystand-core/src/load_exchange/load_message.rs
+++ b/crates/ebonystand-core/src/load_exchange/load_message.rs
@@ -54,7 +54,7 @@
     /// Most bytes that the rest of the message is encoded in, without the latencies.
     const MAX_HEADER_BYTES: usize = 16;
     /// Most bytes that another region's latency for one service is encoded in.
-    const MAX_LATENCY_BYTES: usize = 64;
+    const MAX_LATENCY_BYTES: usize = 80;
 
     /// Returns this message with the cached prefixes of `older`, which was not sent, put before its
     /// own. The loads of `older` are outdated and dropped, and so are the oldest prefixes beyond
--- a/crates/ebonystand-core/src/load_exchange/relayed_latency.rs
+++ b/crates/ebonystand-core/src/load_exchange/relayed_latency.rs
@@ -11,6 +11,8 @@
     /// Time to the first byte of an answer, in milliseconds, without the reading of the request's
     /// own prompt.
     pub first_byte_ms: u64,
+    /// Room that the region offers to the others; `None` if it tells none.
+    pub offered: Option<OfferedRoom>,
     /// Region that the latency applies to.
     pub region: RegionId,
     /// Service that the latency applies to.
--- a/crates/ebonystand-core/tests/gateway/main.rs
+++ b/crates/ebonystand-core/tests/gateway/main.rs
@@ -10,6 +10,8 @@
 mod load;
 mod next_step;
 mod notices;
+mod region_play;
+mod region_room;
 mod shortlist;
 mod slot_order;
 mod software;
@@ -161,6 +163,7 @@
     ServiceLatency {
         event_gap: Duration::ZERO,
         first_byte: ms(n),
+        offered: None,
     }
 }
 
--- a/crates/ebonystand-core/tests/gateway/upstreams.rs
+++ b/crates/ebonystand-core/tests/gateway/upstreams.rs
@@ -293,6 +293,7 @@
     let told = ServiceLatency {
         event_gap: ms(there_ms),
         first_byte: ms(50),
+        offered: None,
     };
     book.receive_region_latencies(ms(200), &"b".into(), vec![("s".into(), told)]);
     let choice = book.choose_target(ms(210), &query);
--- a/crates/ebonystand-wire/src/forwarded.rs
+++ b/crates/ebonystand-wire/src/forwarded.rs
@@ -15,6 +15,8 @@
     pub prompt: Option<Prompt>,
     /// Priority rank of the request; 0 is served first.
     pub rank: u8,
+    /// Region of the VM that forwards the request.
+    pub region: RegionId,
     /// Request identifier, the same at the caller, both VMs and the upstream.
     pub request: Box<str>,
     /// Service that the request is routed to.
--- a/crates/ebonystand-wire/src/lib.rs
+++ b/crates/ebonystand-wire/src/lib.rs
@@ -10,8 +10,9 @@
     bytes::{Buf, BufMut, BytesMut},
     ebonystand_core::{
         AllowanceMessage, CachedPrefix, Command, CommandOutcome, FeedMessage, Incarnation,
-        ListUpdate, LoadMessage, MemberId, OriginMessage, PartMessage, Prompt, QuarantineMessage,
-        RegionId, ReplicaMessage, ServiceId, SoftwareVersion, Version, VmId, WorkspaceId,
+        ListUpdate, LoadMessage, MemberId, OfferedRoom, OriginMessage, PartMessage, Prompt,
+        QuarantineMessage, RegionId, ReplicaMessage, ServiceId, SoftwareVersion, Version, VmId,
+        WorkspaceId,
     },
     hmac::{Hmac, KeyInit, Mac},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
--- a/crates/ebonystand-wire/src/peer_message.rs
+++ b/crates/ebonystand-wire/src/peer_message.rs
@@ -45,8 +45,8 @@
     /// Predicted latencies of requests in the sender's region.
     Pressure {
         /// For each service, the time to the first byte of an answer and the time between two events of
-        /// a stream, both in milliseconds.
-        first_byte_and_gap_ms: Vec<(ServiceId, u64, u64)>,
+        /// a stream, both in milliseconds, and the room that the region offers to the others.
+        services: Vec<(ServiceId, u64, u64, Option<OfferedRoom>)>,
         /// Region that the latencies apply to.
         region: RegionId,
     },
--- a/crates/ebonystand-wire/tests/frames.rs
+++ b/crates/ebonystand-wire/tests/frames.rs
@@ -128,6 +128,10 @@
 #[case(9)]
 #[case(10)]
 #[case(11)]
+#[case(12)]
+#[case(13)]
+#[case(14)]
+#[case(15)]
 fn a_frame_of_an_earlier_build_is_refused_by_its_form(#[case] form: u8) {
     let payload = [form, 6];
     let mac = Hmac::<Sha256>::new_from_slice(SECRET).expect("a secret");
--- a/crates/ebonystand/src/gateway/admitted.rs
+++ b/crates/ebonystand/src/gateway/admitted.rs
@@ -3,7 +3,7 @@
     allowance_controller::Reserved,
     call::{Call, Destination, Outcome},
     ebonystand_core::{
-        AttemptEnd, CallKind, GatewayRoute, NextStep, StreamKey, StreamOrigin, TargetChoice,
+        AttemptEnd, CallKind, GatewayRoute, NextStep, Prompt, StreamKey, StreamOrigin, TargetChoice,
     },
     in_flight::InFlight,
     node::Node,
@@ -123,9 +123,15 @@
                     predicted,
                     region,
                 } => {
+                    let work = self.call.prompt.as_ref().map_or(0, Prompt::own_tokens);
+                    let room_left = node.gateway.book.borrow_mut().record_sent_away(
+                        &region,
+                        &self.call.service,
+                        work,
+                    );
                     log::info!(
                         request:% = self.call.request, route:% = self.route.name,
-                        workspace:? = self.call.workspace, region:% = region, tokens = self.tokens,
+                        workspace:? = self.call.workspace, region:% = region, room_left:? = room_left, tokens = self.tokens,
                         here_ms:? = here.map(|here| here.as_millis() as u64),
                         predicted_ms = predicted.as_millis() as u64,
                         left_ms = left.as_millis() as u64, tried = self.tried,
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -9,6 +9,7 @@
     forwarders::Forwarders,
     list_controller::ListController,
     membership_controller::MembershipController,
+    metrics::ServiceLabel,
     node::Node,
     origin_controller::OriginController,
     rand::{RngExt as _, SeedableRng as _},
@@ -308,6 +309,11 @@
             let now = node.clock.now();
             let live = node.membership.live(now);
             if !Rc::ptr_eq(&live, &known) {
+                let mut counts = BTreeMap::<RegionId, usize>::new();
+                for entry in live.iter().filter(|entry| entry.record.takes_callers) {
+                    *counts.entry(entry.record.region.clone()).or_default() += 1;
+                }
+                this.book.borrow_mut().set_region_vms(counts);
                 let vms = live
                     .iter()
                     .filter_map(|entry| serving_vm_in(entry, &node.settings.region));
@@ -430,18 +436,32 @@
                     .service(name)
                     .is_some_and(|service| service.engine.is_some())
             };
-            this.book
-                .borrow()
-                .predict_latencies(now, &evacuated, is_engine)
+            let book = this.book.borrow();
+            let mut offers = BTreeMap::from_iter(book.offer_room(now, &evacuated, is_engine));
+            let latencies = book.predict_latencies(now, &evacuated, is_engine);
+            let told = latencies.into_iter().map(|(service, latency)| {
+                let offered = offers.remove(&service);
+                (service, latency, offered)
+            });
+            told.collect::<Vec<_>>()
         };
-        let first_byte_and_gap_ms = pressures
+        for (service, _, offered) in &pressures {
+            let label = ServiceLabel {
+                service: service.to_string(),
+            };
+            let slots = offered.map_or(0, |room| room.slots);
+            let metric = node.metrics.offered_slots.get_or_create(&label);
+            metric.set(i64::from(slots));
+        }
+        let services = pressures
             .into_iter()
-            .map(|(service, pressure)| {
+            .map(|(service, pressure, offered)| {
                 let first_byte_ms = pressure.first_byte.as_millis() as u64;
                 (
                     service,
                     first_byte_ms,
                     pressure.event_gap.as_millis() as u64,
+                    offered,
                 )
             })
             .collect::<Vec<_>>();
@@ -456,8 +476,8 @@
         }
         for vm in others {
             let message = PeerMessage::Pressure {
-                first_byte_and_gap_ms: first_byte_and_gap_ms.clone(),
                 region: node.settings.region.clone(),
+                services: services.clone(),
             };
             node.send(&vm, message);
         }
--- a/crates/ebonystand/src/gateway/forward.rs
+++ b/crates/ebonystand/src/gateway/forward.rs
@@ -166,6 +166,7 @@
         left_ms: call.remaining_time(node).as_millis() as u64,
         prompt: call.prompt.clone(),
         rank: call.rank,
+        region: node.settings.region.clone(),
         request: call.request.clone(),
         service: call.service.clone(),
         workspace: call.workspace.clone(),
--- a/crates/ebonystand/src/gateway/receive_forward.rs
+++ b/crates/ebonystand/src/gateway/receive_forward.rs
@@ -73,6 +73,10 @@
     let Some(in_flight) = InFlight::enter(&node.in_flight, limit) else {
         return Outcome::ended(AttemptEnd::Unreachable);
     };
+    if forwarded.region != node.settings.region {
+        let mut book = node.gateway.book.borrow_mut();
+        book.record_arrival_from(now, &forwarded.region, &forwarded.service);
+    }
     // A VM that has been asked to stop but has no replacement in its region still serves. A long
     // answer would be cut off when it stops, and the forwarding VM can still choose another region.
     let is_too_long = serve_call::would_be_cut_off(node, forwarded.prompt.as_ref());
--- a/crates/ebonystand/src/gateway/room_queues.rs
+++ b/crates/ebonystand/src/gateway/room_queues.rs
@@ -45,7 +45,7 @@
         let Some((number, rx)) = node
             .gateway
             .room_queues
-            .enqueue(service, rank, is_engine, work)
+            .enqueue(node, service, rank, is_engine, work)
         else {
             return false;
         };
@@ -78,6 +78,8 @@
                 continue;
             }
             queue.pop();
+            drop(book);
+            Self::record_waiting(node, service, queue);
             if let Some(waiting) = waiting.remove(&number) {
                 // The send fails if the request stopped waiting meanwhile; the next check then
                 // releases another one.
@@ -98,9 +100,16 @@
         }
     }
 
+    /// Tells the book how many requests wait for a service.
+    fn record_waiting(node: &Node, service: &str, queue: &WeightedFairQueue) {
+        let waiting = u32::try_from(queue.len()).unwrap_or(u32::MAX);
+        node.gateway.book.borrow_mut().set_waiting(service, waiting);
+    }
+
     /// Adds a request to the queue of its service; `None` if the queue rejects it.
     fn enqueue(
         &self,
+        node: &Node,
         service: &str,
         rank: u8,
         is_engine: bool,
@@ -113,6 +122,7 @@
         if !queue.push(number, rank, work) {
             return None;
         }
+        Self::record_waiting(node, service, queue);
         let (tx, rx) = channel();
         self.waiting
             .borrow_mut()
@@ -135,6 +145,7 @@
         }
         if let Some(queue) = room_queues.queues.borrow_mut().get_mut(self.service) {
             queue.remove(self.number);
+            RoomQueues::record_waiting(self.node, self.service, queue);
         }
     }
 }
--- a/crates/ebonystand/src/metrics.rs
+++ b/crates/ebonystand/src/metrics.rs
@@ -21,6 +21,7 @@
     pub(crate) limit_refusals: Counter,
     pub(crate) limited_upstreams: Gauge,
     pub(crate) noticed_upstreams: Gauge,
+    pub(crate) offered_slots: Family<ServiceLabel, Gauge>,
     pub(crate) part_holds: Counter,
     pub(crate) part_refusals: Counter,
     pub(crate) peer_refused: Counter,
@@ -70,6 +71,12 @@
     pub(crate) run: String,
 }
 
+/// Service that a figure belongs to.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct ServiceLabel {
+    pub(crate) service: String,
+}
+
 /// Workspace that a figure belongs to.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct WorkspaceLabel {
@@ -109,6 +116,7 @@
             limit_refusals: Counter::default(),
             limited_upstreams: Gauge::default(),
             noticed_upstreams: Gauge::default(),
+            offered_slots: Family::default(),
             part_holds: Counter::default(),
             part_refusals: Counter::default(),
             peer_refused: Counter::default(),
@@ -194,6 +202,11 @@
             "Upstreams that have told this VM that they leave or want a pause",
             self.noticed_upstreams.clone(),
         );
+        r.register(
+            "offered_slots",
+            "Slots that this region offers to others, as this VM last told them",
+            self.offered_slots.clone(),
+        );
         r.register(
             "part_holds",
             "Prompts that waited because of a suspected part",
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -265,15 +265,13 @@
             }
             PeerMessage::Part(message) => self.parts.receive(self, from, message),
             PeerMessage::Origin(message) => self.gateway.origins.receive(self, from, message),
-            PeerMessage::Pressure {
-                first_byte_and_gap_ms,
-                region,
-            } => {
-                let pressures = first_byte_and_gap_ms.into_iter();
-                let pressures = pressures.map(|(service, first_byte_ms, event_gap_ms)| {
+            PeerMessage::Pressure { region, services } => {
+                let pressures = services.into_iter();
+                let pressures = pressures.map(|(service, first_byte_ms, event_gap_ms, offered)| {
                     let pressure = ebonystand_core::ServiceLatency {
                         event_gap: Duration::from_millis(event_gap_ms),
                         first_byte: Duration::from_millis(first_byte_ms),
+                        offered,
                     };
                     (service, pressure)
                 });
--- a/crates/ebonystand/tests/integration/unframed.rs
+++ b/crates/ebonystand/tests/integration/unframed.rs
@@ -197,6 +197,7 @@
         homes: None,
         left_ms: 5_000,
         prompt: None,
+        region: "utara".into(),
         rank: 0,
         request: "raw".into(),
         service: "orders".into(),
