--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -26,6 +26,7 @@
     live_vms::LiveVms,
     mechanism::Mechanism,
     next_step::NextStep,
+    offered_room::OfferedRoom,
     path_health::ProbeOutcome,
     prompt::{Prompt, PromptPart},
     quota::{Quota, QuotaUnit},
@@ -34,6 +35,7 @@
     routing::Routing,
     routing_fault::RoutingFault,
     service_latency::ServiceLatency,
+    slot_order::SlotOrder,
     software_history::SoftwareHistory,
     software_rule::SoftwareRule,
     split_part::SplitPart,
@@ -43,21 +45,24 @@
     upstream_limit_error::UpstreamLimitError,
     upstream_list::UpstreamList,
     upstream_notice_status::UpstreamNoticeStatus,
+    waiting_request::WaitingRequest,
     weighted_fair_queue::WeightedFairQueue,
 };
 
 pub(crate) use work_window::WorkWindow;
 
 use {
-    cold_start_limiter::ColdStartLimiter, event_gap_meter::EventGapMeter,
-    ineligibility::Ineligibility, known_upstream::KnownUpstream, limit_share::LimitShare,
-    named_limit::NamedLimit, path_health::PathHealth, send_pacer::SendPacer,
-    sent_prefixes::SentPrefixes, upstream_pause::UpstreamPause, zone_health::ZoneHealth,
+    arrival_meter::ArrivalMeter, cold_start_limiter::ColdStartLimiter,
+    event_gap_meter::EventGapMeter, ineligibility::Ineligibility, known_upstream::KnownUpstream,
+    limit_share::LimitShare, named_limit::NamedLimit, path_health::PathHealth,
+    region_budget::RegionBudget, send_pacer::SendPacer, sent_prefixes::SentPrefixes,
+    upstream_pause::UpstreamPause, zone_health::ZoneHealth,
 };
 
 mod answer_limit;
 mod answer_pause;
 mod answer_pause_error;
+mod arrival_meter;
 mod attempt_end;
 mod call_kind;
 mod choice_query;
@@ -83,10 +88,12 @@
 mod mechanism;
 mod named_limit;
 mod next_step;
+mod offered_room;
 mod path_health;
 mod prompt;
 mod prompt_placement;
 mod quota;
+mod region_budget;
 mod reported_slots;
 mod route_table;
 mod routing;
@@ -94,6 +101,7 @@
 mod send_pacer;
 mod sent_prefixes;
 mod service_latency;
+mod slot_order;
 mod software_history;
 mod software_rule;
 mod split_part;
@@ -111,8 +119,10 @@
 mod upstream_paths;
 mod upstream_pause;
 mod upstream_pressure;
+mod upstream_room;
 mod upstream_shortlist;
 mod upstream_slots;
+mod waiting_request;
 mod weighted_fair_queue;
 mod work_window;
 mod zone_health;
