Send callers to VMs in proportion to what they carry

Entry lists named all VMs of a region, so a VM of 0.09 cores got as many callers as one of 0.3.

A VM takes its machine's figures from the settings (`resources`), derives a capacity from the scarcest of them and publishes it in its record; it halves it, down to an eighth, while it is near its limit of requests or processor time. Entry lists sample VMs by capacity: sequential Poisson sampling by a hash of caller and VM, so that lists differ between callers and stay nearly the same for one. Half of the region's VMs, eight, and two availability zones stay named. Relays of load reports are the VMs with the most capacity.

Of the callers of a region with 7 large VMs, which have half of its capacity, and 23 small ones, the large ones got 23.3 % and now get 45.6 % (decision test with 400 callers). A list loses 2 of 1,000 named VMs a second. Regions of equal VMs get the lists of before.

--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -47,11 +47,11 @@
 };
 
 use {
-    cold_start_limiter::ColdStartLimiter, event_gap_meter::EventGapMeter,
-    ineligibility::Ineligibility, known_upstream::KnownUpstream, limit_share::LimitShare,
-    named_limit::NamedLimit, path_health::PathHealth, send_pacer::SendPacer,
-    sent_prefixes::SentPrefixes, upstream_pause::UpstreamPause, work_window::WorkWindow,
-    zone_health::ZoneHealth,
+    capacity_sample::CapacitySample, cold_start_limiter::ColdStartLimiter,
+    event_gap_meter::EventGapMeter, ineligibility::Ineligibility, known_upstream::KnownUpstream,
+    limit_share::LimitShare, named_limit::NamedLimit, path_health::PathHealth,
+    send_pacer::SendPacer, sent_prefixes::SentPrefixes, upstream_pause::UpstreamPause,
+    work_window::WorkWindow, zone_health::ZoneHealth,
 };
 
 mod answer_limit;
@@ -59,6 +59,7 @@
 mod answer_pause_error;
 mod attempt_end;
 mod call_kind;
+mod capacity_sample;
 mod choice_query;
 mod cold_start_limiter;
 mod cold_terms;
--- a/crates/ebonystand-core/src/lib.rs
+++ b/crates/ebonystand-core/src/lib.rs
@@ -71,6 +71,7 @@
     cache_change::CacheChange,
     cache_event::CacheEvent,
     call::Call,
+    capacity_throttle::CapacityThrottle,
     catalog::Catalog,
     change::Change,
     change_outcome::ChangeOutcome,
@@ -138,6 +139,7 @@
     preset_name::PresetName,
     presets::Presets,
     priority::Priority,
+    processor_meter::ProcessorMeter,
     proposal_error::ProposalError,
     pull_outcome::PullOutcome,
     quarantine::*,
@@ -178,12 +180,14 @@
     upstream_kind::UpstreamKind,
     upstream_limit_status::UpstreamLimitStatus,
     upstream_status::UpstreamStatus,
+    vm_capacity::VmCapacity,
     vm_entry::VmEntry,
     vm_health::VmHealth,
     vm_hint::VmHint,
     vm_membership::VmMembership,
     vm_record::VmRecord,
     vm_record_id::VmRecordId,
+    vm_resources::VmResources,
     vm_state::VmState,
     vm_status::VmStatus,
     withdrawal::Withdrawal,
@@ -205,6 +209,7 @@
 mod cache_change;
 mod cache_event;
 mod call;
+mod capacity_throttle;
 mod catalog;
 mod change;
 mod change_log;
@@ -289,6 +294,7 @@
 mod presets;
 mod priority;
 mod prober;
+mod processor_meter;
 mod proposal_error;
 mod pull_outcome;
 mod quarantine;
@@ -347,12 +353,14 @@
 mod upstream_limit_status;
 mod upstream_state;
 mod upstream_status;
+mod vm_capacity;
 mod vm_entry;
 mod vm_health;
 mod vm_hint;
 mod vm_membership;
 mod vm_record;
 mod vm_record_id;
+mod vm_resources;
 mod vm_state;
 mod vm_status;
 mod vm_table;
--- a/crates/ebonystand-core/src/load_exchange/relay_plan.rs
+++ b/crates/ebonystand-core/src/load_exchange/relay_plan.rs
@@ -2,7 +2,7 @@
 
 /// Choice of the VMs that relay the load reports of a region.
 ///
-/// VMs with equal views of the region agree on it without a message. Where views differ, a VM acts
+/// VMs with more capacity relay first. VMs with equal views of the region agree on the choice without a message. Where views differ, a VM acts
 /// as a relay for any VM that reports to it.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct RelayPlan {
@@ -40,7 +40,7 @@
                 .into_iter()
                 .filter(|vm| vm.is_staying)
                 .collect::<Vec<_>>();
-            staying.sort_by_key(|vm| std::cmp::Reverse(rendezvous.weight(&vm.vm)));
+            staying.sort_by_key(|vm| std::cmp::Reverse((vm.capacity, rendezvous.weight(&vm.vm))));
             staying.into_iter().take(count)
         };
         let relays = zones.into_values().flat_map(of_zone);
--- a/crates/ebonystand-core/src/vm_membership.rs
+++ b/crates/ebonystand-core/src/vm_membership.rs
@@ -238,6 +238,17 @@
             .gossip(now, 2 * Self::GOSSIP_FAN_OUT, &mut self.rng)
     }
 
+    /// Sets how many times this VM's capacity is halved at present, and spreads a change at once.
+    pub fn set_capacity_halvings(&mut self, now: Duration, halvings: u8) -> Vec<MembershipOutput> {
+        if self.view.own.capacity_halvings == halvings {
+            return Vec::new();
+        }
+        self.view.own.capacity_halvings = halvings;
+        self.view.announce(now);
+        self.view
+            .gossip(now, 2 * Self::GOSSIP_FAN_OUT, &mut self.rng)
+    }
+
     /// Sets the version of the configuration that this VM advertises.
     pub fn set_version(&mut self, version: Version) {
         self.view.set_version(version);
--- a/crates/ebonystand-core/src/vm_record.rs
+++ b/crates/ebonystand-core/src/vm_record.rs
@@ -6,6 +6,10 @@
 /// relayed by other VMs therefore never replaces a newer record.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct VmRecord {
+    /// Amount of callers' work that the VM can carry while it is not near a limit.
+    pub capacity: VmCapacity,
+    /// Times that the capacity is halved at present, because the VM is near a limit.
+    pub capacity_halvings: u8,
     /// Address where the VM takes requests forwarded by VMs of other regions, if it takes any.
     pub forwards: Option<SocketAddr>,
     /// Number of records published in this incarnation.
@@ -45,6 +49,12 @@
         }
     }
 
+    /// Returns the amount of callers' work that the VM can carry at present.
+    #[must_use]
+    pub fn present_capacity(&self) -> VmCapacity {
+        self.capacity.halved(self.capacity_halvings)
+    }
+
     /// Returns the pair that orders the records of one VM; the highest is the newest.
     pub(crate) fn epoch(&self) -> (Incarnation, u64) {
         (self.incarnation, self.heartbeat)
@@ -55,12 +65,13 @@
         text_encoded_len(&self.region)
             + text_encoded_len(&self.vm)
             + text_encoded_len(&self.zone)
+            + varint_encoded_len(self.capacity.permille().into())
             + varint_encoded_len(self.heartbeat)
             + varint_encoded_len(self.incarnation)
             + varint_encoded_len(self.version)
             + address_encoded_len(self.http)
             + address_encoded_len(self.peer)
             + self.forwards.map_or(0, address_encoded_len)
-            + 4
+            + 5
     }
 }
--- a/crates/ebonystand-core/src/vm_status.rs
+++ b/crates/ebonystand-core/src/vm_status.rs
@@ -3,6 +3,8 @@
 /// Status of a VM as another VM sees it, shown to operators.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct VmStatus {
+    /// Amount of callers' work that the VM can carry at present, in thousandths of the reference VM.
+    pub capacity: VmCapacity,
     /// Health of the VM.
     pub health: VmHealth,
     /// Address where the VM listens for callers and operators.
--- a/crates/ebonystand-core/tests/common/vms.rs
+++ b/crates/ebonystand-core/tests/common/vms.rs
@@ -2,7 +2,7 @@
 //! partitions.
 
 use {
-    ebonystand_core::{MembershipOutput, VmEntry, VmMembership, VmRecord, VmState},
+    ebonystand_core::{MembershipOutput, VmCapacity, VmEntry, VmMembership, VmRecord, VmState},
     std::{
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
@@ -51,6 +51,8 @@
 /// Returns the first record that a VM publishes.
 pub fn record(vm: usize, regions: usize) -> VmRecord {
     VmRecord {
+        capacity: VmCapacity::REFERENCE,
+        capacity_halvings: 0,
         forwards: None,
         heartbeat: 0,
         holds_log: false,
--- a/crates/ebonystand-core/tests/gateway/directory.rs
+++ b/crates/ebonystand-core/tests/gateway/directory.rs
@@ -6,6 +6,8 @@
     let port = 8_000 + name.parse::<u16>().expect("a number");
     let address = SocketAddr::from(([10, 0, 0, 1], port));
     VmRecord {
+        capacity: VmCapacity::REFERENCE,
+        capacity_halvings: 0,
         forwards: None,
         heartbeat: 0,
         holds_log: false,
@@ -34,8 +36,10 @@
     let homes = homes.iter().collect::<Vec<_>>();
     let choice = EntryListSelector {
         caller: &caller,
+        caller_seed: draw,
         random_seed: draw,
         homes: &homes,
+        wall: Duration::ZERO,
     };
     choice
         .select_addresses(vms)
--- a/crates/ebonystand-core/tests/gateway/main.rs
+++ b/crates/ebonystand-core/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod notices;
 mod shortlist;
 mod software;
+mod uneven_vms;
 mod upstreams;
 mod zone_loss;
 
@@ -121,6 +122,7 @@
 pub(crate) fn region_vms(vms: impl IntoIterator<Item = String>) -> Vec<RegionVm> {
     let vms = vms.into_iter();
     let vms = vms.map(|vm| RegionVm {
+        capacity: VmCapacity::REFERENCE,
         is_staying: true,
         vm: vm.into(),
         zone: "a-1".into(),
--- a/crates/ebonystand-core/tests/load_exchange.rs
+++ b/crates/ebonystand-core/tests/load_exchange.rs
@@ -2,7 +2,8 @@
 
 use {
     ebonystand_core::{
-        LoadExchange, LoadMessage, RegionVm, RelayPlan, UnderWay, UpstreamKey, UpstreamLoads, VmId,
+        LoadExchange, LoadMessage, RegionVm, RelayPlan, UnderWay, UpstreamKey, UpstreamLoads,
+        VmCapacity, VmId,
     },
     rand::{RngExt, SeedableRng},
     rand_pcg::Pcg64Mcg,
@@ -161,6 +162,7 @@
 
 fn region_vm(vm: usize) -> RegionVm {
     RegionVm {
+        capacity: VmCapacity::REFERENCE,
         is_staying: true,
         vm: name(vm),
         zone: zone(vm),
--- a/crates/ebonystand-core/tests/stream_origin.rs
+++ b/crates/ebonystand-core/tests/stream_origin.rs
@@ -6,7 +6,7 @@
 use {
     ebonystand_core::{
         InquiryState, KnownOrigin, OriginAnswer, OriginHolders, OriginInquiry, OriginTable,
-        StreamKey, StreamOrigin, VmId, VmRecord,
+        StreamKey, StreamOrigin, VmCapacity, VmId, VmRecord,
     },
     rstest::rstest,
     std::{collections::BTreeSet, time::Duration},
@@ -29,6 +29,8 @@
 fn record(n: usize, regions: usize) -> VmRecord {
     let address = ([10, 0, 0, 1], 1).into();
     VmRecord {
+        capacity: VmCapacity::REFERENCE,
+        capacity_halvings: 0,
         forwards: Some(address),
         heartbeat: 0,
         holds_log: false,
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -1,6 +1,7 @@
 use super::*;
 use {
     allowance_controller::AllowanceController,
+    capacity_controller::CapacityController,
     crash_watch::CrashWatch,
     ebonystand_core::{
         Confirmation, LoadMessage, Place, RegionVm, RelayPlan, RouteTable, UpstreamBook,
@@ -273,6 +274,7 @@
             actix_rt::time::sleep(Self::PRESSURE_INTERVAL).await;
             let takes_callers = this.takes_callers(&node);
             MembershipController::set_takes_callers(&node, takes_callers);
+            CapacityController::update(&node);
             let forwards = node.settings.gateway.forwards;
             let forwards = forwards.filter(|_| !this.book.borrow().is_cut_off());
             MembershipController::set_forwards(&node, forwards);
@@ -474,6 +476,7 @@
     let record = &entry.record;
     let serves = record.takes_callers || record.forwards.is_some();
     (*record.region == *region && serves).then(|| RegionVm {
+        capacity: record.capacity,
         is_staying: !record.leaving,
         vm: record.vm.clone(),
         zone: record.zone.clone(),
--- a/crates/ebonystand/src/gateway/gateway_handle.rs
+++ b/crates/ebonystand/src/gateway/gateway_handle.rs
@@ -5,7 +5,7 @@
     },
     group_controller::GroupController,
     node::Node,
-    std::collections::BTreeSet,
+    std::{collections::BTreeSet, net::IpAddr},
 };
 
 /// Handle to the running daemon for a program that embeds it.
@@ -19,17 +19,20 @@
     /// has discovered the other VMs with a log, which are to hold shares of the allowances.
     const DISCOVERY_TIME: Duration = Duration::from_secs(2);
 
-    /// Returns the addresses of VMs that a caller at `caller` may connect to for a host.
+    /// Returns the addresses of VMs that a caller at `caller` may connect to for a host. `address`
+    /// is where the caller asks from.
     #[must_use]
-    pub fn entries(&self, host: &str, caller: &Place) -> Vec<SocketAddr> {
+    pub fn entries(&self, host: &str, caller: &Place, address: Option<IpAddr>) -> Vec<SocketAddr> {
         let now = self.node.clock.now();
         let table = self.node.gateway.table();
         let homes = table.homes_of_host(host);
         let live = self.node.membership.live(now);
         let choice = EntryListSelector {
             caller,
+            caller_seed: EntryListSelector::caller_seed(caller, address),
             random_seed: self.node.gateway.draw(),
             homes: &homes,
+            wall: self.node.clock.wall(),
         };
         choice.select_addresses(live.iter().map(|entry| &entry.record))
     }
--- a/crates/ebonystand/src/lib.rs
+++ b/crates/ebonystand/src/lib.rs
@@ -61,6 +61,7 @@
     limits::Limits,
     listen::Listen,
     log_settings::LogSettings,
+    resources::Resources,
     run::{run, run_with},
     settings::Settings,
     settings_fault::SettingsFault,
@@ -78,6 +79,7 @@
 mod caller;
 mod caller_api;
 mod caller_connection;
+mod capacity_controller;
 mod chat_request;
 mod check_residency;
 mod client_pool;
@@ -119,6 +121,7 @@
 mod record_log;
 mod relay;
 mod reload;
+mod resources;
 mod respond;
 mod retry_permit;
 mod route_controller;
--- a/crates/ebonystand/src/membership_controller.rs
+++ b/crates/ebonystand/src/membership_controller.rs
@@ -139,6 +139,17 @@
         Self::take(node, outputs);
     }
 
+    /// Says how many times this VM's capacity is halved at present, and returns whether that is news.
+    pub(crate) fn set_capacity_halvings(node: &Rc<Node>, halvings: u8) -> bool {
+        let now = node.clock.now();
+        let mut membership = node.membership.membership.borrow_mut();
+        let is_news = membership.own_record().capacity_halvings != halvings;
+        let outputs = membership.set_capacity_halvings(now, halvings);
+        drop(membership);
+        Self::take(node, outputs);
+        is_news
+    }
+
     /// Says where this VM takes forwarded requests, if it takes any now.
     pub(crate) fn set_forwards(node: &Rc<Node>, forwards: Option<SocketAddr>) {
         let now = node.clock.now();
--- a/crates/ebonystand/src/metrics.rs
+++ b/crates/ebonystand/src/metrics.rs
@@ -12,6 +12,7 @@
 
 /// What the users measure, and what an operator needs at night.
 pub(crate) struct Metrics {
+    pub(crate) advertised_capacity: Gauge,
     pub(crate) allowance_refusals: Family<WorkspaceLabel, Counter>,
     pub(crate) config_version: Gauge,
     pub(crate) cost: Counter,
@@ -101,6 +102,7 @@
         };
         let mut metrics = Self {
             allowance_refusals: Family::default(),
+            advertised_capacity: Gauge::default(),
             config_version: Gauge::default(),
             cost: Counter::default(),
             cut_services: Gauge::default(),
@@ -149,6 +151,11 @@
 
     fn register(&mut self) {
         let r = &mut self.registry;
+        r.register(
+            "advertised_capacity",
+            "Capacity that entry lists go by, in thousandths of the reference VM's",
+            self.advertised_capacity.clone(),
+        );
         r.register(
             "allowance_refusals",
             "Requests refused for want of allowance",
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -2,6 +2,7 @@
 use {
     allowance_controller::AllowanceController,
     caller::Caller,
+    capacity_controller::CapacityController,
     client_pool::ClientPool,
     clock::Clock,
     ebonystand_core::{EntryList, EntryVm, Place, VmRecord},
@@ -27,6 +28,7 @@
 pub(crate) struct Node {
     pub(crate) addresses: Listen,
     pub(crate) allowance: AllowanceController,
+    pub(crate) capacity: CapacityController,
     pub(crate) clients: ClientPool,
     pub(crate) clock: Rc<dyn Clock>,
     draining: Cell<bool>,
@@ -193,6 +195,7 @@
         Ok(Self {
             addresses,
             allowance: AllowanceController::new(vm.clone(), incarnation, region, now),
+            capacity: CapacityController::default(),
             clients: ClientPool::new(),
             clock,
             draining: Cell::new(false),
@@ -330,6 +333,8 @@
 
 fn record(settings: &Settings, addresses: &Listen, incarnation: Incarnation) -> VmRecord {
     VmRecord {
+        capacity: settings.resources.capacity,
+        capacity_halvings: 0,
         forwards: settings.gateway.forwards,
         heartbeat: 0,
         holds_log: settings.data_folder.is_some(),
--- a/crates/ebonystand/src/operator_status.rs
+++ b/crates/ebonystand/src/operator_status.rs
@@ -106,6 +106,7 @@
         VmState::Alive => VmHealth::Alive,
     };
     VmStatus {
+        capacity: record.present_capacity(),
         health,
         http: record.http,
         incarnation: record.incarnation,
--- a/crates/ebonystand/src/settings.rs
+++ b/crates/ebonystand/src/settings.rs
@@ -24,6 +24,8 @@
     pub operator_credential_file: PathBuf,
     /// Region of this VM.
     pub region: RegionId,
+    /// Resources of this VM's machine.
+    pub resources: Resources,
     /// File with the secret that all VMs of the fleet share.
     pub secret_file: PathBuf,
     /// Peer addresses of VMs to meet first.
@@ -81,6 +83,7 @@
         let members = reader.optional("members", Vec::new());
         let operator_credential_file = reader.required("operator_credential_file");
         let region = reader.required("region");
+        let resources = reader.section("resources", Resources::read);
         let secret_file = reader.required("secret_file");
         let seeds = reader.optional("seeds", Vec::new());
         let vm = reader.required("vm");
@@ -96,6 +99,7 @@
             members,
             operator_credential_file: operator_credential_file?,
             region: region?,
+            resources,
             secret_file: secret_file?,
             seeds,
             vm: vm?,
--- a/crates/ebonystand/src/settings_fault.rs
+++ b/crates/ebonystand/src/settings_fault.rs
@@ -20,6 +20,12 @@
         /// Path in the settings.
         path: Box<str>,
     },
+    /// A number is not above 0.
+    #[snafu(display("{path}: must be above 0"))]
+    NotPositive {
+        /// Path in the settings.
+        path: Box<str>,
+    },
     /// The settings are not JSON.
     #[snafu(display("not JSON: {message}"))]
     Syntax {
--- a/crates/ebonystand/src/settings_reader.rs
+++ b/crates/ebonystand/src/settings_reader.rs
@@ -51,6 +51,17 @@
         value
     }
 
+    /// A number above 0, if it is set.
+    pub(crate) fn positive(&mut self, name: &str) -> Option<f64> {
+        let value = self.optional::<Option<f64>>(name, None)?;
+        if value > 0.0 {
+            return Some(value);
+        }
+        let path = self.path_of(name);
+        self.faults.push(SettingsFault::NotPositive { path });
+        None
+    }
+
     pub(crate) fn required<T: DeserializeOwned>(&mut self, name: &str) -> Option<T> {
         let Some(value) = self.fields.remove(name) else {
             let path = self.path_of(name);
--- a/crates/ebonystand/tests/settings.rs
+++ b/crates/ebonystand/tests/settings.rs
@@ -58,3 +58,31 @@
             .any(|fault| fault.starts_with("not JSON: "))
     );
 }
+
+/// The platform gives the share of a processor and the number of processors apart, and fractions of
+/// an Mbit/s.
+#[test]
+fn resources_of_the_machine_set_the_capacity() {
+    let resources = |text: &str| {
+        let text = SOUND.replace("\"region\"", &format!("\"resources\": {text}, \"region\""));
+        Settings::parse(&text).map(|settings| settings.resources)
+    };
+    let small = r#"{"cores": 2, "processor_share": 0.09, "memory_mb": 120, "link_mbps": 7.5}"#;
+    let small = resources(small).expect("sound settings");
+    assert_eq!(small.capacity.permille(), 75);
+    assert_eq!(small.memory_bytes, Some(120_000_000));
+    assert_eq!(small.millicores, Some(180));
+    let unknown = resources("{}").expect("sound settings");
+    assert_eq!(unknown.capacity.permille(), 1_000);
+    let text = SOUND.replace(
+        "\"region\"",
+        r#""resources": {"memory_mb": 0, "link_mbps": -1.0}, "region""#,
+    );
+    assert_eq!(
+        faults(&text),
+        [
+            "resources.link_mbps: must be above 0",
+            "resources.memory_mb: must be above 0"
+        ]
+    );
+}
--- a/crates/ebonystandctl/src/status.rs
+++ b/crates/ebonystandctl/src/status.rs
@@ -128,8 +128,8 @@
     let line = |vm: &VmStatus| {
         let leaving = if vm.leaving { " leaving" } else { "" };
         format!(
-            "  VM {} in {}/{}: {}{leaving}, version {}",
-            vm.vm, vm.region, vm.zone, vm.health, vm.version
+            "  VM {} in {}/{}: {}{leaving}, version {}, capacity {}",
+            vm.vm, vm.region, vm.zone, vm.health, vm.version, vm.capacity
         )
     };
     if vms.len() <= MAX_LISTED {
--- a/crates/ebonystandctl/tests/status.rs
+++ b/crates/ebonystandctl/tests/status.rs
@@ -3,13 +3,14 @@
 use {
     ebonystand_core::{
         OperatorStatus, PartStage, PartStatus, PresetName, RetryBudgetStatus, SoftwareStatus,
-        SuspectStatus, UpstreamNoticeStatus, VmHealth, VmStatus,
+        SuspectStatus, UpstreamNoticeStatus, VmCapacity, VmHealth, VmStatus,
     },
     ebonystandctl::format_status,
 };
 
 fn status(vms: usize, dead: usize) -> OperatorStatus {
     let vm = |number: usize| VmStatus {
+        capacity: VmCapacity::REFERENCE,
         health: match number < dead {
             true => VmHealth::Dead,
             false => VmHealth::Alive,
