Prove that a full disk moves the role of the log's leader

Asked was what happens while the disk of the log's leader refuses every write. By reading, its thread waits without a word, another member leads after an election timeout, and the waiting one goes on from where its file stood. No code had to change.

--- a/crates/ebonystand/tests/integration/fleet.rs
+++ b/crates/ebonystand/tests/integration/fleet.rs
@@ -30,6 +30,7 @@
     document: Document,
     engines: Vec<StandIn>,
     gateway: serde_json::Value,
+    group: serde_json::Value,
     members: usize,
     registries: Vec<StandIn>,
     regions: Vec<Box<str>>,
@@ -50,6 +51,7 @@
             document: Document::default(),
             engines: Vec::new(),
             gateway: json!({}),
+            group: json!({}),
             members: 1,
             registries: Vec::new(),
             regions: Vec::new(),
@@ -109,6 +111,12 @@
         self
     }
 
+    /// Settings of the replicated group, equal on all VMs.
+    pub(crate) fn group(mut self, group: serde_json::Value) -> Self {
+        self.group = group;
+        self
+    }
+
     /// Gives the first VMs a data folder and makes them members of the replicated group.
     pub(crate) fn members(mut self, members: usize) -> Self {
         self.members = members;
@@ -130,6 +138,7 @@
                 settings["data_folder"] = json!(dir.path().join(format!("{name}.data")));
             }
             settings["gateway"] = self.gateway.clone();
+            settings["group"] = self.group.clone();
             settings["members"] = (0..self.members).map(|n| format!("vm{n}")).collect();
             vms.push(Vm::start(dir.path(), &settings));
             all_settings.push(settings);
--- a/crates/ebonystand/tests/integration/main.rs
+++ b/crates/ebonystand/tests/integration/main.rs
@@ -11,6 +11,7 @@
 mod failures;
 mod faults;
 mod fleet;
+mod full_disk;
 mod links;
 mod orders;
 mod pauses;
--- a/crates/ebonystand/tests/integration/vm.rs
+++ b/crates/ebonystand/tests/integration/vm.rs
@@ -94,6 +94,19 @@
         fs::remove_dir_all(self.file("data")).unwrap();
     }
 
+    /// Has the disk refuse every write from the next snapshot of the log on, or take writes again.
+    /// A full disk of one VM cannot be had without a file system of its own; `/dev/full` refuses
+    /// writes with the same error.
+    pub(crate) fn set_disk_full(&self, full: bool) {
+        for name in ["log.tmp", "snapshot.tmp"] {
+            let path = self.file("data").join(name);
+            match full {
+                true => std::os::unix::fs::symlink("/dev/full", path).unwrap(),
+                false => fs::remove_file(path).unwrap(),
+            }
+        }
+    }
+
     /// Starts the process again with the settings it had.
     pub(crate) fn restart(&mut self) {
         let addresses = self.file("addresses");
