Serve refused slots elsewhere and overdue requests last

Change: a refused slot is looked for in another region's offer; a request whose caller has waited past the target shares slots at a quarter of the least weight and waits up to half of its time.

--- a/crates/ebonystand-core/src/gateway/upstream_choice.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_choice.rs
@@ -99,6 +99,17 @@
         }
     }
 
+    /// Chooses another region for a request that the own one has no room for; `None` if none has room either.
+    #[must_use]
+    pub fn choose_away(&self, now: Duration, query: &ChoiceQuery) -> Option<TargetChoice> {
+        let candidate = self.choose_region(now, query, true)?;
+        Some(TargetChoice::Forward {
+            local_cost: None,
+            predicted: candidate.delay,
+            region: candidate.region,
+        })
+    }
+
     /// Chooses the region whose VMs get a request that this VM cannot send by itself: its own one,
     /// where others may reach the upstreams, or another. `None` if no region can take it.
     fn choose_while_cut(
--- a/crates/ebonystand-core/src/slots/slot_queue.rs
+++ b/crates/ebonystand-core/src/slots/slot_queue.rs
@@ -34,6 +34,8 @@
     /// Weights of the ranks 0, 1 and all others. Each rank gets twice the share of the next one, which
     /// prefers it without starving the next.
     const WEIGHTS: [f64; 3] = [4.0, 2.0, 1.0];
+    /// Weight of requests that are late already, whose callers lose less by waiting than the others.
+    const OVERDUE_WEIGHT: f64 = 0.25;
 
     /// Returns whether no request waits.
     #[must_use]
@@ -214,6 +216,9 @@
     }
 
     fn weight(rank: u8) -> f64 {
+        if rank == SlotRequest::OVERDUE_RANK {
+            return Self::OVERDUE_WEIGHT;
+        }
         Self::WEIGHTS[usize::from(rank).min(Self::WEIGHTS.len() - 1)]
     }
 }
--- a/crates/ebonystand-core/src/slots/slot_request.rs
+++ b/crates/ebonystand-core/src/slots/slot_request.rs
@@ -18,6 +18,8 @@
 }
 
 impl SlotRequest {
+    /// Rank of requests whose answers can't begin within their target any more.
+    pub const OVERDUE_RANK: u8 = u8::MAX;
     /// Most engines that a request names; a scheduler has about four of twelve slots.
     pub const MAX_ENGINES: usize = 8;
 
--- a/crates/ebonystand/src/gateway/admitted.rs
+++ b/crates/ebonystand/src/gateway/admitted.rs
@@ -60,12 +60,15 @@
                         None => continue,
                     }
                 }
-                SlotTurn::Refused { retry_after } => {
-                    self.count_limit_refusal(node);
-                    let message = "no slot of an engine comes free in time";
-                    let refusal = self.refusal(RefusalCode::Overloaded, message);
-                    return Err(refusal.with_retry_after(self.retry_delay(node, retry_after)));
-                }
+                SlotTurn::Refused { retry_after } => match self.call.choose_away(node, &reachable) {
+                    Some(choice) => (choice, None),
+                    None => {
+                        self.count_limit_refusal(node);
+                        let message = "no slot of an engine comes free in time";
+                        let refusal = self.refusal(RefusalCode::Overloaded, message);
+                        return Err(refusal.with_retry_after(self.retry_delay(node, retry_after)));
+                    }
+                },
                 SlotTurn::Unscheduled => {
                     self.call.unscheduled = true;
                     continue;
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -43,6 +43,8 @@
     pub(crate) request: Box<str>,
     pub(crate) service: Box<str>,
     pub(crate) software: CallSoftware,
+    /// Time that the caller has waited before the request arrived, by what it leaves of the route's time.
+    pub(crate) waited: Duration,
     /// Whether the call no longer asks for slots, because no scheduler answered.
     pub(crate) unscheduled: bool,
     pub(crate) workspace: Option<WorkspaceId>,
@@ -233,6 +235,24 @@
         }
     }
 
+    /// Chooses another region for the call, of those with room.
+    pub(crate) fn choose_away(
+        &self,
+        node: &Node,
+        reachable: &BTreeSet<RegionId>,
+    ) -> Option<TargetChoice> {
+        let now = node.clock.now();
+        let document = node.document();
+        let book = node.gateway.book.borrow();
+        book.choose_away(now, &self.query(node, &document, reachable))
+    }
+
+    /// Returns whether the caller has waited so long, in earlier attempts too, that the answer can't begin within
+    /// its target.
+    pub(crate) fn is_overdue(&self, now: Duration) -> bool {
+        self.waited + now.saturating_sub(self.arrived) > self.aim
+    }
+
     /// Returns the choice to send the call to the engine that a scheduler has granted; `None` if the engine may
     /// not get it any more.
     pub(crate) fn granted_target(&self, node: &Node, engine: UpstreamKey) -> Option<TargetChoice> {
--- a/crates/ebonystand/src/gateway/receive_forward.rs
+++ b/crates/ebonystand/src/gateway/receive_forward.rs
@@ -121,6 +121,7 @@
         request: forwarded.request,
         service: forwarded.service,
         software,
+        waited: Duration::ZERO,
         unscheduled: false,
         workspace: forwarded.workspace,
     };
--- a/crates/ebonystand/src/gateway/serve_call.rs
+++ b/crates/ebonystand/src/gateway/serve_call.rs
@@ -224,6 +224,7 @@
         request: head.request,
         service,
         software,
+        waited: waited_before(longest, head.deadline),
         unscheduled: false,
         workspace: workspace.map(|workspace| workspace.name),
     };
@@ -242,6 +243,18 @@
     })
 }
 
+/// Returns the time that a caller has waited before its request arrived, by what is left of the route's time. Callers whose
+/// time is just a little shorter than the route's have not waited.
+fn waited_before(longest: Duration, left: Option<Duration>) -> Duration {
+    /// Share of the route's time, in permille, by which a caller's own time may be shorter.
+    const PATIENCE_PERMILLE: u32 = 200;
+    let spent = longest.saturating_sub(left.unwrap_or(longest));
+    match spent > longest * PATIENCE_PERMILLE / 1_000 {
+        true => spent,
+        false => Duration::ZERO,
+    }
+}
+
 /// Returns the key of the stream that a request begins or takes up again; `None` if it can't be taken up again.
 fn stream_key(
     route: &GatewayRoute,
--- a/crates/ebonystand/src/gateway/slot_controller.rs
+++ b/crates/ebonystand/src/gateway/slot_controller.rs
@@ -205,8 +205,15 @@
         engines: &[RankedEngine],
     ) -> Option<SlotRequest> {
         let best = engines.first()?;
-        let begin = call.aim * Self::BEGIN_PERMILLE / 1_000;
-        let begin = begin.saturating_sub(now.saturating_sub(call.admitted));
+        // A request that is late already waits for what those that can still be in time leave.
+        let is_overdue = call.is_overdue(now);
+        let begin = match is_overdue {
+            true => call.end.saturating_sub(now) / 2,
+            false => {
+                let begin = call.aim * Self::BEGIN_PERMILLE / 1_000;
+                begin.saturating_sub(now.saturating_sub(call.admitted))
+            }
+        };
         let hold = book.expected_hold(now, query, best.offer.unread);
         let start = call.aim * Self::START_PERMILLE / 1_000;
         let workspace = call.workspace.as_deref().unwrap_or_default();
@@ -214,7 +221,7 @@
             begin_ms: as_ms(begin),
             engines: Vec::new(),
             hold_ms: as_ms(hold),
-            rank: call.rank,
+            rank: if is_overdue { SlotRequest::OVERDUE_RANK } else { call.rank },
             start_ms: as_ms(start),
             workspace: WorkspaceKey::from(workspace),
         })
