Tell a claim that nobody answers from an allowance that is used up

Cause: a claim was sent to its holder once. Links drop what waits for them when they break, so a claim of the first moments after a restart could be lost; and a grant that took longer than it may be spent counted as an answer with a retry time of zero. Both ended as 429, "the workspace has used its allowance", while the holder had all tokens. A gateway that gave up after its share of the target said the same.

Change: a request that no holder has answered claims once more, under a number of its own (a doubled answer to the first claim must not be taken for one to the second), within the time it waited before at most. Then it is refused as `not_ready`, with a metric and a log line of its own; what a holder answered is told as before. A gateway that waits no longer asks the core what is known by then.

--- a/crates/ebonystand-core/src/allowance/allowance_output.rs
+++ b/crates/ebonystand-core/src/allowance/allowance_output.rs
@@ -17,6 +17,12 @@
         /// Ticket of the waiting request.
         ticket: TicketId,
     },
+    /// Refuses a request that returned [`Admission::Waiting`], because no holder has answered its
+    /// claims in time. Whether the allowance is used up is not known.
+    Unanswered {
+        /// Ticket of the waiting request.
+        ticket: TicketId,
+    },
     /// Sends a message to another VM. It may be lost, duplicated or delayed without harm.
     Send {
         /// Message to send.
@@ -30,7 +36,9 @@
     /// Ticket of the request that this output answers; `None` for a message.
     pub(crate) fn ticket(&self) -> Option<TicketId> {
         match self {
-            Self::Admitted { ticket, .. } | Self::Refused { ticket, .. } => Some(*ticket),
+            Self::Admitted { ticket, .. }
+            | Self::Refused { ticket, .. }
+            | Self::Unanswered { ticket } => Some(*ticket),
             Self::Send { .. } => None,
         }
     }
--- a/crates/ebonystand-core/src/allowance/allowance_share_claim.rs
+++ b/crates/ebonystand-core/src/allowance/allowance_share_claim.rs
@@ -35,6 +35,7 @@
         self.tickets.push_back(AllowanceTicket {
             deadline: now + cx.ticket_timeout(),
             id,
+            is_answered: false,
             retry_after: Duration::MAX,
             round,
             tokens,
@@ -66,7 +67,7 @@
     ) {
         let answered = |open: &OpenClaim| {
             claim.incarnation == cx.incarnation
-                && open.ticket.0 == claim.sequence
+                && open.sequence == claim.sequence
                 && open.to == grant.holder
         };
         // A duplicated answer finds its claim closed. The tokens may have been spent since the
@@ -74,18 +75,25 @@
         let Some(index) = self.open_claims.iter().position(answered) else {
             return;
         };
-        let asked_at = self.open_claims.swap_remove(index).asked_at;
+        let OpenClaim {
+            asked_at,
+            ticket: id,
+            ..
+        } = self.open_claims.swap_remove(index);
         if self.own_holder() == Some(&grant.holder) {
             self.is_own_holder_silent = false;
         }
         // The term is counted from the claim. The holder counts it from the grant, which is later,
         // so the grant expires here first, however long the answer took.
         let until = asked_at + LeaseTerms::GRANT_TERM;
-        let id = TicketId(claim.sequence);
         match self.tickets.iter_mut().find(|ticket| ticket.id == id) {
             Some(_) if grant.tokens > 0 && now < until => self.admit_ticket(id, grant, cx),
             Some(ticket) => {
-                ticket.retry_after = ticket.retry_after.min(retry_after);
+                // A grant that came too late says nothing of the time until the next.
+                if grant.tokens == 0 {
+                    ticket.retry_after = ticket.retry_after.min(retry_after);
+                    ticket.is_answered = true;
+                }
                 self.return_grant(now, &grant, cx);
                 self.advance_ticket(now, id, cx);
             }
@@ -140,8 +148,8 @@
             .retain(|claim| now < claim.asked_at + LeaseTerms::GRANT_TERM * 2);
     }
 
-    /// Claims from the other holders once the own one is late, and refuses the request once all
-    /// are.
+    /// Claims from the other holders once the own one is late, from all once more if none has
+    /// answered, since a claim or its answer may be lost, and refuses the request at last.
     fn advance_ticket(&mut self, now: Duration, id: TicketId, cx: &mut AllowanceCx) {
         let is_awaited = |claim: &OpenClaim| claim.ticket == id && now < claim.awaited_until;
         let awaited = self.open_claims.iter().any(is_awaited);
@@ -151,16 +159,30 @@
         if awaited && now < ticket.deadline {
             return;
         }
-        if now >= ticket.deadline || ticket.round == ClaimRound::AllHolders {
+        let need = ticket.need();
+        let may_repeat = ticket.round == ClaimRound::AllHolders && !ticket.is_answered;
+        if now >= ticket.deadline || (ticket.round != ClaimRound::OwnHolder && !may_repeat) {
             self.refuse_ticket(id, cx);
             return;
         }
+        if may_repeat {
+            ticket.round = ClaimRound::Repeated;
+            let mut to = self.holders_to_claim(ClaimRound::Repeated);
+            to.retain(|(holder, _)| *holder != cx.vm);
+            self.send_claims(now, id, to, need, cx);
+            self.await_answers(id);
+            return;
+        }
         ticket.round = ClaimRound::AllHolders;
-        let need = ticket.need();
+        self.await_answers(id);
+        self.send_claims(now, id, self.holders.other_regions.clone(), need, cx);
+    }
+
+    /// Has a waiting request wait for all answers that running holders give.
+    fn await_answers(&mut self, id: TicketId) {
         let open = self.open_claims.iter_mut();
         open.filter(|claim| claim.ticket == id)
-            .for_each(|claim| claim.awaited_until = claim.answered_by());
-        self.send_claims(now, id, self.holders.other_regions.clone(), need, cx);
+            .for_each(|claim| claim.awaited_until = claim.awaited_until.max(claim.answered_by()));
     }
 
     /// Admits a waiting request with the tokens of a grant.
@@ -182,10 +204,14 @@
     }
 
     /// Refuses a waiting request, with the shortest retry time that a holder gave.
-    fn refuse_ticket(&mut self, id: TicketId, cx: &mut AllowanceCx) {
+    pub(crate) fn refuse_ticket(&mut self, id: TicketId, cx: &mut AllowanceCx) {
         let Some(ticket) = self.remove_ticket(id) else {
             return;
         };
+        if !ticket.is_answered {
+            cx.outputs.push(AllowanceOutput::Unanswered { ticket: id });
+            return;
+        }
         let by_rate = accrual_time(ticket.need(), self.total.rate);
         let by_holder = Some(ticket.retry_after).filter(|by_holder| *by_holder < Duration::MAX);
         cx.outputs.push(AllowanceOutput::Refused {
@@ -216,7 +242,7 @@
     fn holders_to_claim(&self, round: ClaimRound) -> Vec<(VmId, Duration)> {
         let others = match round {
             ClaimRound::OwnHolder => &[],
-            ClaimRound::AllHolders => self.holders.other_regions.as_slice(),
+            ClaimRound::AllHolders | ClaimRound::Repeated => self.holders.other_regions.as_slice(),
         };
         self.holders
             .own_region
@@ -235,14 +261,17 @@
         need: MicroTokens,
         cx: &mut AllowanceCx,
     ) {
+        // A claim sent again has a number of its own, so that a doubled answer to the first one
+        // isn't taken for the answer to the second.
         let claim = AskId {
             incarnation: cx.incarnation,
-            sequence: ticket.0,
+            sequence: cx.next_sequence(),
         };
         for (holder, wait) in &to {
             self.open_claims.push(OpenClaim {
                 asked_at: now,
                 awaited_until: now + *wait,
+                sequence: claim.sequence,
                 ticket,
                 to: holder.clone(),
             });
--- a/crates/ebonystand-core/src/allowance/allowance_ticket.rs
+++ b/crates/ebonystand-core/src/allowance/allowance_ticket.rs
@@ -6,6 +6,8 @@
     /// Time at which the request is refused at the latest.
     pub(crate) deadline: Duration,
     pub(crate) id: TicketId,
+    /// Whether a holder has answered that it has too few tokens.
+    pub(crate) is_answered: bool,
     /// Shortest time until an asked holder expects to have enough tokens.
     pub(crate) retry_after: Duration,
     /// Holders that the tokens have been claimed from.
--- a/crates/ebonystand-core/src/allowance/claim_round.rs
+++ b/crates/ebonystand-core/src/allowance/claim_round.rs
@@ -5,4 +5,6 @@
     OwnHolder,
     /// Holders of all regions.
     AllHolders,
+    /// Holders of all regions, for the second time.
+    Repeated,
 }
--- a/crates/ebonystand-core/src/allowance/open_claim.rs
+++ b/crates/ebonystand-core/src/allowance/open_claim.rs
@@ -6,6 +6,8 @@
     pub(crate) asked_at: Duration,
     /// Time until which the request waits for this answer.
     pub(crate) awaited_until: Duration,
+    /// Number by which the holder's answer names the claim.
+    pub(crate) sequence: u64,
     pub(crate) ticket: TicketId,
     /// Holder that was asked.
     pub(crate) to: VmId,
--- a/crates/ebonystand-core/src/allowance/state.rs
+++ b/crates/ebonystand-core/src/allowance/state.rs
@@ -91,6 +91,17 @@
         self.cx.take_outputs()
     }
 
+    /// Decides a waiting request whose caller waits no longer by the answers that holders have given so
+    /// far.
+    pub fn end_wait(&mut self, now: Duration, ticket: TicketId) -> Vec<AllowanceOutput> {
+        self.detect_freeze(now);
+        let has_ticket = |share: &&mut AllowanceShare| share.tickets.iter().any(|t| t.id == ticket);
+        if let Some(share) = self.shares.values_mut().find(has_ticket) {
+            share.refuse_ticket(ticket, &mut self.cx);
+        }
+        self.cx.take_outputs()
+    }
+
     /// Records that the VM has caught up with the configuration in force in the fleet, which ends
     /// its start. Before, its parts may be those of an old configuration, and a change that its log
     /// replays is no news: a handover that each start began anew would leave parts unused long
--- a/crates/ebonystand-core/tests/allowance/fleet.rs
+++ b/crates/ebonystand-core/tests/allowance/fleet.rs
@@ -429,7 +429,8 @@
                     let index = node.waiting.remove(&ticket).expect("a waiting request");
                     self.record_admission(vm, index, reservation);
                 }
-                AllowanceOutput::Refused { ticket, .. } => {
+                AllowanceOutput::Refused { ticket, .. }
+                | AllowanceOutput::Unanswered { ticket } => {
                     let node = self.nodes.get_mut(vm).expect("a VM of the fleet");
                     node.waiting.remove(&ticket).expect("a waiting request");
                 }
--- a/crates/ebonystand-core/tests/allowance/lease.rs
+++ b/crates/ebonystand-core/tests/allowance/lease.rs
@@ -391,3 +391,114 @@
     borrower.admit_request(end + at(10), "w", 1);
     assert_eq!(borrower.status()[0].held, own);
 }
+
+/// Two VMs of one region, whose allowance the first holds, with all parts usable at five seconds.
+fn start_pair() -> (Allowance, Allowance) {
+    let mut document = document();
+    document.regions.retain(|region, _| **region == *"a");
+    for workspace in document.workspaces.values_mut() {
+        workspace.residency = ["a".into()].into();
+    }
+    let start = |vm: &str| {
+        let mut allowance = Allowance::new(vm.into(), 1, "a".into(), seconds(0));
+        allowance.configure(seconds(0), &document);
+        allowance.complete_start(seconds(0));
+        (1..5).for_each(|second| drop(allowance.tick(seconds(second))));
+        allowance
+    };
+    (start("vm-a-0"), start("vm-a-1"))
+}
+
+/// Plays half a second of a claimant whose messages to the holder, and the holder's to it, take the time that `delay` tells of
+/// the messages sent before in that direction (`None`: lost). Returns how its request was decided, and after how long.
+fn play_claim(
+    delay: impl Fn(usize) -> Option<u64>,
+    delay_back: impl Fn(usize) -> Option<u64>,
+) -> (AllowanceOutput, Duration) {
+    let (mut holder, mut claimant) = start_pair();
+    let at = |ms: u64| seconds(5) + Duration::from_millis(ms);
+    assert!(matches!(
+        claimant.admit_request(at(0), "w", 20),
+        Admission::Waiting(_)
+    ));
+    let mut on_the_way = BTreeMap::<(u64, bool, usize), AllowanceMessage>::new();
+    let mut sent = [0, 0];
+    for ms in 0..1_000 {
+        let mut outputs = Vec::new();
+        while let Some(entry) = on_the_way.first_entry()
+            && entry.key().0 <= ms
+        {
+            let (is_back, message) = (entry.key().1, entry.remove());
+            let (vm, from) = match is_back {
+                true => (&mut claimant, "vm-a-0"),
+                false => (&mut holder, "vm-a-1"),
+            };
+            let answers = vm.handle_message(at(ms), &from.into(), message);
+            outputs.extend(answers.into_iter().map(|output| (!is_back, output)));
+        }
+        let ticks = [(false, &mut claimant), (true, &mut holder)];
+        for (is_back, vm) in ticks {
+            outputs.extend(vm.tick(at(ms)).into_iter().map(|output| (is_back, output)));
+        }
+        for (is_back, output) in outputs {
+            let AllowanceOutput::Send { message, .. } = output else {
+                return (output, Duration::from_millis(ms));
+            };
+            let number = &mut sent[usize::from(is_back)];
+            let takes = match is_back {
+                true => delay_back(*number),
+                false => delay(*number),
+            };
+            *number += 1;
+            if let Some(takes) = takes {
+                on_the_way.insert((ms + takes, is_back, *number), message);
+            }
+        }
+    }
+    panic!("the request was never decided");
+}
+
+/// Guards against a refusal while the holder has all tokens: the claim was dropped, since the link to the holder broke.
+#[test]
+fn a_lost_claim_is_sent_again() {
+    let (decided, after) = play_claim(|sent| (sent > 0).then_some(1), |_| Some(1));
+    assert!(
+        matches!(decided, AllowanceOutput::Admitted { .. }),
+        "{decided:?}"
+    );
+    assert!(after < Duration::from_millis(250), "{after:?}");
+}
+
+/// Guards against a refusal while the holder has all tokens: its grant took longer than a grant may be spent.
+#[test]
+fn a_claim_is_sent_again_after_a_grant_that_came_too_late() {
+    let back = |sent| Some(if sent == 0 { 310 } else { 1 });
+    let (decided, _) = play_claim(|_| Some(1), back);
+    assert!(
+        matches!(decided, AllowanceOutput::Admitted { .. }),
+        "{decided:?}"
+    );
+}
+
+/// Guards against a caller who is told that the allowance is used up, when its holder is only out of reach.
+#[test]
+fn a_refusal_without_an_answer_does_not_tell_that_the_allowance_is_used_up() {
+    let (decided, after) = play_claim(|_| None, |_| None);
+    assert!(
+        matches!(decided, AllowanceOutput::Unanswered { .. }),
+        "{decided:?}"
+    );
+    assert!(after <= Duration::from_millis(500), "{after:?}");
+}
+
+/// Guards against a caller with little time who is told that the allowance is used up before the holder has answered.
+#[test]
+fn the_end_of_a_wait_tells_whether_a_holder_has_answered() {
+    let (_, mut claimant) = start_pair();
+    let Admission::Waiting(ticket) = claimant.admit_request(seconds(5), "w", 20) else {
+        panic!("the claimant holds no part");
+    };
+    let decided = claimant.end_wait(seconds(5) + Duration::from_millis(100), ticket);
+    let unanswered = AllowanceOutput::Unanswered { ticket };
+    assert!(decided.contains(&unanswered), "{decided:?}");
+}
--- a/crates/ebonystand/src/allowance_controller.rs
+++ b/crates/ebonystand/src/allowance_controller.rs
@@ -12,7 +12,15 @@
 pub(crate) struct AllowanceController {
     allowance: RefCell<Allowance>,
     changed: Notify,
-    waiting: RefCell<FxHashMap<TicketId, oneshot::Sender<Result<Reserved, Duration>>>>,
+    waiting: RefCell<FxHashMap<TicketId, oneshot::Sender<Result<Reserved, Denial>>>>,
+}
+
+/// Why a request gets no tokens.
+enum Denial {
+    /// The holders that answered have too few until the time given.
+    Exhausted { retry_after: Duration },
+    /// No holder answered in time.
+    Unanswered,
 }
 
 /// Tokens that a request holds. Dropped, those go back that were not [`Reserved::use_up`]. None are
@@ -34,6 +42,8 @@
     const LONGEST_SLEEP: Duration = Duration::from_secs(1);
     /// Shortest retry time told to a refused caller, who would otherwise come back in a loop.
     const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+    /// Retry time told to a caller whose request no holder has answered.
+    const UNANSWERED_RETRY: Duration = Duration::from_millis(200);
     /// Retry time told for what will never be granted.
     const NEVER: Duration = Duration::MAX;
 
@@ -42,6 +52,16 @@
         node: &Rc<Node>,
         workspace: &WorkspaceId,
         tokens: Tokens,
+    ) -> Result<Reserved, Refusal> {
+        Self::admit_within(node, workspace, tokens, Duration::MAX).await
+    }
+
+    /// Takes `tokens` of the workspace's allowance, or refuses after `max_wait` at the latest.
+    pub(crate) async fn admit_within(
+        node: &Rc<Node>,
+        workspace: &WorkspaceId,
+        tokens: Tokens,
+        max_wait: Duration,
     ) -> Result<Reserved, Refusal> {
         let this = &node.allowance;
         let now = node.clock.now();
@@ -52,10 +72,10 @@
         this.changed.notify_one();
         let answer = match admission {
             Admission::Granted(reservation) => Ok(Reserved::new(node, reservation)),
-            Admission::Refused { retry_after } => Err(retry_after),
-            Admission::Waiting(ticket) => Self::wait(node, ticket).await,
+            Admission::Refused { retry_after } => Err(Denial::Exhausted { retry_after }),
+            Admission::Waiting(ticket) => Self::wait(node, ticket, max_wait).await,
         };
-        answer.map_err(|retry_after| Self::refusal(node, workspace, retry_after))
+        answer.map_err(|denial| Self::refusal(node, workspace, &denial))
     }
 
     /// Notes that the configuration held here was the newest at `asked`.
@@ -157,7 +177,7 @@
         regions.collect::<Vec<_>>().join(", ")
     }
 
-    fn answer(&self, ticket: TicketId, answer: Result<Reserved, Duration>) {
+    fn answer(&self, ticket: TicketId, answer: Result<Reserved, Denial>) {
         let tx = self.waiting.borrow_mut().remove(&ticket);
         if let Some(tx) = tx {
             // A caller that has left drops the reservation unread, which gives it back.
@@ -165,8 +185,17 @@
         }
     }
 
-    fn refusal(node: &Node, workspace: &WorkspaceId, retry_after: Duration) -> Refusal {
+    fn refusal(node: &Node, workspace: &WorkspaceId, denial: &Denial) -> Refusal {
         let label = node.metrics.workspace(workspace);
+        let retry_after = match denial {
+            Denial::Exhausted { retry_after } => *retry_after,
+            Denial::Unanswered => {
+                node.metrics.allowance_silences.get_or_create(&label).inc();
+                let message = "no holder of the workspace's allowance has answered in time";
+                let refusal = Refusal::not_run(RefusalCode::NotReady, message);
+                return refusal.with_retry_after(Self::UNANSWERED_RETRY);
+            }
+        };
         node.metrics.allowance_refusals.get_or_create(&label).inc();
         if retry_after == Self::NEVER {
             let message =
@@ -190,7 +219,13 @@
                 AllowanceOutput::Refused {
                     retry_after,
                     ticket,
-                } => node.allowance.answer(ticket, Err(retry_after)),
+                } => {
+                    let denial = Denial::Exhausted { retry_after };
+                    node.allowance.answer(ticket, Err(denial));
+                }
+                AllowanceOutput::Unanswered { ticket } => {
+                    node.allowance.answer(ticket, Err(Denial::Unanswered));
+                }
                 AllowanceOutput::Send { message, to } => {
                     node.send(&to, PeerMessage::Allowance(message));
                 }
@@ -198,11 +233,24 @@
         }
     }
 
-    async fn wait(node: &Rc<Node>, ticket: TicketId) -> Result<Reserved, Duration> {
-        let (tx, rx) = oneshot::channel();
+    async fn wait(
+        node: &Rc<Node>,
+        ticket: TicketId,
+        max_wait: Duration,
+    ) -> Result<Reserved, Denial> {
+        let (tx, mut rx) = oneshot::channel();
         node.allowance.waiting.borrow_mut().insert(ticket, tx);
         let _waiting = Waiting { node, ticket };
-        rx.await.unwrap_or(Err(Self::NEVER))
+        let answer = match actix_rt::time::timeout(max_wait, &mut rx).await {
+            Ok(answer) => answer,
+            Err(_) => {
+                let now = node.clock.now();
+                let outputs = node.allowance.allowance.borrow_mut().end_wait(now, ticket);
+                Self::take(node, outputs);
+                rx.await
+            }
+        };
+        answer.unwrap_or(Err(Denial::Unanswered))
     }
 }
 
--- a/crates/ebonystand/src/gateway/serve_call.rs
+++ b/crates/ebonystand/src/gateway/serve_call.rs
@@ -392,17 +392,17 @@
             Err(_) => actix_rt::time::sleep(START_POLL_INTERVAL).await,
         }
     }
-    let admitted = AllowanceController::admit(node, &workspace.name, tokens);
-    let admitted = actix_rt::time::timeout(max_wait, admitted).await;
-    let exhausted = || {
-        let message = "the workspace has used its allowance, as far as it can be had in time";
-        Refusal::not_run(RefusalCode::AllowanceExhausted, message)
-    };
-    let reserved = admitted.unwrap_or_else(|_| Err(exhausted())).map_err(|mut refusal| {
-        log::info!(
-            workspace:% = workspace.name, tokens = tokens, rate = workspace.quota.map_or(0, |q| q.rate),
-            burst = workspace.quota.map_or(0, |q| q.burst); "over its quota"
-        );
+    let admitted = AllowanceController::admit_within(node, &workspace.name, tokens, max_wait);
+    let reserved = admitted.await.map_err(|mut refusal| {
+        let (rate, burst) = workspace.quota.map_or((0, 0), |quota| (quota.rate, quota.burst));
+        match refusal.code {
+            RefusalCode::AllowanceExhausted => {
+                log::info!(workspace:% = workspace.name, tokens = tokens, rate = rate, burst = burst; "over its quota");
+            }
+            _ => {
+                log::warn!(workspace:% = workspace.name, tokens = tokens, reason:% = refusal.message; "allowance not known");
+            }
+        }
         let delay = refusal.retry_after.unwrap_or(MAX_QUOTA_RETRY);
         refusal.retry_after = Some(delay.min(MAX_QUOTA_RETRY));
         refusal
--- a/crates/ebonystand/src/metrics.rs
+++ b/crates/ebonystand/src/metrics.rs
@@ -13,6 +13,7 @@
 /// What the users measure, and what an operator needs at night.
 pub(crate) struct Metrics {
     pub(crate) allowance_refusals: Family<WorkspaceLabel, Counter>,
+    pub(crate) allowance_silences: Family<WorkspaceLabel, Counter>,
     pub(crate) config_version: Gauge,
     pub(crate) cost: Counter,
     pub(crate) cut_services: Gauge,
@@ -101,6 +102,7 @@
         };
         let mut metrics = Self {
             allowance_refusals: Family::default(),
+            allowance_silences: Family::default(),
             config_version: Gauge::default(),
             cost: Counter::default(),
             cut_services: Gauge::default(),
@@ -154,6 +156,11 @@
             "Requests refused for want of allowance",
             self.allowance_refusals.clone(),
         );
+        r.register(
+            "allowance_silences",
+            "Requests refused because no holder of their allowance answered",
+            self.allowance_silences.clone(),
+        );
         r.register(
             "config_version",
             "Version of the configuration in force",
