Pass a scheduler of slots over only if it says nothing at all

Change: 120 ms for an answer; a request gives up by itself, and the scheduler is passed over only if nothing at all came meanwhile.

--- a/crates/ebonystand-core/src/gateway/mechanism.rs
+++ b/crates/ebonystand-core/src/gateway/mechanism.rs
@@ -24,6 +24,8 @@
     ReadingCosts,
     /// Import a prefix even if the engine would read it faster than import it.
     ShortImports,
+    /// Ask a scheduler of the region for a slot while room is short.
+    Slots,
     /// Use what other VMs report about the engines' caches.
     ToldCaches,
     /// Limit the work that waits in an engine.
--- a/crates/ebonystand-core/src/slots/scheduled_engine.rs
+++ b/crates/ebonystand-core/src/slots/scheduled_engine.rs
@@ -38,7 +38,7 @@
         self.slots
     }
 
-    /// Returns whether a slot is free. `known` is the load that the region's VMs have reported; the part of
+    /// Returns the number of free slots. `known` is the load that the region's VMs have reported; the part of
     /// it that this scheduler has not granted takes slots too.
     pub(crate) fn free_slots(&self, now: Duration, known: UnderWay) -> u32 {
         let peak = u32::try_from(self.granted_peak.peak(now)).unwrap_or(u32::MAX);
--- a/crates/ebonystand-core/src/slots/slot_client.rs
+++ b/crates/ebonystand-core/src/slots/slot_client.rs
@@ -16,8 +16,8 @@
 }
 
 impl SlotClient {
-    /// Time in which a scheduler must answer; some ten round trips within a region.
-    pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(40);
+    /// Time in which a scheduler must answer a request. A busy VM with an eighth of a core answers in 20 to 60 ms.
+    pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(120);
     /// Time for which a scheduler is passed over after a silence.
     pub const SILENCE_HOLD: Duration = Duration::from_secs(1);
     /// Time between two lists of what this VM holds.
@@ -229,27 +229,36 @@
         outputs
     }
 
-    /// Marks the schedulers that have not answered in time, for all requests.
+    /// Gives up the requests that a scheduler has not answered in time. One that has said nothing at all meanwhile
+    /// is passed over, and the requests that wait there are given up too.
     fn pass_over_silent(&mut self, now: Duration) -> Vec<SlotOutput> {
-        let asked = self.open.values().flat_map(|open| &open.asked);
-        let silent = asked.filter(|asked| match asked.answer {
-            SchedulerAnswer::Awaited { since } => now >= since + Self::ANSWER_TIMEOUT,
-            _ => false,
-        });
-        let silent = silent
-            .map(|asked| asked.vm.clone())
-            .collect::<BTreeSet<_>>();
-        if silent.is_empty() {
-            return Vec::new();
-        }
         let mut outputs = Vec::new();
+        let mut silent = BTreeSet::new();
         for (number, open) in &mut self.open {
-            for asked in open
-                .asked
-                .iter_mut()
-                .filter(|asked| silent.contains(&asked.vm))
-            {
-                if !matches!(asked.answer, SchedulerAnswer::Refused { .. }) {
+            for asked in &mut open.asked {
+                let SchedulerAnswer::Awaited { since } = asked.answer else {
+                    continue;
+                };
+                if now < since + Self::ANSWER_TIMEOUT {
+                    continue;
+                }
+                asked.answer = SchedulerAnswer::Silent;
+                outputs.push(send(&asked.vm, SlotMessage::End { number: *number }));
+                if self.heard.get(&asked.vm).is_none_or(|at| *at <= since) {
+                    silent.insert(asked.vm.clone());
+                }
+            }
+        }
+        if outputs.is_empty() {
+            return outputs;
+        }
+        for (number, open) in &mut self.open {
+            for asked in &mut open.asked {
+                let is_open = matches!(
+                    asked.answer,
+                    SchedulerAnswer::Awaited { .. } | SchedulerAnswer::Queued
+                );
+                if is_open && silent.contains(&asked.vm) {
                     asked.answer = SchedulerAnswer::Silent;
                     outputs.push(send(&asked.vm, SlotMessage::End { number: *number }));
                 }
--- a/crates/ebonystand-core/src/slots/slot_scheduler.rs
+++ b/crates/ebonystand-core/src/slots/slot_scheduler.rs
@@ -221,10 +221,8 @@
         let Some(queue) = self.queues.get(group) else {
             return Duration::ZERO;
         };
-        let engines = self
-            .engines
-            .values()
-            .filter(|engine| engine.group == *group);
+        let engines = self.engines.values();
+        let engines = engines.filter(|engine| engine.group == *group);
         let slots = engines.map(ScheduledEngine::slots).sum::<u32>().max(1);
         let ms = queue.work_ahead(begin_by, request) * self.hold_scale / f64::from(slots);
         Duration::from_secs_f64(ms / 1_000.0)
--- a/crates/ebonystand/src/gateway/slot_controller.rs
+++ b/crates/ebonystand/src/gateway/slot_controller.rs
@@ -2,9 +2,9 @@
 use {
     call::Call,
     ebonystand_core::{
-        ChoiceQuery, RankedEngine, RegionVm, SlotClient, SlotContention, SlotDecision, SlotEngine,
-        SlotMessage, SlotOutput, SlotPlan, SlotRequest, SlotScheduler, TargetChoice, UpstreamBook,
-        UpstreamKey, WorkspaceKey,
+        ChoiceQuery, Mechanism, RankedEngine, RegionVm, SlotClient, SlotContention, SlotDecision,
+        SlotEngine, SlotMessage, SlotOutput, SlotPlan, SlotRequest, SlotScheduler, TargetChoice,
+        UpstreamBook, UpstreamKey, WorkspaceKey,
     },
     node::Node,
     std::collections::{BTreeSet, VecDeque},
@@ -180,7 +180,7 @@
         query: &ChoiceQuery,
         choice: &TargetChoice,
     ) -> bool {
-        if book.is_direct() {
+        if book.is_direct() || !book.is_enabled(Mechanism::Slots) {
             return false;
         }
         let mut looks = self.contention.borrow_mut();
--- a/crates/ebonystand/tests/integration/main.rs
+++ b/crates/ebonystand/tests/integration/main.rs
@@ -16,6 +16,7 @@
 mod pauses;
 mod routes;
 mod scripted;
+mod slots;
 mod socket_owner;
 mod stand_in;
 mod unframed;
