--- a/crates/ebonystand/src/gateway/slot_controller.rs
+++ b/crates/ebonystand/src/gateway/slot_controller.rs
@@ -221,7 +221,11 @@
             begin_ms: as_ms(begin),
             engines: Vec::new(),
             hold_ms: as_ms(hold),
-            rank: if is_overdue { SlotRequest::OVERDUE_RANK } else { call.rank },
+            rank: if is_overdue {
+                SlotRequest::OVERDUE_RANK
+            } else {
+                call.rank
+            },
             start_ms: as_ms(start),
             workspace: WorkspaceKey::from(workspace),
         })
--- a/crates/ebonystand/tests/integration/main.rs
+++ b/crates/ebonystand/tests/integration/main.rs
@@ -18,6 +18,7 @@
 mod routes;
 mod scripted;
 mod slots;
+mod slow_readers;
 mod socket_owner;
 mod stand_in;
 mod unframed;
