--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -31,12 +31,11 @@
     prompt::{Prompt, PromptPart},
     quota::{Quota, QuotaUnit},
     reported_slots::ReportedSlots,
+    room_queue::{RoomQueue, RoomRequest, spread_return},
     route_table::RouteTable,
     routing::Routing,
     routing_fault::RoutingFault,
     service_latency::ServiceLatency,
-    slot_order::SlotOrder,
-    slot_request::SlotRequest,
     software_history::SoftwareHistory,
     software_rule::SoftwareRule,
     split_part::SplitPart,
@@ -46,15 +45,16 @@
     upstream_limit_error::UpstreamLimitError,
     upstream_list::UpstreamList,
     upstream_notice_status::UpstreamNoticeStatus,
-    weighted_fair_queue::WeightedFairQueue,
 };
 
+pub(crate) use work_window::WorkWindow;
+
 use {
     arrival_meter::ArrivalMeter, cold_start_limiter::ColdStartLimiter,
     event_gap_meter::EventGapMeter, ineligibility::Ineligibility, known_upstream::KnownUpstream,
     limit_share::LimitShare, named_limit::NamedLimit, path_health::PathHealth,
     region_budget::RegionBudget, send_pacer::SendPacer, sent_prefixes::SentPrefixes,
-    upstream_pause::UpstreamPause, work_window::WorkWindow, zone_health::ZoneHealth,
+    upstream_pause::UpstreamPause, zone_health::ZoneHealth,
 };
 
 mod answer_limit;
@@ -93,14 +93,13 @@
 mod quota;
 mod region_budget;
 mod reported_slots;
+mod room_queue;
 mod route_table;
 mod routing;
 mod routing_fault;
 mod send_pacer;
 mod sent_prefixes;
 mod service_latency;
-mod slot_order;
-mod slot_request;
 mod software_history;
 mod software_rule;
 mod split_part;
@@ -120,6 +119,6 @@
 mod upstream_pressure;
 mod upstream_room;
 mod upstream_shortlist;
-mod weighted_fair_queue;
+mod upstream_slots;
 mod work_window;
 mod zone_health;
--- a/crates/ebonystand-core/src/gateway/upstream_room.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_room.rs
@@ -9,8 +9,8 @@
     /// Returns the room that this region offers to the others for each service that has upstreams here. `is_engine`
     /// tells whether a service takes prompts.
     ///
-    /// While any request waits for room in this region, nothing is offered. A VM that has lost its path to the
-    /// upstreams of a service doesn't speak for it.
+    /// Requests that wait in this region keep as many slots. A VM that has lost its path to the upstreams of a service
+    /// doesn't speak for it.
     #[must_use]
     pub fn offer_room(
         &self,
@@ -27,10 +27,8 @@
             let reserve = u32::try_from(reserve).unwrap_or(u32::MAX);
             // The requests that other regions sent in the last period leave their slots in the next one.
             let returned = self.arrivals_from_regions(now, service).min(slots);
-            let offered = match self.waiting_requests(service) {
-                0 => free.slots.saturating_add(returned).saturating_sub(reserve),
-                _ => 0,
-            };
+            let kept = reserve.saturating_add(self.waiting_requests(service));
+            let offered = free.slots.saturating_add(returned).saturating_sub(kept);
             let per_slot = free.tokens / u64::from(free.slots.max(1));
             let room = OfferedRoom {
                 slots: offered,
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -3,14 +3,15 @@
     attempt::Attempt,
     ebonystand_core::{
         AnswerPause, AttemptEnd, CacheSource, ChoiceQuery, ColdTerms, Prompt, SoftwareRule,
-        SoftwareVersion, TargetChoice,
+        SoftwareVersion, TargetChoice, UpstreamKey,
     },
     node::Node,
     part_controller::PartQuery,
     path_watch::PathWatch,
     relay::Relay,
     request_content::RequestContent,
-    room_queues::RoomQueues,
+    room_queues::{RoomQueues, RoomTurn},
+    slot_hold::SlotHold,
     std::collections::BTreeSet,
 };
 
@@ -42,6 +43,8 @@
     pub(crate) request: Box<str>,
     pub(crate) service: Box<str>,
     pub(crate) software: CallSoftware,
+    /// Whether the call no longer asks for slots, because no scheduler answered.
+    pub(crate) unscheduled: bool,
     pub(crate) workspace: Option<WorkspaceId>,
 }
 
@@ -134,19 +137,24 @@
     /// Longest time to read the body of an upstream's error response.
     const FAILURE_BODY_TIMEOUT: Duration = Duration::from_millis(200);
 
-    /// Waits until an upstream may have room. Returns false if the wait is over before that. A
-    /// request that would start too late for its first-byte target is refused early, while its
-    /// caller still has time to retry.
-    pub(crate) async fn wait_for_room(&self, node: &Rc<Node>) -> bool {
-        let since = node.clock.now().saturating_sub(self.admitted);
+    /// Waits until an upstream may have room. A request that would start too late for its
+    /// first-byte target is refused early, while its caller still has time to retry: at once if its
+    /// turn would come too late.
+    pub(crate) async fn wait_for_room(&self, node: &Rc<Node>) -> RoomTurn {
+        let now = node.clock.now();
+        let since = now.saturating_sub(self.admitted);
         let max_wait = (self.aim * Self::ROOM_WAIT_PERMILLE / 1_000).saturating_sub(since);
         if max_wait.is_zero() {
-            return false;
+            return RoomTurn::Over;
         }
-        let prompt = self.prompt.as_ref();
-        let work = prompt.map_or(1, |prompt| prompt.input - prompt.shared_tokens());
-        let (rank, service) = (self.rank, &self.service);
-        RoomQueues::wait(node, service, rank, prompt.is_some(), work, max_wait).await
+        let hold = {
+            let document = node.document();
+            let none = BTreeSet::new();
+            let work = self.prompt.as_ref().map_or(0, Prompt::own_tokens);
+            let book = node.gateway.book.borrow();
+            book.expected_hold(now, &self.query(node, &document, &none), work)
+        };
+        RoomQueues::wait(node, self, hold, max_wait).await
     }
 
     /// Waits while the call or a part of its prompt is held back, and returns its refusal if it is quarantined.
@@ -230,12 +238,23 @@
         }
     }
 
+    /// Returns the choice to send the call to the engine that a scheduler has granted; `None` if the engine may
+    /// not get it any more.
+    pub(crate) fn granted_target(&self, node: &Node, engine: UpstreamKey) -> Option<TargetChoice> {
+        let now = node.clock.now();
+        let document = node.document();
+        let none = BTreeSet::new();
+        let book = node.gateway.book.borrow();
+        book.granted_target(now, &self.query(node, &document, &none), engine)
+    }
+
     /// Sends the call to an upstream of this region and waits up to `wait` for the first bytes of
     /// the answer.
     pub(crate) async fn send_here(
         &self,
         node: &Rc<Node>,
         to: &Destination,
+        slot: Option<SlotHold>,
         wait: Duration,
     ) -> Outcome {
         let Destination {
@@ -248,7 +267,7 @@
             let document = node.document();
             let none = BTreeSet::new();
             let query = self.query(node, &document, &none);
-            Attempt::begin(node, self, &query, to)
+            Attempt::begin(node, self, &query, to, slot)
         };
         let headers = || {
             let outgoing = OutgoingCall {
--- a/crates/ebonystand/src/metrics.rs
+++ b/crates/ebonystand/src/metrics.rs
@@ -17,6 +17,7 @@
     pub(crate) cost: Counter,
     pub(crate) cut_services: Gauge,
     pub(crate) dispatches: Family<DispatchLabels, Counter>,
+    pub(crate) early_refusals: Counter,
     pub(crate) first_token: Family<WorkspaceLabel, Histogram>,
     pub(crate) limit_refusals: Counter,
     pub(crate) limited_upstreams: Gauge,
@@ -33,6 +34,8 @@
     pub(crate) retry_grants: Family<GrantLabel, Counter>,
     pub(crate) sent_away: Counter,
     pub(crate) sent_beside: Counter,
+    pub(crate) slot_waiting: Gauge,
+    pub(crate) slots: Family<SlotLabel, Counter>,
     pub(crate) stream_origins: Gauge,
     pub(crate) stream_resumptions: Family<ResumptionLabel, Counter>,
     pub(crate) streams: Gauge,
@@ -77,6 +80,12 @@
     pub(crate) service: String,
 }
 
+/// How a request's wait for a slot ended.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct SlotLabel {
+    pub(crate) outcome: String,
+}
+
 /// Workspace that a figure belongs to.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct WorkspaceLabel {
@@ -112,6 +121,7 @@
             cost: Counter::default(),
             cut_services: Gauge::default(),
             dispatches: Family::default(),
+            early_refusals: Counter::default(),
             first_token: Family::new_with_constructor(histogram),
             limit_refusals: Counter::default(),
             limited_upstreams: Gauge::default(),
@@ -128,6 +138,8 @@
             retry_grants: Family::default(),
             sent_away: Counter::default(),
             sent_beside: Counter::default(),
+            slot_waiting: Gauge::default(),
+            slots: Family::default(),
             stream_origins: Gauge::default(),
             stream_resumptions: Family::default(),
             streams: Gauge::default(),
@@ -182,6 +194,11 @@
             "Requests sent to upstreams",
             self.dispatches.clone(),
         );
+        r.register(
+            "early_refusals",
+            "Requests refused at once because their turn for room would come too late",
+            self.early_refusals.clone(),
+        );
         r.register(
             "first_token_seconds",
             "Time to the first byte of an answer",
@@ -258,6 +275,16 @@
             "Requests sent to another VM of the region, because this one reaches no upstream",
             self.sent_beside.clone(),
         );
+        r.register(
+            "slot_waiting",
+            "Requests of all VMs that wait for a slot of the engines that this VM schedules",
+            self.slot_waiting.clone(),
+        );
+        r.register(
+            "slots",
+            "Requests of this VM that asked a scheduler for a slot, by what became of it",
+            self.slots.clone(),
+        );
         r.register(
             "stream_origins",
             "Streams of which this VM holds the software version that began them",
