--- a/crates/ebonystand-core/tests/gateway/main.rs
+++ b/crates/ebonystand-core/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod cut_path;
 mod directory;
+mod hot_part;
 mod limits;
 mod list;
 mod load;
