--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -31,11 +31,11 @@
     prompt::{Prompt, PromptPart},
     quota::{Quota, QuotaUnit},
     reported_slots::ReportedSlots,
+    room_queue::{RoomQueue, RoomRequest, spread_return},
     route_table::RouteTable,
     routing::Routing,
     routing_fault::RoutingFault,
     service_latency::ServiceLatency,
-    slot_order::SlotOrder,
     software_history::SoftwareHistory,
     software_rule::SoftwareRule,
     split_part::SplitPart,
@@ -45,8 +45,6 @@
     upstream_limit_error::UpstreamLimitError,
     upstream_list::UpstreamList,
     upstream_notice_status::UpstreamNoticeStatus,
-    waiting_request::WaitingRequest,
-    weighted_fair_queue::WeightedFairQueue,
 };
 
 pub(crate) use work_window::WorkWindow;
@@ -97,13 +95,13 @@
 mod quota;
 mod region_budget;
 mod reported_slots;
+mod room_queue;
 mod route_table;
 mod routing;
 mod routing_fault;
 mod send_pacer;
 mod sent_prefixes;
 mod service_latency;
-mod slot_order;
 mod software_history;
 mod software_rule;
 mod split_part;
@@ -124,7 +122,5 @@
 mod upstream_room;
 mod upstream_shortlist;
 mod upstream_slots;
-mod waiting_request;
-mod weighted_fair_queue;
 mod work_window;
 mod zone_health;
--- a/crates/ebonystand-core/tests/gateway/load.rs
+++ b/crates/ebonystand-core/tests/gateway/load.rs
@@ -81,30 +81,3 @@
     let share = share_in_time(capacity * 3 / 4, true);
     assert!(share > 0.95, "{share}");
 }
-
-/// Requests of the first rank arrive without a pause. The next rank must still get its share.
-#[test]
-fn a_rank_without_end_leaves_the_next_one_its_part() {
-    let mut queue = WeightedFairQueue::default();
-    let mut served = [0_u32; 2];
-    for number in 0..1_000 {
-        queue.push(number * 2, 0, 2_000);
-        queue.push(number * 2 + 1, 1, 2_000);
-        let first = queue.pop().expect("a request");
-        served[(first % 2) as usize] += 1;
-    }
-    assert!(served[0] > served[1], "{served:?}");
-    assert!(served[1] > 300, "{served:?}");
-}
-
-#[test]
-fn a_queue_is_bounded_and_forgets_who_gives_up() {
-    let mut queue = WeightedFairQueue::default();
-    let taken = (0..2_000)
-        .filter(|number| queue.push(*number, 0, 1))
-        .count();
-    assert_eq!(taken, WeightedFairQueue::MAX_WAITING);
-    queue.remove(0);
-    assert_eq!(queue.peek(), Some((1, 1)));
-    assert_eq!(queue.pop(), Some(1));
-}
--- a/crates/ebonystand-core/tests/gateway/region_room.rs
+++ b/crates/ebonystand-core/tests/gateway/region_room.rs
@@ -245,11 +245,12 @@
     assert_eq!(tells(&book), (0, 0));
 }
 
-/// While a request waits for room on any VM of the region, the region offers nothing.
+/// Requests that wait for room on any VM of the region keep as many slots: once they take all, the region offers
+/// nothing.
 #[rstest]
 #[case::here(true)]
 #[case::at_another_vm(false)]
-fn a_region_whose_requests_wait_offers_nothing(#[case] is_here: bool) {
+fn requests_that_wait_keep_their_slots(#[case] is_here: bool) {
     let vms = || region_vms(["vm".into(), "vm1".into()]);
     let upstreams = || vec![listed("u1", "a-1", 1)];
     let (mut book, mut other) = (book_of("vm", upstreams()), book_of("vm1", upstreams()));
@@ -257,15 +258,18 @@
     other.set_vms(ms(0), &vms());
     let offered = |book: &UpstreamBook| book.offer_room(ms(10), &BTreeSet::new(), |_| true)[0].1;
     assert!(offered(&book).slots > 50 && offered(&book).tokens > 1_000);
-    match is_here {
-        true => book.set_waiting("s", 1),
-        false => {
-            other.set_waiting("s", 1);
-            for (_, message) in other.build_load_messages(ms(5)) {
-                book.receive_load_message(ms(6), &"vm1".into(), message);
+    let before = offered(&book).slots;
+    for (waiting, left) in [(5, before - 5), (100, 0)] {
+        match is_here {
+            true => book.set_waiting("s", waiting),
+            false => {
+                other.set_waiting("s", waiting);
+                for (_, message) in other.build_load_messages(ms(5)) {
+                    book.receive_load_message(ms(6), &"vm1".into(), message);
+                }
             }
         }
+        assert_eq!(offered(&book).slots, left);
     }
-    assert_eq!(offered(&book), OfferedRoom::default());
-    book.set_waiting("s", 0);
+    assert_eq!(offered(&book).tokens, 0);
 }
--- a/crates/ebonystand/src/gateway/admitted.rs
+++ b/crates/ebonystand/src/gateway/admitted.rs
@@ -3,12 +3,14 @@
     allowance_controller::Reserved,
     call::{Call, Destination, Outcome},
     ebonystand_core::{
-        AttemptEnd, CallKind, GatewayRoute, NextStep, Prompt, StreamKey, StreamOrigin, TargetChoice,
+        AttemptEnd, CallKind, GatewayRoute, NextStep, Prompt, StreamKey, StreamOrigin,
+        TargetChoice, spread_return,
     },
     in_flight::InFlight,
     node::Node,
     relay::RequestResources,
     retry_permit::RetryPermit,
+    room_queues::RoomTurn,
     serve_call::{UNCONFIRMED_RETRY, unconfirmed_refusal},
     slot_turn::SlotTurn,
 };
@@ -100,9 +102,14 @@
                     return Err(refusal.with_retry_after(retry_after + spread));
                 }
                 TargetChoice::NoRoom { predicted } => {
-                    if self.call.wait_for_room(node).await {
-                        continue;
-                    }
+                    let wait = match self.call.wait_for_room(node).await {
+                        RoomTurn::Come => continue,
+                        RoomTurn::Over => predicted.min(self.call.aim),
+                        RoomTurn::TooLate(wait) => {
+                            node.metrics.early_refusals.inc();
+                            wait
+                        }
+                    };
                     let message = match self.count_limit_refusal(node) {
                         true => {
                             "no upstream can begin it in time; some have used up the limit that they name"
@@ -110,7 +117,7 @@
                         false => "all upstreams have as much as they can begin in time",
                     };
                     let refusal = self.refusal(RefusalCode::Overloaded, message);
-                    return Err(refusal.with_retry_after(self.retry_delay(node, predicted)));
+                    return Err(refusal.with_retry_after(self.retry_delay(node, wait)));
                 }
                 TargetChoice::Upstream {
                     address,
@@ -279,10 +286,11 @@
         checked.map_err(|refusal| self.with_run_state(refusal))
     }
 
-    /// Delay after which a caller refused for lack of room is asked to retry: the predicted wait,
-    /// at most the first-byte target, plus [`Self::retry_spread`].
-    fn retry_delay(&self, node: &Node, predicted: Duration) -> Duration {
-        predicted.min(self.call.aim) + self.retry_spread(node)
+    /// Delay after which a caller refused for lack of room is asked to retry, if room is expected
+    /// after `wait`.
+    fn retry_delay(&self, node: &Node, wait: Duration) -> Duration {
+        let left = self.call.remaining_time(node);
+        spread_return(wait, self.call.aim, left, node.gateway.draw())
     }
 
     /// Random part of the first-byte target, so that refused callers don't return all at once.
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -10,7 +10,7 @@
     path_watch::PathWatch,
     relay::Relay,
     request_content::RequestContent,
-    room_queues::RoomQueues,
+    room_queues::{RoomQueues, RoomTurn},
     slot_hold::SlotHold,
     std::collections::BTreeSet,
 };
@@ -139,19 +139,24 @@
     /// Longest time to read the body of an upstream's error response.
     const FAILURE_BODY_TIMEOUT: Duration = Duration::from_millis(200);
 
-    /// Waits until an upstream may have room. Returns false if the wait is over before that. A
-    /// request that would start too late for its first-byte target is refused early, while its
-    /// caller still has time to retry.
-    pub(crate) async fn wait_for_room(&self, node: &Rc<Node>) -> bool {
-        let since = node.clock.now().saturating_sub(self.admitted);
+    /// Waits until an upstream may have room. A request that would start too late for its
+    /// first-byte target is refused early, while its caller still has time to retry: at once if its
+    /// turn would come too late.
+    pub(crate) async fn wait_for_room(&self, node: &Rc<Node>) -> RoomTurn {
+        let now = node.clock.now();
+        let since = now.saturating_sub(self.admitted);
         let max_wait = (self.aim * Self::ROOM_WAIT_PERMILLE / 1_000).saturating_sub(since);
         if max_wait.is_zero() {
-            return false;
+            return RoomTurn::Over;
         }
-        let prompt = self.prompt.as_ref();
-        let work = prompt.map_or(1, |prompt| prompt.input - prompt.shared_tokens());
-        let (rank, service) = (self.rank, &self.service);
-        RoomQueues::wait(node, service, rank, prompt.is_some(), work, max_wait).await
+        let hold = {
+            let document = node.document();
+            let none = BTreeSet::new();
+            let work = self.prompt.as_ref().map_or(0, Prompt::own_tokens);
+            let book = node.gateway.book.borrow();
+            book.expected_hold(now, &self.query(node, &document, &none), work)
+        };
+        RoomQueues::wait(node, self, hold, max_wait).await
     }
 
     /// Waits while the call or a part of its prompt is held back, and returns its refusal if it is quarantined.
--- a/crates/ebonystand/src/gateway/receive_forward.rs
+++ b/crates/ebonystand/src/gateway/receive_forward.rs
@@ -9,6 +9,7 @@
     node::Node,
     relay::RequestResources,
     retry_permit::RetryPermit,
+    room_queues::RoomTurn,
     slot_turn::SlotTurn,
     std::collections::BTreeSet,
 };
@@ -198,7 +199,10 @@
         .book
         .borrow()
         .is_enabled(Mechanism::ForwardedWait);
-    while waits && matches!(choice, TargetChoice::NoRoom { .. }) && call.wait_for_room(node).await {
+    while waits
+        && matches!(choice, TargetChoice::NoRoom { .. })
+        && call.wait_for_room(node).await == RoomTurn::Come
+    {
         if let Err(refusal) = call.check_quarantine(node).await {
             return (quarantined_outcome(call, &refusal), None);
         }
--- a/crates/ebonystand/src/gateway/room_queues.rs
+++ b/crates/ebonystand/src/gateway/room_queues.rs
@@ -1,6 +1,7 @@
 use super::*;
 use {
-    ebonystand_core::WeightedFairQueue,
+    call::Call,
+    ebonystand_core::{Prompt, RoomQueue, RoomRequest},
     node::Node,
     tokio::sync::oneshot::{Receiver, Sender, channel},
 };
@@ -9,21 +10,26 @@
 #[derive(Default)]
 pub(crate) struct RoomQueues {
     entered: tokio::sync::Notify,
-    next: Cell<u64>,
-    queues: RefCell<FxHashMap<Box<str>, WeightedFairQueue>>,
-    waiting: RefCell<FxHashMap<u64, Waiting>>,
+    next: Cell<u32>,
+    queues: RefCell<FxHashMap<Box<str>, RoomQueue>>,
+    waiting: RefCell<FxHashMap<u32, Sender<()>>>,
 }
 
-/// A waiting request and the channel that ends its wait.
-struct Waiting {
-    is_engine: bool,
-    tx: Sender<()>,
+/// How a request's wait for room ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum RoomTurn {
+    /// An upstream may have room.
+    Come,
+    /// The longest wait is over.
+    Over,
+    /// The turn would come too late, after this time.
+    TooLate(Duration),
 }
 
 /// Place of a request in a queue. Dropping it removes the request from the queue.
 struct QueuePlace<'a> {
     node: &'a Node,
-    number: u64,
+    number: u32,
     service: &'a str,
 }
 
@@ -33,57 +39,52 @@
     /// time.
     const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-    /// Waits up to `max_wait` for the request's turn and returns whether it came.
+    /// Waits up to `max_wait` for the request's turn, unless that would come later.
     pub(crate) async fn wait(
         node: &Rc<Node>,
-        service: &str,
-        rank: u8,
-        is_engine: bool,
-        work: u64,
+        call: &Call,
+        hold: Duration,
         max_wait: Duration,
-    ) -> bool {
-        let Some((number, rx)) = node
-            .gateway
-            .room_queues
-            .enqueue(node, service, rank, is_engine, work)
-        else {
-            return false;
+    ) -> RoomTurn {
+        let (number, rx) = match Self::enqueue(node, call, hold, max_wait) {
+            Ok(place) => place,
+            Err(wait) => return RoomTurn::TooLate(wait),
         };
         let _place = QueuePlace {
             node,
             number,
-            service,
+            service: &call.service,
         };
-        matches!(actix_rt::time::timeout(max_wait, rx).await, Ok(Ok(())))
+        match actix_rt::time::timeout(max_wait, rx).await {
+            Ok(Ok(())) => RoomTurn::Come,
+            _ => RoomTurn::Over,
+        }
     }
 
-    /// Releases the first request of each queue if an upstream has room for it.
+    /// Releases the first request of each queue for which an upstream has room.
     pub(crate) fn advance(node: &Node) {
         let this = &node.gateway.room_queues;
         if this.waiting.borrow().is_empty() {
             return;
         }
         let now = node.clock.now();
+        let table = node.gateway.table();
         let mut queues = this.queues.borrow_mut();
         for (service, queue) in queues.iter_mut() {
-            let Some((number, work)) = queue.peek() else {
-                continue;
+            let known = table.service(service);
+            let is_engine = known.is_some_and(|service| service.engine.is_some());
+            let taken = {
+                let book = node.gateway.book.borrow();
+                queue.take(now, |work| book.has_room(now, service, is_engine, work))
             };
-            let mut waiting = this.waiting.borrow_mut();
-            let is_engine = waiting
-                .get(&number)
-                .is_some_and(|waiting| waiting.is_engine);
-            let book = node.gateway.book.borrow();
-            if !book.has_room(now, service, is_engine, work) {
+            let Some(number) = taken else {
                 continue;
-            }
-            queue.pop();
-            drop(book);
+            };
             Self::record_waiting(node, service, queue);
-            if let Some(waiting) = waiting.remove(&number) {
+            if let Some(tx) = this.waiting.borrow_mut().remove(&number) {
                 // The send fails if the request stopped waiting meanwhile; the next check then
                 // releases another one.
-                let _ = waiting.tx.send(());
+                let _ = tx.send(());
             }
         }
     }
@@ -101,34 +102,40 @@
     }
 
     /// Tells the book how many requests wait for a service.
-    fn record_waiting(node: &Node, service: &str, queue: &WeightedFairQueue) {
+    fn record_waiting(node: &Node, service: &str, queue: &RoomQueue) {
         let waiting = u32::try_from(queue.len()).unwrap_or(u32::MAX);
         node.gateway.book.borrow_mut().set_waiting(service, waiting);
     }
 
-    /// Adds a request to the queue of its service; `None` if the queue rejects it.
+    /// Adds a request to the queue of its service. If its turn would come too late, returns the time until then.
     fn enqueue(
-        &self,
         node: &Node,
-        service: &str,
-        rank: u8,
-        is_engine: bool,
-        work: u64,
-    ) -> Option<(u64, Receiver<()>)> {
-        let number = self.next.get();
-        self.next.set(number + 1);
-        let mut queues = self.queues.borrow_mut();
-        let queue = queues.entry(service.into()).or_default();
-        if !queue.push(number, rank, work) {
-            return None;
-        }
-        Self::record_waiting(node, service, queue);
+        call: &Call,
+        hold: Duration,
+        max_wait: Duration,
+    ) -> Result<(u32, Receiver<()>), Duration> {
+        let this = &node.gateway.room_queues;
+        let number = this.next.get();
+        this.next.set(number.wrapping_add(1));
+        let mut queues = this.queues.borrow_mut();
+        let queue = queues
+            .entry(call.service.clone())
+            .or_insert_with(|| RoomQueue::new(node.settings.vm.clone()));
+        let request = RoomRequest {
+            begin_by: call.arrived + call.aim,
+            hold,
+            max_wait,
+            number,
+            rank: call.rank,
+            work: call.prompt.as_ref().map_or(1, Prompt::own_tokens),
+            workspace: call.workspace.as_deref(),
+        };
+        queue.push(node.clock.now(), request)?;
+        Self::record_waiting(node, &call.service, queue);
         let (tx, rx) = channel();
-        self.waiting
-            .borrow_mut()
-            .insert(number, Waiting { is_engine, tx });
-        self.entered.notify_one();
-        Some((number, rx))
+        this.waiting.borrow_mut().insert(number, tx);
+        this.entered.notify_one();
+        Ok((number, rx))
     }
 }
 
--- a/crates/ebonystand/src/metrics.rs
+++ b/crates/ebonystand/src/metrics.rs
@@ -20,6 +20,7 @@
     pub(crate) cost: Counter,
     pub(crate) cut_services: Gauge,
     pub(crate) dispatches: Family<DispatchLabels, Counter>,
+    pub(crate) early_refusals: Counter,
     pub(crate) first_token: Family<WorkspaceLabel, Histogram>,
     pub(crate) limit_refusals: Counter,
     /// Bytes that callers have not accepted yet.
@@ -129,6 +130,7 @@
             cost: Counter::default(),
             cut_services: Gauge::default(),
             dispatches: Family::default(),
+            early_refusals: Counter::default(),
             first_token: Family::new_with_constructor(histogram),
             limit_refusals: Counter::default(),
             limited_upstreams: Gauge::default(),
@@ -221,6 +223,11 @@
             "Requests sent to upstreams",
             self.dispatches.clone(),
         );
+        r.register(
+            "early_refusals",
+            "Requests refused at once because their turn for room would come too late",
+            self.early_refusals.clone(),
+        );
         r.register(
             "first_token_seconds",
             "Time to the first byte of an answer",
