Heed what upstreams tell of their speed now, and learn lasting speeds

Cause: the fourth figure of an upstream's load, how long work takes now, was dropped, so that an engine that is slow for 600 ms was found when its answers were late; each VM learned reading speeds from its own prompts only.

Change: the figure counts for 600 ms in the predicted time of prompts and plain calls; VMs tell one another of slow upstreams and of samples of reading speed (a new load message, bounded); relays tell all that they know, so that a VM that starts knows the speeds. Where an upstream tells the figure, the other VMs' prompts there count as the mean of the last report and of the last second. Status lines, a metric, and what the engines of a region can read in a given time.

Without figures, choices are those of before, one by one. Gateway tests of the core crate: 253 passed; decoding tests: 60 passed. The other tests of the core crate were not run.

--- a/crates/ebonystand-core/src/gateway/known_upstream.rs
+++ b/crates/ebonystand-core/src/gateway/known_upstream.rs
@@ -31,8 +31,17 @@
     pub(crate) last_report: Option<(Duration, ReportedSlots)>,
     /// Requests sent by this VM since the last load report.
     pub(crate) sent_since_report: u32,
-    /// Smoothed number of prompt tokens that the engine reads per millisecond.
-    pub(crate) reading_speed: f64,
+    /// Smoothed number of prompt tokens that the engine reads per millisecond, by this VM's prompts.
+    pub(crate) own_reading_speed: f64,
+    /// Reading speed by the prompts of all VMs of the region.
+    pub(crate) learned_speed: LearnedSpeed,
+    /// Average of the prompt tokens that the other VMs have in flight and that wait to be read; kept
+    /// only for an upstream that tells how long work takes.
+    pub(crate) others_unread: SmoothedRate,
+    /// How long work takes now.
+    pub(crate) momentary_speed: MomentarySpeed,
+    /// This VM's prompts whose answers have not begun.
+    pub(crate) sent_reads: Vec<SentRead>,
     /// Smoothed share of requests that the upstream itself fails, from 0 to 1.
     pub(crate) failure_rate: f64,
     /// Timeouts and failed connections since the last answer.
@@ -95,7 +104,11 @@
             region,
             last_report: None,
             sent_since_report: 0,
-            reading_speed: Self::INITIAL_READING_SPEED,
+            own_reading_speed: Self::INITIAL_READING_SPEED,
+            learned_speed: LearnedSpeed::default(),
+            others_unread: SmoothedRate::default(),
+            momentary_speed: MomentarySpeed::default(),
+            sent_reads: Vec::new(),
             failure_rate: 0.0,
             consecutive_failures: 0,
             backoff_until: Duration::ZERO,
@@ -153,12 +166,55 @@
         let slots = self.listed.slots.max(1);
         let waiting = (self.pending_requests(now, others) + 1).saturating_sub(slots);
         // On average, a slot becomes free once per call duration divided by the number of slots.
-        self.reading_time(work) + self.call_duration / slots * waiting
+        let usual = self.usual_reading_time(work) + self.call_duration / slots * waiting;
+        self.momentary_speed.stretch(now, usual)
     }
 
-    /// Returns the time that the engine takes to read `tokens` prompt tokens.
-    pub(crate) fn reading_time(&self, tokens: Tokens) -> Duration {
-        Duration::from_secs_f64(tokens as f64 / self.reading_speed / 1_000.0)
+    /// Returns the time that the engine takes to read `tokens` prompt tokens from now on.
+    pub(crate) fn reading_time(&self, now: Duration, tokens: Tokens) -> Duration {
+        let usual = self.usual_reading_time(tokens);
+        self.momentary_speed.stretch(now, usual)
+    }
+
+    /// Returns the time that the engine usually takes to read `tokens` prompt tokens.
+    pub(crate) fn usual_reading_time(&self, tokens: Tokens) -> Duration {
+        Duration::from_secs_f64(tokens as f64 / self.own_reading_speed / 1_000.0)
+    }
+
+    /// Returns the number of prompt tokens that the engine usually reads per millisecond, by the
+    /// prompts of all VMs if others have told enough.
+    ///
+    /// Choices among engines rest on the VM's own measure instead: with equal knowledge of the
+    /// fastest engines, all VMs would send there at once, before they hear of one another.
+    pub(crate) fn lasting_speed(&self) -> f64 {
+        self.learned_speed
+            .per_ms()
+            .unwrap_or(self.own_reading_speed)
+    }
+
+    /// Returns whether work takes about as long as usual now, as far as this VM knows.
+    pub(crate) fn is_usual_now(&self, now: Duration) -> bool {
+        let time = self.momentary_speed.current(now);
+        time.is_none_or(|(time, _)| time.is_usual())
+    }
+
+    /// Records that a prompt of `unread` tokens is about to be sent; `others` are the requests of the
+    /// other VMs.
+    pub(crate) fn record_sent_read(&mut self, now: Duration, unread: Tokens, others: UnderWay) {
+        let is_sound = self.has_free_slot(now, true, others) && self.is_usual_now(now);
+        self.sent_reads.push(SentRead {
+            is_sound,
+            sent_at: now,
+            unread,
+        });
+    }
+
+    /// Takes the prompt of `unread` tokens that was sent at or next to `sent_at`.
+    pub(crate) fn take_sent_read(&mut self, sent_at: Duration, unread: Tokens) -> Option<SentRead> {
+        let sent = self.sent_reads.iter().enumerate();
+        let sent = sent.filter(|(_, sent)| sent.unread == unread);
+        let (index, _) = sent.min_by_key(|(_, sent)| sent.sent_at.abs_diff(sent_at))?;
+        Some(self.sent_reads.swap_remove(index))
     }
 
     /// Returns whether there is a slot and, for an engine, whether its work window fits `work` more
@@ -185,7 +241,8 @@
     pub(crate) fn predict_call_duration(&self, now: Duration, others: UnderWay) -> Duration {
         let slots = self.listed.slots.max(1);
         let turns = 1.0 + f64::from(self.pending_requests(now, others)) / f64::from(slots);
-        self.call_duration.mul_f64(turns)
+        let usual = self.call_duration.mul_f64(turns);
+        self.momentary_speed.stretch(now, usual)
     }
 
     /// Updates the failure rate with an attempt that the upstream failed or did not fail. An
@@ -234,8 +291,8 @@
         }
         let sample = work as f64 / took.as_secs_f64() / 1_000.0;
         let sample = sample.clamp(1.0, 1_000.0);
-        self.reading_speed =
-            self.reading_speed * (1.0 - Self::SMOOTHING) + sample * Self::SMOOTHING;
+        self.own_reading_speed =
+            self.own_reading_speed * (1.0 - Self::SMOOTHING) + sample * Self::SMOOTHING;
     }
 
     /// Returns the earliest time at which the limit of the upstream permits this VM's next request;
--- a/crates/ebonystand-core/src/gateway/mechanism.rs
+++ b/crates/ebonystand-core/src/gateway/mechanism.rs
@@ -26,6 +26,8 @@
     ShortImports,
     /// Use what other VMs report about the engines' caches.
     ToldCaches,
+    /// Use what upstreams and other VMs tell of the upstreams' speeds.
+    ToldSpeeds,
     /// Limit the work that waits in an engine.
     Windows,
 }
--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -7,6 +7,7 @@
     answer_limit::AnswerLimit,
     answer_pause::AnswerPause,
     answer_pause_error::AnswerPauseError,
+    answer_work_time::AnswerWorkTime,
     attempt_end::AttemptEnd,
     call_kind::CallKind,
     choice_query::ChoiceQuery,
@@ -29,6 +30,7 @@
     path_health::ProbeOutcome,
     prompt::{Prompt, PromptPart},
     quota::{Quota, QuotaUnit},
+    reading_speed::ReadingSpeed,
     reported_slots::ReportedSlots,
     route_table::RouteTable,
     routing::Routing,
@@ -43,20 +45,24 @@
     upstream_limit_error::UpstreamLimitError,
     upstream_list::UpstreamList,
     upstream_notice_status::UpstreamNoticeStatus,
+    upstream_speed_status::UpstreamSpeedStatus,
     weighted_fair_queue::WeightedFairQueue,
+    work_time::WorkTime,
 };
 
 use {
     cold_start_limiter::ColdStartLimiter, event_gap_meter::EventGapMeter,
-    ineligibility::Ineligibility, known_upstream::KnownUpstream, limit_share::LimitShare,
-    named_limit::NamedLimit, path_health::PathHealth, send_pacer::SendPacer,
-    sent_prefixes::SentPrefixes, upstream_pause::UpstreamPause, work_window::WorkWindow,
+    ineligibility::Ineligibility, known_upstream::KnownUpstream, learned_speed::LearnedSpeed,
+    limit_share::LimitShare, momentary_speed::MomentarySpeed, named_limit::NamedLimit,
+    path_health::PathHealth, send_pacer::SendPacer, sent_prefixes::SentPrefixes,
+    sent_read::SentRead, upstream_pause::UpstreamPause, work_window::WorkWindow,
     zone_health::ZoneHealth,
 };
 
 mod answer_limit;
 mod answer_pause;
 mod answer_pause_error;
+mod answer_work_time;
 mod attempt_end;
 mod call_kind;
 mod choice_query;
@@ -72,6 +78,7 @@
 mod ineligibility;
 mod ineligible_upstreams;
 mod known_upstream;
+mod learned_speed;
 mod limit_share;
 mod list_mismatch;
 mod list_reader_election;
@@ -80,18 +87,21 @@
 mod listed_upstream;
 mod live_vms;
 mod mechanism;
+mod momentary_speed;
 mod named_limit;
 mod next_step;
 mod path_health;
 mod prompt;
 mod prompt_placement;
 mod quota;
+mod reading_speed;
 mod reported_slots;
 mod route_table;
 mod routing;
 mod routing_fault;
 mod send_pacer;
 mod sent_prefixes;
+mod sent_read;
 mod service_latency;
 mod software_history;
 mod software_rule;
@@ -111,6 +121,9 @@
 mod upstream_pause;
 mod upstream_pressure;
 mod upstream_shortlist;
+mod upstream_speed_status;
+mod upstream_speeds;
 mod weighted_fair_queue;
+mod work_time;
 mod work_window;
 mod zone_health;
--- a/crates/ebonystand-core/src/gateway/prompt_placement.rs
+++ b/crates/ebonystand-core/src/gateway/prompt_placement.rs
@@ -76,7 +76,7 @@
             true => Self::ALWAYS_IMPORTED_WITHIN,
             false => Duration::ZERO,
         };
-        let is_worth_it = tokens == 0 || import_time < known.reading_time(tokens).max(within);
+        let is_worth_it = tokens == 0 || import_time < known.usual_reading_time(tokens).max(within);
         is_worth_it.then_some((source, tokens, import_time))
     }
 
--- a/crates/ebonystand-core/src/gateway/reported_slots.rs
+++ b/crates/ebonystand-core/src/gateway/reported_slots.rs
@@ -1,3 +1,5 @@
+use super::*;
+
 /// Load that an upstream reports along with an answer.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct ReportedSlots {
@@ -7,4 +9,6 @@
     pub slots: u32,
     /// Requests that wait in the upstream's own queue.
     pub waiting: u32,
+    /// Time that work takes at the upstream now.
+    pub work_time: AnswerWorkTime,
 }
--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -21,6 +21,10 @@
     pub(super) busy: BTreeSet<UpstreamId>,
     /// Upstreams of which a limit is or was lately known.
     pub(super) limited: BTreeSet<UpstreamId>,
+    /// Last engine whose known reading this VM has told in the present round, if there is one.
+    pub(super) last_known_speed: Option<UpstreamId>,
+    /// Time from which this VM, as a relay, tells all that it knows of engines' reading.
+    pub(super) next_known_speeds: Duration,
     /// Upstreams that have announced a pause or their leaving in an answer.
     pub(super) noticed: BTreeSet<UpstreamId>,
     /// Software versions of each service that the lists have shown.
@@ -75,6 +79,8 @@
             list_scope: ListScope::default(),
             busy: BTreeSet::new(),
             limited: BTreeSet::new(),
+            last_known_speed: None,
+            next_known_speeds: Duration::ZERO,
             noticed: BTreeSet::new(),
             software: SoftwareHistory::new(Self::DEFAULT_READ_INTERVAL),
             upstreams: BTreeMap::new(),
@@ -180,13 +186,16 @@
         first_byte_target: Duration,
         waited: Option<Duration>,
     ) {
+        self.measure_read(now, instance, unread, waited);
         let Some(known) = self.upstreams.get_mut(instance) else {
             return;
         };
         if let Some(waited) = waited {
             known.pause = known.pause.filter(|pause| !pause.remaining(now).is_zero());
             let others = self.exchange.load_at(known.key).unread;
-            known.measure_reading(known.work_window.used().max(unread) + others, waited);
+            if known.is_usual_now(now) {
+                known.measure_reading(known.work_window.used().max(unread) + others, waited);
+            }
             let target = first_byte_target * Self::START_TARGET_PERMILLE / 1_000;
             known
                 .work_window
@@ -252,6 +261,10 @@
                 return Vec::new();
             }
             LoadMessage::Limits { news } => return self.receive_limits(now, from, news),
+            LoadMessage::Speeds { news } => {
+                self.receive_speeds(now, from, news);
+                return Vec::new();
+            }
             _ => {}
         }
         if let LoadMessage::Region {
@@ -285,6 +298,8 @@
         self.caches.remove_expired(now);
         self.expire_shares(now);
         self.report_limits_again(now);
+        self.average_peer_loads(now);
+        self.report_known_speeds(now);
         let contacts = self.zone_health.take_pending(now);
         self.exchange.report_contacts(&contacts);
         let cached = self.caches.take_for_region();
@@ -340,14 +355,6 @@
         })
     }
 
-    /// Records the load that an upstream reported with an answer.
-    pub fn record_reported_slots(&mut self, now: Duration, instance: &str, slots: ReportedSlots) {
-        if let Some(known) = self.upstreams.get_mut(instance) {
-            known.last_report = Some((now, slots));
-            known.sent_since_report = 0;
-        }
-    }
-
     /// Records that a request with `unread` prompt tokens is sent to `instance`.
     pub fn record_sent(
         &mut self,
@@ -356,9 +363,13 @@
         instance: &str,
         unread: Tokens,
     ) {
+        let others = self.exchange.load_at(UpstreamKey::from(instance));
         let Some(known) = self.upstreams.get_mut(instance) else {
             return;
         };
+        if query.prompt.is_some() {
+            known.record_sent_read(now, unread, others);
+        }
         known.in_flight += 1;
         if !self.busy.contains(instance) {
             self.busy.insert(instance.into());
@@ -398,8 +409,17 @@
     }
 
     /// Returns the requests that the other VMs of the region have in flight at an upstream.
+    ///
+    /// VMs hear of one another late. Where an upstream tells how long work takes, all of them leave a
+    /// slow one together, so the prompts that others have lately had there count beside the last
+    /// reports. Otherwise all would move to the upstreams that were idle in these reports.
     pub(super) fn peer_load(&self, known: &KnownUpstream) -> UnderWay {
-        self.exchange.load_at(known.key)
+        let mut load = self.exchange.load_at(known.key);
+        if known.momentary_speed.is_told() {
+            let average = known.others_unread.value() as Tokens;
+            load.unread = load.unread.midpoint(average);
+        }
+        load
     }
 
     /// Returns whether an upstream is in the own region.
--- a/crates/ebonystand-core/src/gateway/upstream_choice.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_choice.rs
@@ -315,7 +315,7 @@
         let all = self.upstreams.values();
         let local = all.filter(|known| *known.listed.service == *service && self.is_local(known));
         let (sum, count) = local.fold((0.0, 0.0), |(sum, count), known| {
-            (sum + known.reading_speed, count + 1.0)
+            (sum + known.own_reading_speed, count + 1.0)
         });
         match count > 0.0 {
             true => sum / count,
@@ -376,7 +376,7 @@
         let delay =
             known.predict_first_byte(now, unread, others) + import_time + known.limit_wait(now);
         let reading_cost = match self.is_enabled(Mechanism::ReadingCosts) {
-            true => known.reading_time(unread - owner_tokens.min(unread)) + import_time,
+            true => known.reading_time(now, unread - owner_tokens.min(unread)) + import_time,
             false => Duration::ZERO,
         };
         UpstreamCandidate {
--- a/crates/ebonystand-core/src/load_exchange/load_message.rs
+++ b/crates/ebonystand-core/src/load_exchange/load_message.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// Message between VMs of a region about the requests in flight at upstreams, the prefixes that
-/// engines cache and the limits that upstreams name.
+/// engines cache, the limits that upstreams name and their speeds.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum LoadMessage {
     /// Contacts with the upstreams of zones since the last message; relays pass it on.
@@ -46,6 +46,11 @@
         /// News since the last message.
         news: Vec<LimitNews>,
     },
+    /// Speeds of upstreams; relays pass them on.
+    Speeds {
+        /// News since the last message.
+        news: SpeedNews,
+    },
 }
 
 impl LoadMessage {
@@ -58,8 +63,7 @@
 
     /// Returns this message with the cached prefixes of `older`, which was not sent, put before its
     /// own. The loads of `older` are outdated and dropped, and so are the oldest prefixes beyond
-    /// [`CacheDirectory::MAX_PREFIXES`]. Contacts are added up. Of limits, the newest word of each
-    /// upstream is kept.
+    /// [`CacheDirectory::MAX_PREFIXES`]. Contacts are added up. Of limits and speeds, the newest word of each upstream is kept.
     #[must_use]
     pub fn merge_unsent(mut self, mut older: Self) -> Self {
         if let (Self::Contacts { zones }, Self::Contacts { zones: older }) = (&mut self, &older) {
@@ -74,6 +78,10 @@
             std::mem::swap(news, older);
             return self;
         }
+        if let (Self::Speeds { news }, Self::Speeds { news: older }) = (&mut self, &mut older) {
+            news.merge_older(std::mem::take(older));
+            return self;
+        }
         let (mut merged, _) = older.take_cached();
         let Some(cached) = self.cached_mut() else {
             return self;
@@ -95,6 +103,9 @@
             Self::Limits { news } => {
                 return Self::MAX_HEADER_BYTES + news.len() * LimitNews::MAX_BYTES;
             }
+            Self::Speeds { news } => {
+                return Self::MAX_HEADER_BYTES + news.len() * SpeedNews::MAX_ENTRY_BYTES;
+            }
             Self::Group { cached, under_way }
             | Self::Report {
                 cached, under_way, ..
@@ -116,7 +127,7 @@
             Self::Group { cached, .. }
             | Self::Region { cached, .. }
             | Self::Report { cached, .. } => Some(cached),
-            Self::Contacts { .. } | Self::Limits { .. } => None,
+            Self::Contacts { .. } | Self::Limits { .. } | Self::Speeds { .. } => None,
         }
     }
 
@@ -127,7 +138,7 @@
                 (cached, CacheNewsOrigin::Relay)
             }
             Self::Report { cached, .. } => (cached, CacheNewsOrigin::Reporter),
-            Self::Contacts { .. } | Self::Limits { .. } => {
+            Self::Contacts { .. } | Self::Limits { .. } | Self::Speeds { .. } => {
                 return (Vec::new(), CacheNewsOrigin::Relay);
             }
         };
--- a/crates/ebonystand-core/src/load_exchange/mod.rs
+++ b/crates/ebonystand-core/src/load_exchange/mod.rs
@@ -9,22 +9,28 @@
 
 pub use {
     contact_counts::{ContactCounts, ZoneContacts},
+    known_speed::KnownSpeed,
     limit_news::LimitNews,
     load_message::LoadMessage,
     region_vm::RegionVm,
     relay_plan::RelayPlan,
     relayed_latency::RelayedLatency,
+    speed_news::SpeedNews,
+    speed_sample::SpeedSample,
     state::LoadExchange,
     under_way::UnderWay,
     upstream_key::{UpstreamKey, UpstreamLoads},
+    work_time_news::WorkTimeNews,
 };
 
-pub(crate) use heard_limit::HeardLimit;
+pub(crate) use {heard_limit::HeardLimit, heard_work_time::HeardWorkTime};
 
-use {peer_loads::PeerLoads, report_log::ReportLog};
+use {peer_loads::PeerLoads, report_log::ReportLog, speed_queue::SpeedQueue};
 
 mod contact_counts;
 mod heard_limit;
+mod heard_work_time;
+mod known_speed;
 mod limit_news;
 mod load_message;
 mod peer_loads;
@@ -32,6 +38,10 @@
 mod relay_plan;
 mod relayed_latency;
 mod report_log;
+mod speed_news;
+mod speed_queue;
+mod speed_sample;
 mod state;
 mod under_way;
 mod upstream_key;
+mod work_time_news;
--- a/crates/ebonystand-core/src/load_exchange/state.rs
+++ b/crates/ebonystand-core/src/load_exchange/state.rs
@@ -21,6 +21,10 @@
     limits_for_relays: Vec<HeardLimit>,
     /// Limits to be told to the VMs that report to this one.
     limits_for_reporters: Vec<HeardLimit>,
+    /// Speeds to be told to the other relays, or by a VM that is no relay to its own one.
+    speeds_for_relays: SpeedQueue,
+    /// Speeds to be told to the VMs that report to this one.
+    speeds_for_reporters: SpeedQueue,
     /// Relays in the order in which this VM tries to report to them.
     relay_order: Vec<VmId>,
     own: VmId,
@@ -92,6 +96,8 @@
             contacts_for_reporters: ZoneContacts::new(),
             limits_for_relays: Vec::new(),
             limits_for_reporters: Vec::new(),
+            speeds_for_relays: SpeedQueue::default(),
+            speeds_for_reporters: SpeedQueue::default(),
             relay_order: Vec::new(),
             own,
             plan: RelayPlan::default(),
@@ -165,8 +171,10 @@
                 self.reporters.insert(from.clone(), number);
                 self.reported.record_report(now, from.clone(), under_way);
             }
-            // Contacts and limits are kept by the book.
-            LoadMessage::Contacts { .. } | LoadMessage::Limits { .. } => {}
+            // Contacts, limits and speeds are kept by the book.
+            LoadMessage::Contacts { .. }
+            | LoadMessage::Limits { .. }
+            | LoadMessage::Speeds { .. } => {}
         }
     }
 
@@ -214,6 +222,23 @@
         }
     }
 
+    /// Queues speeds to be told to the other VMs of the region, by `queue`.
+    pub(crate) fn report_speeds(&mut self, queue: impl Fn(&mut SpeedQueue)) {
+        queue(&mut self.speeds_for_relays);
+        queue(&mut self.speeds_for_reporters);
+    }
+
+    /// Queues speeds that `from` has told to be passed on, by `queue`, if this VM is a relay.
+    pub(crate) fn forward_speeds(&mut self, from: &VmId, queue: impl Fn(&mut SpeedQueue)) {
+        if !self.is_relay() {
+            return;
+        }
+        queue(&mut self.speeds_for_reporters);
+        if self.reporters.contains_key(from) {
+            queue(&mut self.speeds_for_relays);
+        }
+    }
+
     /// Queues cached prefixes that arrived with a message to be passed on, if this VM is a relay.
     /// `origin` tells which VMs know them already.
     pub fn forward_cached(&mut self, cached: &[CachedPrefix], origin: CacheNewsOrigin) {
@@ -262,6 +287,9 @@
         };
         messages.append(&mut self.contact_messages());
         messages.append(&mut self.limit_messages(now));
+        let for_relays = self.speeds_for_relays.take_message(now);
+        let for_reporters = self.speeds_for_reporters.take_message(now);
+        messages.append(&mut self.news_messages(for_relays, for_reporters));
         messages
     }
 
--- a/crates/ebonystand-core/src/operator_status.rs
+++ b/crates/ebonystand-core/src/operator_status.rs
@@ -28,6 +28,9 @@
     /// Software versions of the services on the list of upstreams.
     #[serde(default)]
     pub software: Vec<SoftwareStatus>,
+    /// Speeds of upstreams that tell them or are measured by several VMs.
+    #[serde(default)]
+    pub speeds: Vec<UpstreamSpeedStatus>,
     /// Number of streams of which this VM holds the version that began them.
     #[serde(default)]
     pub stream_origins: usize,
--- a/crates/ebonystand-core/tests/gateway/caches.rs
+++ b/crates/ebonystand-core/tests/gateway/caches.rs
@@ -20,6 +20,7 @@
         | LoadMessage::Report { cached, .. } => (vm, cached),
         LoadMessage::Contacts { .. } => panic!("no upstream is missed"),
         LoadMessage::Limits { .. } => panic!("no limit is named"),
+        LoadMessage::Speeds { .. } => panic!("no speed is told"),
     });
     news.collect()
 }
--- a/crates/ebonystand-core/tests/gateway/main.rs
+++ b/crates/ebonystand-core/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod notices;
 mod shortlist;
 mod software;
+mod speeds;
 mod upstreams;
 mod zone_loss;
 
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -280,8 +280,11 @@
         let head = reader.head();
         let marks = node.gateway.dialect.answer(head.status, &head.headers);
         if let Some(slots) = marks.slots {
+            let now = node.clock.now();
             let mut book = node.gateway.book.borrow_mut();
-            book.record_reported_slots(node.clock.now(), instance, slots);
+            if book.record_reported_slots(now, instance, slots) {
+                log::warn!(upstream:% = instance; "figure of an upstream's speed ignored");
+            }
         }
         if marks.request.as_ref() == Some(&self.request) && !marks.is_stranger {
             attempt.record_limit(&marks.limit);
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -321,6 +321,8 @@
             node.metrics.limited_upstreams.set(limited as i64);
             let noticed = this.book.borrow().notices(now).count();
             node.metrics.noticed_upstreams.set(noticed as i64);
+            let slow = this.book.borrow().slow_upstreams(now);
+            node.metrics.slow_upstreams.set(slow as i64);
             for (vm, message) in messages {
                 node.send(&vm, PeerMessage::Load(message));
             }
--- a/crates/ebonystand/src/metrics.rs
+++ b/crates/ebonystand/src/metrics.rs
@@ -21,6 +21,7 @@
     pub(crate) limit_refusals: Counter,
     pub(crate) limited_upstreams: Gauge,
     pub(crate) noticed_upstreams: Gauge,
+    pub(crate) slow_upstreams: Gauge,
     pub(crate) part_holds: Counter,
     pub(crate) part_refusals: Counter,
     pub(crate) peer_refused: Counter,
@@ -109,6 +110,7 @@
             limit_refusals: Counter::default(),
             limited_upstreams: Gauge::default(),
             noticed_upstreams: Gauge::default(),
+            slow_upstreams: Gauge::default(),
             part_holds: Counter::default(),
             part_refusals: Counter::default(),
             peer_refused: Counter::default(),
@@ -194,6 +196,11 @@
             "Upstreams that have told this VM that they leave or want a pause",
             self.noticed_upstreams.clone(),
         );
+        r.register(
+            "slow_upstreams",
+            "Upstreams that work slowly now, as their answers or other VMs tell",
+            self.slow_upstreams.clone(),
+        );
         r.register(
             "part_holds",
             "Prompts that waited because of a suspected part",
--- a/crates/ebonystand/src/operator_status.rs
+++ b/crates/ebonystand/src/operator_status.rs
@@ -31,6 +31,7 @@
         ready: node.ready(),
         retry_budgets: node.gateway.retries.statuses(now),
         software: node.gateway.book.borrow().software_statuses(now).collect(),
+        speeds: node.gateway.book.borrow().speeds(now).collect(),
         stream_origins: node.gateway.origins.held(),
         suspects: node.quarantine.statuses(now),
         upstreams: upstreams
--- a/crates/ebonystandctl/src/status.rs
+++ b/crates/ebonystandctl/src/status.rs
@@ -59,6 +59,15 @@
         format!("  upstream {upstream}: wants a pause of {pause_ms} ms more{leaves}{sheds}")
     });
     lines.extend(listed(notices, "notices of upstreams"));
+    let speeds = status.speeds.iter().map(|speed| {
+        let (upstream, per_ms) = (&speed.upstream, speed.reading_speed);
+        let now = speed.time_percent.map_or(String::new(), |percent| {
+            format!(", work takes {percent} % of its usual time now")
+        });
+        let from = speed.learned_from;
+        format!("  speed {upstream}: reads {per_ms:.1} tokens/ms by {from} prompts of all VMs{now}")
+    });
+    lines.extend(listed(speeds, "speeds of upstreams"));
     let software = status.software.iter().map(|software| {
         let held_back = match software.takes_streams {
             true => "",
--- a/crates/ebonystandctl/tests/status.rs
+++ b/crates/ebonystandctl/tests/status.rs
@@ -29,6 +29,7 @@
         groups: Vec::new(),
         limits: Vec::new(),
         notices: Vec::new(),
+        speeds: Vec::new(),
         parts: Vec::new(),
         preset: PresetName::default(),
         ready: true,
