--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -7,6 +7,7 @@
     answer_limit::AnswerLimit,
     answer_pause::AnswerPause,
     answer_pause_error::AnswerPauseError,
+    answer_work_time::AnswerWorkTime,
     attempt_end::AttemptEnd,
     call_kind::CallKind,
     choice_query::ChoiceQuery,
@@ -30,6 +31,7 @@
     path_health::ProbeOutcome,
     prompt::{Prompt, PromptPart},
     quota::{Quota, QuotaUnit},
+    reading_speed::ReadingSpeed,
     reported_slots::ReportedSlots,
     room_queue::{RoomQueue, RoomRequest, spread_return},
     route_table::RouteTable,
@@ -45,6 +47,8 @@
     upstream_limit_error::UpstreamLimitError,
     upstream_list::UpstreamList,
     upstream_notice_status::UpstreamNoticeStatus,
+    upstream_speed_status::UpstreamSpeedStatus,
+    work_time::WorkTime,
 };
 
 pub(crate) use work_window::WorkWindow;
@@ -52,15 +56,17 @@
 use {
     arrival_meter::ArrivalMeter, capacity_sample::CapacitySample,
     cold_start_limiter::ColdStartLimiter, event_gap_meter::EventGapMeter,
-    ineligibility::Ineligibility, known_upstream::KnownUpstream, limit_share::LimitShare,
-    named_limit::NamedLimit, path_health::PathHealth, region_budget::RegionBudget,
-    send_pacer::SendPacer, sent_prefixes::SentPrefixes, upstream_pause::UpstreamPause,
+    ineligibility::Ineligibility, known_upstream::KnownUpstream, learned_speed::LearnedSpeed,
+    limit_share::LimitShare, momentary_speed::MomentarySpeed, named_limit::NamedLimit,
+    path_health::PathHealth, region_budget::RegionBudget, send_pacer::SendPacer,
+    sent_prefixes::SentPrefixes, sent_read::SentRead, upstream_pause::UpstreamPause,
     zone_health::ZoneHealth,
 };
 
 mod answer_limit;
 mod answer_pause;
 mod answer_pause_error;
+mod answer_work_time;
 mod arrival_meter;
 mod attempt_end;
 mod call_kind;
@@ -78,6 +84,7 @@
 mod ineligibility;
 mod ineligible_upstreams;
 mod known_upstream;
+mod learned_speed;
 mod limit_share;
 mod list_mismatch;
 mod list_reader_election;
@@ -86,6 +93,7 @@
 mod listed_upstream;
 mod live_vms;
 mod mechanism;
+mod momentary_speed;
 mod named_limit;
 mod next_step;
 mod offered_room;
@@ -93,6 +101,7 @@
 mod prompt;
 mod prompt_placement;
 mod quota;
+mod reading_speed;
 mod region_budget;
 mod reported_slots;
 mod room_queue;
@@ -101,6 +110,7 @@
 mod routing_fault;
 mod send_pacer;
 mod sent_prefixes;
+mod sent_read;
 mod service_latency;
 mod software_history;
 mod software_rule;
@@ -122,5 +132,8 @@
 mod upstream_room;
 mod upstream_shortlist;
 mod upstream_slots;
+mod upstream_speed_status;
+mod upstream_speeds;
+mod work_time;
 mod work_window;
 mod zone_health;
--- a/crates/ebonystand-core/src/gateway/upstream_room.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_room.rs
@@ -5,6 +5,8 @@
 impl UpstreamBook {
     /// Share of a service's slots, in permille, that a region keeps for its own callers.
     const RESERVE_PERMILLE: u64 = 20;
+    /// Most calls that one slot of a plain service is expected to take between two reports.
+    const MAX_TURNS: f64 = 16.0;
 
     /// Returns the room that this region offers to the others for each service that has upstreams here. `is_engine`
     /// tells whether a service takes prompts.
@@ -95,7 +97,7 @@
                 known.listed.service == *service && known.region.as_ref() == Some(region)
             });
             let slots = of_region.fold(0_u32, |sum, known| sum.saturating_add(known.listed.slots));
-            room.slots = room.slots.min(slots);
+            room.slots = room.slots.min(slots.saturating_mul(Self::MAX_TURNS as u32));
         }
         let vms = self.region_sharers(now, region, service);
         let random = xxh3_64_with_seed(
@@ -195,7 +197,12 @@
                 continue;
             }
             let open = known.listed.slots.saturating_sub(pending);
-            free.slots = free.slots.saturating_add(open);
+            let turns = match is_engine {
+                true => 1.0,
+                false => Self::turns(known.call_duration),
+            };
+            let calls = (f64::from(open) * turns) as u32;
+            free.slots = free.slots.saturating_add(calls);
             if is_engine && open > 0 {
                 let tokens = known.work_window.free(others.unread);
                 free.tokens = free.tokens.saturating_add(tokens);
@@ -204,6 +211,12 @@
         (free, slots)
     }
 
+    /// Returns how many calls of this duration follow one another in a slot between two reports.
+    fn turns(call_duration: Duration) -> f64 {
+        let turns = RegionBudget::PERIOD.as_secs_f64() / call_duration.as_secs_f64().max(0.001);
+        turns.clamp(1.0, Self::MAX_TURNS)
+    }
+
     /// Returns the number of VMs that may use the room of `region`: those of this region, and those of other regions
     /// that have no room themselves or have told nothing lately.
     fn region_sharers(&self, now: Duration, region: &RegionId, service: &ServiceId) -> usize {
--- a/crates/ebonystand-core/tests/gateway/main.rs
+++ b/crates/ebonystand-core/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod room_queue;
 mod shortlist;
 mod software;
+mod speeds;
 mod uneven_vms;
 mod upstreams;
 mod zone_loss;
--- a/crates/ebonystand-core/tests/slots/main.rs
+++ b/crates/ebonystand-core/tests/slots/main.rs
@@ -31,6 +31,7 @@
 
 fn region_vms(count: usize) -> Vec<RegionVm> {
     let vms = (0..count).map(|vm| RegionVm {
+        capacity: VmCapacity::REFERENCE,
         is_staying: true,
         vm: name(vm),
         zone: "a".into(),
--- a/crates/ebonystand/src/metrics.rs
+++ b/crates/ebonystand/src/metrics.rs
@@ -28,6 +28,7 @@
     pub(crate) limited_upstreams: Gauge,
     pub(crate) noticed_upstreams: Gauge,
     pub(crate) offered_slots: Family<ServiceLabel, Gauge>,
+    pub(crate) slow_upstreams: Gauge,
     pub(crate) part_holds: Counter,
     pub(crate) part_refusals: Counter,
     pub(crate) peer_refused: Counter,
@@ -136,6 +137,7 @@
             limited_upstreams: Gauge::default(),
             noticed_upstreams: Gauge::default(),
             offered_slots: Family::default(),
+            slow_upstreams: Gauge::default(),
             part_holds: Counter::default(),
             part_refusals: Counter::default(),
             peer_refused: Counter::default(),
@@ -253,6 +255,11 @@
             "Slots that this region offers to others, as this VM last told them",
             self.offered_slots.clone(),
         );
+        r.register(
+            "slow_upstreams",
+            "Upstreams that work slowly now, as their answers or other VMs tell",
+            self.slow_upstreams.clone(),
+        );
         r.register(
             "part_holds",
             "Prompts that waited because of a suspected part",
