Schedule only where slots are short; offer what engines read until the next report

Change: contention counts slots only; offers include the reading of the period that own callers leave.

--- a/crates/ebonystand-core/src/gateway/upstream_room.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_room.rs
@@ -204,13 +204,23 @@
             let calls = (f64::from(open) * turns) as u32;
             free.slots = free.slots.saturating_add(calls);
             if is_engine && open > 0 {
-                let tokens = known.work_window.free(others.unread);
+                let tokens = Self::readable(known, others);
                 free.tokens = free.tokens.saturating_add(tokens);
             }
         }
         (free, slots)
     }
 
+    /// Returns the prompt tokens that an engine can take from other regions until the next report: what is free of its
+    /// work window, and of what it reads meanwhile the part that its own callers leave.
+    fn readable(known: &KnownUpstream, others: UnderWay) -> Tokens {
+        let free = known.work_window.free(others.unread);
+        let period = RegionBudget::PERIOD.as_secs_f64();
+        let tokens_per_s = 1.0 / known.usual_reading_time(1).as_secs_f64();
+        let share = free as f64 / known.work_window.limit().max(1.0);
+        free.saturating_add((tokens_per_s * period * share) as Tokens)
+    }
+
     /// Returns how many calls of this duration follow one another in a slot between two reports.
     fn turns(call_duration: Duration) -> f64 {
         let turns = RegionBudget::PERIOD.as_secs_f64() / call_duration.as_secs_f64().max(0.001);
--- a/crates/ebonystand-core/src/gateway/upstream_slots.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_slots.rs
@@ -41,17 +41,10 @@
     pub fn slot_pressure(&self, now: Duration, query: &ChoiceQuery) -> SlotPressure {
         let engines = self.find_candidates(query, |known| self.is_candidate(now, query, known));
         let mut pressure = SlotPressure::default();
-        let (mut used, mut limit) = (0.0, 0.0);
         for known in engines {
             let load = self.known_load(known.key);
             pressure.in_flight += load.requests.min(known.listed.slots);
             pressure.slots += known.listed.slots;
-            let window = known.work_window.limit();
-            used += (load.unread as f64).min(window);
-            limit += window;
-        }
-        if limit > 0.0 {
-            pressure.window_permille = (used * 1_000.0 / limit) as u32;
         }
         pressure
     }
--- a/crates/ebonystand-core/src/slots/slot_pressure.rs
+++ b/crates/ebonystand-core/src/slots/slot_pressure.rs
@@ -5,6 +5,4 @@
     pub in_flight: u32,
     /// Slots of the usable engines.
     pub slots: u32,
-    /// Share of the work windows in use, in permille.
-    pub window_permille: u32,
 }
--- a/crates/ebonystand-core/tests/slots/region.rs
+++ b/crates/ebonystand-core/tests/slots/region.rs
@@ -407,7 +407,6 @@
         let pressure = SlotPressure {
             in_flight: load.iter().map(|load| load.requests.min(SLOTS)).sum(),
             slots: SLOTS * ENGINES as u32,
-            window_permille: 0,
         };
         vm.contention.record_pressure(now, pressure);
         if self.play.way == Way::Scheduled && vm.contention.is_short(now) {
@@ -465,10 +464,7 @@
         let best = best.unwrap_or_default();
         match load[best].requests < SLOTS {
             true => self.send(number, best, None),
-            false => {
-                self.vms[own].contention.record_no_room(ms(self.now));
-                self.vms[own].waiting.push_back(number);
-            }
+            false => self.vms[own].waiting.push_back(number),
         }
     }
 
--- a/crates/ebonystand/src/gateway/slot_controller.rs
+++ b/crates/ebonystand/src/gateway/slot_controller.rs
@@ -74,7 +74,7 @@
             let none = BTreeSet::new();
             let query = call.query(node, &document, &none);
             let book = node.gateway.book.borrow();
-            if query.engine.is_none() || !self.is_short(now, &book, &query, choice) {
+            if query.engine.is_none() || !self.is_short(now, &book, &query) {
                 return None;
             }
             let engines = book.rank_engines(now, &query);
@@ -171,23 +171,14 @@
         self.plan.replace(Rc::new(plan));
     }
 
-    /// Returns whether room of the request's service is short. In a small region each VM tells all others its
+    /// Returns whether the slots of the request's service are short. In a small region each VM tells all others its
     /// load, and engines are not chosen by so many VMs at once.
-    fn is_short(
-        &self,
-        now: Duration,
-        book: &UpstreamBook,
-        query: &ChoiceQuery,
-        choice: &TargetChoice,
-    ) -> bool {
+    fn is_short(&self, now: Duration, book: &UpstreamBook, query: &ChoiceQuery) -> bool {
         if book.is_direct() || !book.is_enabled(Mechanism::Slots) {
             return false;
         }
         let mut looks = self.contention.borrow_mut();
         let look = looks.entry(query.service.into()).or_default();
-        if matches!(choice, TargetChoice::NoRoom { .. }) {
-            look.contention.record_no_room(now);
-        }
         if now >= look.next {
             look.next = now + Self::LOOK_INTERVAL;
             let pressure = book.slot_pressure(now, query);
