--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -6,6 +6,7 @@
 mod record;
 mod servers;
 mod stale_evacuation;
+mod unreadable_entry;
 mod world;
 
 use record::Record;
@@ -31,6 +32,7 @@
         let record = Record::create(&Path::new(&folder).join("record.txt")).unwrap();
         let verdict = match &*case {
             "stale-evacuation" => stale_evacuation::play(&record, trouble),
+            "unreadable-entry" => unreadable_entry::play(&record, trouble),
             _ => panic!("no such case"),
         };
         record.tell(&format!("{verdict:?}"));
