--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -1,7 +1,9 @@
 //! Cases of the review, each of which starts the project's programs among stand-ins.
 
 mod clients;
+mod cut_answer;
 mod http;
+mod link;
 mod operator;
 mod record;
 mod servers;
@@ -31,6 +33,7 @@
     let played = std::panic::catch_unwind(|| {
         let record = Record::create(&Path::new(&folder).join("record.txt")).unwrap();
         let verdict = match &*case {
+            "cut-answer" => cut_answer::play(&record, trouble),
             "stale-evacuation" => stale_evacuation::play(&record, trouble),
             "unreadable-entry" => unreadable_entry::play(&record, trouble),
             _ => panic!("no such case"),
