Log when an operator's order is read and when an order on a zone is committed

No line told when a VM read an order, whether its caller was still there, and which VM's copy the log committed.

Three lines: an order read (with whether its caller is connected), a change received for another VM, an order on a zone committed (with the request, whose name begins with the VM that read it).

--- a/crates/ebonystand/src/caller_connection.rs
+++ b/crates/ebonystand/src/caller_connection.rs
@@ -1,5 +1,6 @@
 use super::*;
 use {
+    caller_presence::CallerPresence,
     rustix::net::sockopt::set_socket_linger,
     slow_readers::ConnectionAccount,
     std::{
@@ -18,6 +19,7 @@
     account: ConnectionAccount,
     close_mode: CloseMode,
     io: TcpStream,
+    presence: CallerPresence,
     /// Mode that the socket is set to.
     resets: bool,
 }
@@ -39,6 +41,7 @@
             account,
             close_mode: CloseMode::default(),
             io,
+            presence: CallerPresence::default(),
             resets: false,
         }
     }
@@ -51,6 +54,10 @@
         self.close_mode.clone()
     }
 
+    pub(crate) fn presence(&self) -> CallerPresence {
+        self.presence.clone()
+    }
+
     fn apply_close_mode(&mut self) -> io::Result<()> {
         if self.account.is_broken_off() {
             set_socket_linger(&self.io, Some(Duration::ZERO))?;
@@ -71,7 +78,23 @@
         cx: &mut Context,
         buf: &mut ReadBuf,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_read(cx, buf)
+        let filled = buf.filled().len();
+        let read = Pin::new(&mut self.io).poll_read(cx, buf);
+        let has_ended = match &read {
+            Poll::Ready(Ok(())) => buf.filled().len() == filled && buf.remaining() > 0,
+            Poll::Ready(Err(_)) => true,
+            Poll::Pending => false,
+        };
+        if has_ended {
+            self.presence.set_gone();
+        }
+        read
+    }
+}
+
+impl Drop for CallerConnection {
+    fn drop(&mut self) {
+        self.presence.set_gone();
     }
 }
 
--- a/crates/ebonystand/src/group_controller.rs
+++ b/crates/ebonystand/src/group_controller.rs
@@ -109,6 +109,9 @@
 
     /// Brings a command of another VM to the log.
     pub(crate) async fn propose_for(node: Rc<Node>, to: VmId, id: u64, command: Command) {
+        if let Command::Change(req) = &command {
+            log::info!(from:% = to, request:% = req.request_id; "change of another VM received");
+        }
         let proposed = Box::new(Self::propose_here(&node, &command).await);
         node.send(&to, PeerMessage::Proposed { id, proposed });
     }
--- a/crates/ebonystand/src/http_server.rs
+++ b/crates/ebonystand/src/http_server.rs
@@ -39,6 +39,7 @@
             |connection: &CallerConnection, extensions: &mut Extensions| {
                 extensions.insert(connection.account());
                 extensions.insert(connection.close_mode());
+                extensions.insert(connection.presence());
             },
         )
         .h1(move |req: Request| {
--- a/crates/ebonystand/src/lib.rs
+++ b/crates/ebonystand/src/lib.rs
@@ -48,6 +48,7 @@
 };
 
 pub use {
+    caller_presence::CallerPresence,
     error::Error,
     files::once_there_is_room,
     gateway::{
@@ -79,6 +80,7 @@
 mod caller;
 mod caller_api;
 mod caller_connection;
+mod caller_presence;
 mod capacity_controller;
 mod chat_request;
 mod check_residency;
--- a/crates/ebonystand/src/state_controller.rs
+++ b/crates/ebonystand/src/state_controller.rs
@@ -42,6 +42,18 @@
         let before = node.document().version;
         let outcome = node.state.machine.borrow_mut().apply(command);
         let version = node.document().version;
+        if let Command::Change(ChangeRequest {
+            change: Change::SetEvacuated { evacuated, zone },
+            expected_version,
+            request_id,
+        }) = command
+        {
+            log::info!(
+                zone:% = zone, evacuated = *evacuated, request:% = request_id,
+                expected:? = expected_version, outcome:? = outcome, version = version;
+                "order to evacuate a zone committed"
+            );
+        }
         if let (Command::Change(req), true) = (command, version > before) {
             Self::changed(node, Some(&req.change));
             let change = AcceptedChange {
