Refuse changes of an evacuation that a later one has overtaken

Cause: SetEvacuated was taken to commute. Each copy of a request that a VM read became a new change with an id of its own, in force whenever it got to the log. The stopped VM read the request as it went on, as of a connected caller (the kernel reports the close in a later event), and the log committed it 2.0 s after the evacuation that had been acknowledged.

Change: the request is proposed on the version in force when it was read, and the log makes it a conflict if the zone's evacuation was changed since; one that changes nothing makes a version too. A VM proposes it only if its caller is still there 150 ms later and it is under a second old. So whatever was acknowledged after the caller was last seen refuses a late copy, whether it waited in a socket, in a connection across a cut or in a retry. Drains and clearings of the quarantine on the daemon's own API had the same cause and are dropped if their caller has left.

An evacuation is acknowledged 150 ms later.

--- a/crates/ebonystand-core/src/catalog.rs
+++ b/crates/ebonystand-core/src/catalog.rs
@@ -7,6 +7,9 @@
     document: Document,
     outcomes: BTreeMap<RequestId, ChangeOutcome>,
     recent: VecDeque<RequestId>,
+    /// Encoded by [`StateMachine::encode`], as snapshots of older builds lack it.
+    #[serde(skip)]
+    pub(crate) evacuation_versions: EvacuationVersions,
 }
 
 impl Catalog {
@@ -57,7 +60,7 @@
 
     /// Checks and applies a request that has no outcome yet.
     fn apply_new(&mut self, req: &ChangeRequest) -> ChangeOutcome {
-        if !req.change.commutes() && req.expected_version != Some(self.version()) {
+        if self.is_outdated(req) {
             return ChangeOutcome::Conflict {
                 version: self.version(),
             };
@@ -66,12 +69,16 @@
         if !faults.is_empty() {
             return ChangeOutcome::Refused { faults };
         }
-        if self.document.is_no_op(&req.change) {
+        let zone = req.evacuation_zone();
+        if zone.is_none() && self.document.is_no_op(&req.change) {
             return ChangeOutcome::Accepted {
                 version: self.version(),
             };
         }
         let version = self.version() + 1;
+        if let Some(zone) = zone {
+            self.evacuation_versions.record(zone.clone(), version);
+        }
         self.document.apply(&AcceptedChange {
             change: req.change.clone(),
             version,
@@ -79,6 +86,17 @@
         ChangeOutcome::Accepted { version }
     }
 
+    /// Returns whether a change since the version that the request is based on makes it a conflict.
+    /// Only changes of the same zone's evacuation conflict with a change of an evacuation.
+    fn is_outdated(&self, req: &ChangeRequest) -> bool {
+        match (req.evacuation_zone(), req.expected_version) {
+            (Some(zone), Some(expected)) => self.evacuation_versions.last_version(zone) > expected,
+            // Log entries of older builds base a change of an evacuation on no version.
+            _ if matches!(req.change, Change::SetEvacuated { .. }) => false,
+            (_, expected) => !req.change.commutes() && expected != Some(self.version()),
+        }
+    }
+
     /// Remembers an outcome for resends, and forgets the oldest one beyond
     /// [`Catalog::MAX_OUTCOMES`].
     fn record_outcome(&mut self, id: RequestId, outcome: ChangeOutcome) {
--- a/crates/ebonystand-core/src/change.rs
+++ b/crates/ebonystand-core/src/change.rs
@@ -101,9 +101,6 @@
     /// before, or a revision of its own orders it.
     #[must_use]
     pub fn commutes(&self) -> bool {
-        matches!(
-            self,
-            Self::PutRouting { .. } | Self::SetEvacuated { .. } | Self::WithdrawKey { .. }
-        )
+        matches!(self, Self::PutRouting { .. } | Self::WithdrawKey { .. })
     }
 }
--- a/crates/ebonystand-core/src/lib.rs
+++ b/crates/ebonystand-core/src/lib.rs
@@ -88,6 +88,7 @@
     engine_report::EngineReport,
     entry_list::EntryList,
     entry_vm::EntryVm,
+    evacuation_versions::EvacuationVersions,
     event_boundary::EventBoundary,
     fair_queue::FairQueue,
     feed::Feed,
@@ -134,6 +135,7 @@
     order::*,
     order_permit::OrderPermit,
     part_clear_status::PartClearStatus,
+    pending_evacuation::{EvacuationError, PendingEvacuation},
     place::Place,
     placement::*,
     prefix_cache::*,
@@ -233,6 +235,7 @@
 mod engine_report;
 mod entry_list;
 mod entry_vm;
+mod evacuation_versions;
 mod event_boundary;
 mod event_scanner;
 mod fair_queue;
@@ -289,6 +292,7 @@
 mod order;
 mod order_permit;
 mod part_clear_status;
+mod pending_evacuation;
 mod place;
 mod placement;
 mod prefix_cache;
--- a/crates/ebonystand-core/src/operator_error.rs
+++ b/crates/ebonystand-core/src/operator_error.rs
@@ -11,6 +11,9 @@
         /// Position and cause, as reported by the parser.
         reason: Box<str>,
     },
+    /// The caller closed its connection before the VM read the request, which changes nothing.
+    #[snafu(display("the caller has closed its connection"))]
+    CallerLeft,
     /// The VM reached no leader of the configuration's log.
     #[snafu(display(
         "no leader of the configuration's log was reached; the change {}",
@@ -61,7 +64,7 @@
             | Self::UnknownPart { .. }
             | Self::UnknownPath
             | Self::UnknownSuspect { .. } => 404,
-            Self::NoLeader { .. } => 503,
+            Self::CallerLeft | Self::NoLeader { .. } => 503,
         }
     }
 }
--- a/crates/ebonystand-core/src/state_machine.rs
+++ b/crates/ebonystand-core/src/state_machine.rs
@@ -2,7 +2,7 @@
 
 /// Replicated state machine: the configuration and the journal of once-only orders. Equal entries
 /// applied in equal order give equal state.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct StateMachine {
     catalog: Catalog,
     orders: OrderJournal,
@@ -18,6 +18,32 @@
         }
     }
 
+    /// Decodes a snapshot that [`Self::encode`] or an older build has encoded.
+    ///
+    /// # Errors
+    /// [`postcard::Error`] if the bytes are not a snapshot.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        let ((mut catalog, orders), rest): ((Catalog, OrderJournal), _) =
+            postcard::take_from_bytes(bytes)?;
+        // A snapshot of an older build ends here.
+        if !rest.is_empty() {
+            catalog.evacuation_versions = postcard::from_bytes(rest)?;
+        }
+        Ok(Self { catalog, orders })
+    }
+
+    /// Encodes the state as a snapshot. Older builds ignore what they don't know at its end.
+    ///
+    /// # Errors
+    /// [`postcard::Error`] if the state cannot be encoded.
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_stdvec(&(
+            &self.catalog,
+            &self.orders,
+            &self.catalog.evacuation_versions,
+        ))
+    }
+
     /// Returns the configuration.
     #[must_use]
     pub fn catalog(&self) -> &Catalog {
--- a/crates/ebonystand-core/tests/replica_safeguards.rs
+++ b/crates/ebonystand-core/tests/replica_safeguards.rs
@@ -220,6 +220,26 @@
     assert_eq!(fixture.replica.status().commit_index, 3);
 }
 
+/// Guards against a command of a former leader that takes effect after what its successor has accepted: its caller has
+/// given up on it, and the successor commits it all the same.
+#[test]
+fn an_entry_of_a_former_leader_is_committed_before_what_its_successor_accepts() {
+    let mut fixture = Fixture::new();
+    fixture.append("c", 1, vec![command(2, 1)]);
+    fixture.elect();
+    let (command, id) = (Bytes::from_static(b"later"), 1);
+    fixture.step(ReplicaInput::Propose { command, id });
+    let outputs = fixture.acknowledge("b", 4);
+    let committed = outputs.iter().filter_map(|output| match output {
+        ReplicaOutput::Commit { entry } => match &entry.payload {
+            LogPayload::Command(command) => Some(&command[..]),
+            _ => None,
+        },
+        _ => None,
+    });
+    assert_eq!(committed.collect::<Vec<_>>(), [&b"x"[..], b"later"]);
+}
+
 /// Two uncommitted changes of members could allow two majorities without a common member. A learner
 /// that lacks entries would raise the size of a majority without holding them.
 #[test]
--- a/crates/ebonystand/src/gateway/gateway_handle.rs
+++ b/crates/ebonystand/src/gateway/gateway_handle.rs
@@ -1,7 +1,9 @@
 use super::*;
 use {
+    abandonment_log::AbandonmentLog,
     ebonystand_core::{
-        Change, Command, CommandOutcome, EntryListSelector, HolderPlan, Place, Routing,
+        Change, Command, CommandOutcome, EntryListSelector, HolderPlan, PendingEvacuation, Place,
+        Routing,
     },
     group_controller::GroupController,
     node::Node,
@@ -37,17 +39,22 @@
         choice.select_addresses(live.iter().map(|entry| &entry.record))
     }
 
-    /// Stops or resumes sending requests to the upstreams of a zone. Returns once the change is
-    /// durable.
+    /// Stops or resumes sending requests to the upstreams of a zone, as `caller` asks. Returns once
+    /// the change is durable.
     ///
     /// # Errors
-    /// [`ReplaceError::NoLeader`] if no leader accepted the change.
-    pub async fn evacuate(&self, zone: &str, evacuated: bool) -> Result<(), ReplaceError> {
-        let change = Change::SetEvacuated {
-            evacuated,
-            zone: zone.into(),
-        };
-        self.change(change).await
+    /// [`ReplaceError::NoLeader`] if no leader accepted the change, [`ReplaceError::Stale`] if the
+    /// caller may have given up on it.
+    pub async fn evacuate(
+        &self,
+        zone: &str,
+        evacuated: bool,
+        caller: &CallerPresence,
+    ) -> Result<(), ReplaceError> {
+        let abandonment = AbandonmentLog::new(zone);
+        let changed = self.change_evacuation(zone, evacuated, caller).await;
+        abandonment.disarm();
+        changed
     }
 
     /// Whether new callers may be directed to this VM.
@@ -87,7 +94,10 @@
             regions: self.plan_regions(&routing),
             routing: Box::new(routing),
         };
-        self.change(change).await
+        match self.propose(change, None).await? {
+            ChangeOutcome::Accepted { .. } => Ok(()),
+            outcome => Err(not_accepted(&outcome)),
+        }
     }
 
     /// Returns the routing in force. It is at least as new as any change acknowledged before the
@@ -110,17 +120,46 @@
         Ok(self.node.document().routing.clone())
     }
 
-    async fn change(&self, change: Change) -> Result<(), ReplaceError> {
+    async fn change_evacuation(
+        &self,
+        zone: &str,
+        evacuated: bool,
+        caller: &CallerPresence,
+    ) -> Result<(), ReplaceError> {
+        let clock = &self.node.clock;
+        let mut pending = PendingEvacuation::new(clock.now(), self.node.document().version);
+        loop {
+            let is_connected = caller.is_connected_after_settling().await;
+            let base = pending
+                .base_version(clock.now(), is_connected)
+                .map_err(|source| ReplaceError::Stale { source })?;
+            let change = Change::SetEvacuated {
+                evacuated,
+                zone: zone.into(),
+            };
+            match self.propose(change, Some(base)).await? {
+                ChangeOutcome::Accepted { .. } => return Ok(()),
+                ChangeOutcome::Conflict { version } => pending.record_conflict(version),
+                outcome @ ChangeOutcome::Refused { .. } => return Err(not_accepted(&outcome)),
+            }
+        }
+    }
+
+    async fn propose(
+        &self,
+        change: Change,
+        expected_version: Option<Version>,
+    ) -> Result<ChangeOutcome, ReplaceError> {
         let req = ChangeRequest {
             change,
-            expected_version: None,
+            expected_version,
             request_id: self.node.request_id(),
         };
         let outcome = GroupController::propose(&self.node, Command::Change(req)).await;
         match outcome {
-            Ok(CommandOutcome::Change(ChangeOutcome::Accepted { .. })) => Ok(()),
+            Ok(CommandOutcome::Change(outcome)) => Ok(outcome),
             Ok(outcome) => {
-                log::error!(outcome:? = outcome; "change was not accepted");
+                log::error!(outcome:? = outcome; "outcome of another command");
                 Err(ReplaceError::NoLeader)
             }
             Err(refusal) => {
@@ -181,3 +220,9 @@
         planned
     }
 }
+
+/// Logs that a change was not accepted, and returns the error.
+fn not_accepted(outcome: &ChangeOutcome) -> ReplaceError {
+    log::error!(outcome:? = outcome; "change was not accepted");
+    ReplaceError::NoLeader
+}
--- a/crates/ebonystand/src/gateway/mod.rs
+++ b/crates/ebonystand/src/gateway/mod.rs
@@ -27,6 +27,7 @@
     connection_pool::ConnectionPool,
 };
 
+mod abandonment_log;
 mod admitted;
 mod answer_marks;
 mod attempt;
--- a/crates/ebonystand/src/gateway/replace_error.rs
+++ b/crates/ebonystand/src/gateway/replace_error.rs
@@ -1,5 +1,5 @@
 use super::*;
-use ebonystand_core::RoutingFault;
+use ebonystand_core::{EvacuationError, RoutingFault};
 
 /// Reason why a change to the routing or to a zone's evacuation, or a read of the routing, failed.
 #[derive(Debug, Snafu)]
@@ -17,6 +17,12 @@
     /// This VM has no log, and its copy of the configuration lacks the operator's text.
     #[snafu(display("this VM has no log; ask one that has"))]
     NoLog,
+    /// The caller may have given up on the request and sent it to another VM.
+    #[snafu(display("{source}; send it again if it still stands"))]
+    Stale {
+        /// Why the request is taken for given up.
+        source: EvacuationError,
+    },
     /// This VM has just started and has not discovered the other VMs yet.
     #[snafu(display("this VM has just started"))]
     TooEarly,
--- a/crates/ebonystand/src/group_controller.rs
+++ b/crates/ebonystand/src/group_controller.rs
@@ -2,7 +2,7 @@
 use {
     ebonystand_core::{
         Command, CommandOutcome, LogPayload, LogSnapshot, MemberId, ProposalError, ProposalId,
-        ReplicaInput, ReplicaMessage, ReplicaStatus,
+        ReplicaInput, ReplicaMessage, ReplicaStatus, StateMachine,
     },
     ebonystand_wire::Proposed,
     group_thread::{GroupEvent, GroupThread, GroupView},
@@ -176,7 +176,7 @@
             return Ok(());
         }
         let index = snapshot.position.index;
-        let machine = postcard::from_bytes(&snapshot.state).context(error::Entry { index })?;
+        let machine = StateMachine::decode(&snapshot.state).context(error::Entry { index })?;
         log::info!(index = index; "state installed from a snapshot");
         StateController::install(node, machine);
         Ok(())
--- a/crates/ebonystand/src/operator_api.rs
+++ b/crates/ebonystand/src/operator_api.rs
@@ -55,7 +55,7 @@
     match (req.method(), path) {
         (&Method::POST, OPERATOR_CHANGES) => change(node, req).await,
         (&Method::GET, OPERATOR_DOCUMENT) => Ok(respond::json(StatusCode::OK, &*node.document())),
-        (&Method::POST, OPERATOR_DRAIN) => Ok(drain(node)),
+        (&Method::POST, OPERATOR_DRAIN) => drain(node, req).await,
         (&Method::GET, OPERATOR_STATUS) => {
             Ok(respond::json(StatusCode::OK, &operator_status::of(node)))
         }
@@ -63,9 +63,9 @@
             if let Some(key) = path.strip_prefix(OPERATOR_WITHDRAW) {
                 withdraw(node, key).await
             } else if let Some(part) = path.strip_prefix(OPERATOR_QUARANTINE_CLEAR_PART) {
-                clear_part(node, part)
+                clear_part(node, req, part).await
             } else if let Some(fingerprint) = path.strip_prefix(OPERATOR_QUARANTINE_CLEAR) {
-                clear_quarantine(node, fingerprint)
+                clear_quarantine(node, req, fingerprint).await
             } else {
                 Err(OperatorError::UnknownPath)
             }
@@ -85,7 +85,12 @@
             reason: error.to_string().into(),
         })?;
     check_size(&req)?;
-    let outcome = propose(node, req).await?;
+    let outcome = match req.expected_version {
+        None if !req.change.commutes() => ChangeOutcome::Conflict {
+            version: node.document().version,
+        },
+        _ => propose(node, req).await?,
+    };
     if let ChangeOutcome::Accepted { version } = outcome {
         wait_until_in_force(node, version).await;
     }
@@ -112,13 +117,22 @@
     })
 }
 
-fn drain(node: &Rc<Node>) -> Response<BoxBody> {
+/// Refuses a request whose caller has given up on it. What it asks for may have been undone since.
+async fn require_caller(req: &Request) -> Result<(), OperatorError> {
+    match CallerPresence::of(req).is_connected_after_settling().await {
+        true => Ok(()),
+        false => Err(OperatorError::CallerLeft),
+    }
+}
+
+async fn drain(node: &Rc<Node>, req: &Request) -> Answer {
+    require_caller(req).await?;
     node.stop.notify_one();
     let status = DrainStatus {
         in_flight: node.in_flight.get() as u64,
         vm: node.settings.vm.clone(),
     };
-    respond::json(StatusCode::ACCEPTED, &status)
+    Ok(respond::json(StatusCode::ACCEPTED, &status))
 }
 
 async fn propose(node: &Rc<Node>, req: ChangeRequest) -> Result<ChangeOutcome, OperatorError> {
@@ -151,7 +165,8 @@
 }
 
 /// Serves prompts again with a part that is quarantined or suspected, on all VMs.
-fn clear_part(node: &Node, part: &str) -> Answer {
+async fn clear_part(node: &Node, req: &Request, part: &str) -> Answer {
+    require_caller(req).await?;
     let number = PromptPartId::from_str_radix(part, 16).ok();
     if !number.is_some_and(|number| node.parts.clear(node, number)) {
         return Err(OperatorError::UnknownPart { part: part.into() });
@@ -162,7 +177,8 @@
 }
 
 /// Serves a request again that is quarantined or suspected, on all VMs.
-fn clear_quarantine(node: &Node, fingerprint: &str) -> Answer {
+async fn clear_quarantine(node: &Node, req: &Request, fingerprint: &str) -> Answer {
+    require_caller(req).await?;
     let number = Fingerprint::from_str_radix(fingerprint, 16).ok();
     if !number.is_some_and(|number| node.quarantine.clear(node, number)) {
         let fingerprint = fingerprint.into();
--- a/crates/ebonystand/src/state_controller.rs
+++ b/crates/ebonystand/src/state_controller.rs
@@ -51,7 +51,7 @@
             log::info!(
                 zone:% = zone, evacuated = *evacuated, request:% = request_id,
                 expected:? = expected_version, outcome:? = outcome, version = version;
-                "order to evacuate a zone committed"
+                "change of an evacuation committed"
             );
         }
         if let (Command::Change(req), true) = (command, version > before) {
@@ -132,7 +132,7 @@
 
     /// The state, encoded.
     pub(crate) fn snapshot(&self) -> Option<Bytes> {
-        match postcard::to_stdvec(&*self.machine.borrow()) {
+        match self.machine.borrow().encode() {
             Ok(bytes) => Some(bytes.into()),
             Err(error) => {
                 log::error!(error:% = error; "the state cannot be encoded");
--- a/crates/ebonystand/tests/integration/main.rs
+++ b/crates/ebonystand/tests/integration/main.rs
@@ -12,6 +12,7 @@
 mod faults;
 mod fleet;
 mod full_disk;
+mod late_requests;
 mod links;
 mod orders;
 mod pauses;
--- a/crates/ebonystand/tests/soak/operator.rs
+++ b/crates/ebonystand/tests/soak/operator.rs
@@ -17,6 +17,7 @@
 /// Makes changes in series until the run ends; each is sent again until it is accepted.
 pub(crate) async fn change(world: Rc<World>) {
     let client = Client::builder().timeout(PATIENCE).finish();
+    let mut last_version = 0;
     while !world.is_over() {
         let revision = world.next_revision();
         let change = match world.draw(0..3) {
@@ -31,10 +32,12 @@
         };
         let req = ChangeRequest {
             change,
-            expected_version: None,
+            expected_version: Some(last_version),
             request_id: format!("soak-{revision}").into(),
         };
-        apply(&world, &client, &req).await;
+        if let Some(version) = apply(&world, &client, &req).await {
+            last_version = version;
+        }
         world.pause(100..1_200).await;
     }
 }
@@ -69,7 +72,8 @@
     Some(status.version)
 }
 
-async fn apply(world: &World, client: &Client, req: &ChangeRequest) {
+/// Sends a change until it is accepted, and returns the version that it made.
+async fn apply(world: &World, client: &Client, req: &ChangeRequest) -> Option<u64> {
     let body = serde_json::to_string(req).unwrap();
     while !world.is_over() {
         let url = format!("{}/v1/operator/changes", world.operators_of(world.any_vm()));
@@ -81,10 +85,11 @@
             && let Ok(ChangeOutcome::Accepted { version }) = response.json().await
         {
             world.see(Event::Accepted { version });
-            return;
+            return Some(version);
         }
         world.pause(50..300).await;
     }
+    None
 }
 
 fn routing(revision: u64) -> Routing {
