--- a/crates/ebonystand-core/src/gateway/upstream_list.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_list.rs
@@ -70,6 +70,18 @@
         }
     }
 
+    /// Adds the upstreams of this list that a read lacks because the rest of the list could not be
+    /// read. They stay as they were last read, until a read reaches the end of the list.
+    pub fn add_missing(&self, scope: ListScope, read: &mut Vec<ListedUpstream>) {
+        if scope != self.scope {
+            return;
+        }
+        let found = read.iter().map(|entry| entry.instance.clone());
+        let found = found.collect::<FxHashSet<_>>();
+        let missing = self.iter().filter(|entry| !found.contains(&entry.instance));
+        read.extend(missing.cloned());
+    }
+
     /// Puts a list that was just read in force, and returns the update for the other VMs.
     ///
     /// An entry keeps the cold time with which its upstream became cold until the upstream is warm:
--- a/crates/ebonystand-core/tests/gateway/list.rs
+++ b/crates/ebonystand-core/tests/gateway/list.rs
@@ -221,3 +221,27 @@
     assert_eq!(own.after_read(4_462), own, "no change to and fro");
     assert_eq!(own.after_read(20), all, "it may be short again");
 }
+
+/// Guards against upstreams that are dropped because a malformed entry before them hides them from a read.
+#[test]
+fn what_a_cut_off_read_lacks_stays_as_it_was() {
+    let mut list = UpstreamList::default();
+    let scope = ListScope::AllRegions;
+    list.replace(ms(0), scope, upstreams(4, 2, ms(3_000)));
+    let mut read = upstreams(1, 0, ms(0));
+    read[0].leaving = true;
+    list.add_missing(scope, &mut read);
+    let update = list.replace(ms(1_000), scope, read);
+    let ListUpdate::Changes {
+        changed, removed, ..
+    } = update
+    else {
+        panic!("{update:?}");
+    };
+    assert_eq!((changed.len(), removed.len(), list.len()), (1, 0, 4));
+    assert!(changed[0].leaving);
+
+    let mut read = Vec::new();
+    list.add_missing(ListScope::OwnRegion, &mut read);
+    assert!(read.is_empty(), "the list of another scope says nothing");
+}
--- a/crates/ebonystand/src/gateway/list_controller.rs
+++ b/crates/ebonystand/src/gateway/list_controller.rs
@@ -12,12 +12,45 @@
 /// Keeps the list of upstreams of this VM's region. One VM of the region reads the list from its
 /// source and the others receive it from there.
 pub(crate) struct ListController {
+    /// Faults of the list as it was last read.
+    faults: Cell<ListFaults>,
     /// List in force; `None` until the first list arrives.
     listed: RefCell<Option<UpstreamList>>,
     reader: RefCell<ListReaderElection>,
     source: Option<Rc<dyn UpstreamSource>>,
 }
 
+/// List as it was read, in one part or by availability zone.
+struct ListRead {
+    faults: ListFaults,
+    scope: ListScope,
+    upstreams: Vec<ListedUpstream>,
+}
+
+/// What of a list could not be read.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+struct ListFaults {
+    /// Number of malformed entries.
+    ignored: usize,
+    /// Whether the rest of the list is malformed.
+    is_cut_off: bool,
+}
+
+impl ListRead {
+    fn new(scope: ListScope, reads: Vec<UpstreamRead>) -> Self {
+        let faults = ListFaults {
+            ignored: reads.iter().map(|read| read.ignored).sum(),
+            is_cut_off: reads.iter().any(|read| read.end == ReadEnd::Unreadable),
+        };
+        let upstreams = reads.into_iter().flat_map(|read| read.upstreams);
+        Self {
+            faults,
+            scope,
+            upstreams: upstreams.collect(),
+        }
+    }
+}
+
 impl ListController {
     pub(crate) fn new(
         source: Option<Rc<dyn UpstreamSource>>,
@@ -25,6 +58,7 @@
         now: Duration,
     ) -> Self {
         Self {
+            faults: Cell::default(),
             listed: RefCell::default(),
             reader: RefCell::new(ListReaderElection::new(every, now)),
             source,
@@ -103,11 +137,19 @@
     }
 
     /// Puts a list that this VM has read in force and returns the update for the other VMs.
-    fn install(&self, node: &Node, scope: ListScope, read: Vec<ListedUpstream>) -> ListUpdate {
+    fn install(&self, node: &Node, read: ListRead) -> ListUpdate {
+        let ListRead {
+            faults,
+            scope,
+            mut upstreams,
+        } = read;
         let mut listed = self.listed.borrow_mut();
         let list = listed.get_or_insert_default();
         let now = node.clock.now();
-        let update = list.replace(now, scope, read);
+        if faults.is_cut_off {
+            list.add_missing(scope, &mut upstreams);
+        }
+        let update = list.replace(now, scope, upstreams);
         let mut book = node.gateway.book.borrow_mut();
         match &update {
             ListUpdate::Changes {
@@ -199,12 +241,13 @@
             };
             match list {
                 None => {}
-                Some(Ok((scope, upstreams))) => {
+                Some(Ok(read)) => {
                     if failures > 0 || this.listed.borrow().is_none() {
-                        log::info!(upstreams = upstreams.len(); "list of upstreams read");
+                        log::info!(upstreams = read.upstreams.len(); "list of upstreams read");
                     }
                     failures = 0;
-                    let update = this.install(&node, scope, upstreams);
+                    this.report_faults(&node, read.faults);
+                    let update = this.install(&node, read);
                     let mut peers = node.gateway.book.borrow().reporters();
                     peers.extend(node.gateway.book.borrow().relays());
                     this.share(&node, &update, &peers);
@@ -234,11 +277,25 @@
         })
     }
 
+    /// Counts the malformed entries of the list, and logs them when their number changes.
+    fn report_faults(&self, node: &Node, faults: ListFaults) {
+        node.metrics.ignored_list_entries.set(faults.ignored as i64);
+        if self.faults.replace(faults) != faults {
+            log::warn!(
+                ignored = faults.ignored, is_cut_off = faults.is_cut_off;
+                "malformed entries of the list of upstreams changed; they name no upstream"
+            );
+        }
+    }
+
     /// Reads the list of all regions, or of the own region if that of all is too long.
-    async fn read(&self, node: &Rc<Node>) -> Result<(ListScope, Vec<ListedUpstream>), FetchError> {
+    async fn read(&self, node: &Rc<Node>) -> Result<ListRead, FetchError> {
         let Some(source) = &self.source else {
-            let upstreams = Self::configured(&node.document());
-            return Ok((ListScope::AllRegions, upstreams));
+            return Ok(ListRead {
+                faults: ListFaults::default(),
+                scope: ListScope::AllRegions,
+                upstreams: Self::configured(&node.document()),
+            });
         };
         let fetch = Fetch {
             node: Rc::clone(node),
@@ -247,16 +304,15 @@
         if scope == ListScope::AllRegions {
             let max = ListScope::MAX_OF_ALL_REGIONS;
             let read = source.list(&fetch, None, max).await?;
-            if read.is_complete && read.upstreams.len() <= max {
-                return Ok((scope, read.upstreams));
+            if read.end != ReadEnd::Limit && read.upstreams.len() <= max {
+                return Ok(ListRead::new(scope, vec![read]));
             }
         }
         let zones = node.settings.zones_of_region();
         let reads = zones.iter();
         let reads = reads.map(|zone| source.list(&fetch, Some(zone), usize::MAX));
         let reads = try_join_all(reads).await?;
-        let upstreams = reads.into_iter().flat_map(|read| read.upstreams);
-        Ok((ListScope::OwnRegion, upstreams.collect()))
+        Ok(ListRead::new(ListScope::OwnRegion, reads))
     }
 
     /// Builds the list from the upstreams in the configuration itself.
--- a/crates/ebonystand/src/gateway/mod.rs
+++ b/crates/ebonystand/src/gateway/mod.rs
@@ -15,7 +15,7 @@
     outgoing_call::OutgoingCall,
     replace_error::ReplaceError,
     settings::GatewaySettings,
-    upstream_source::{UpstreamRead, UpstreamSource},
+    upstream_source::{ReadEnd, UpstreamRead, UpstreamSource},
 };
 
 pub(crate) use {
--- a/crates/ebonystand/src/gateway/upstream_source.rs
+++ b/crates/ebonystand/src/gateway/upstream_source.rs
@@ -19,8 +19,21 @@
 /// What a read of the list of running upstreams found.
 #[derive(Clone, Debug)]
 pub struct UpstreamRead {
-    /// Whether the read reached the end of the list.
-    pub is_complete: bool,
+    /// Where the read ended.
+    pub end: ReadEnd,
+    /// Number of malformed entries, which name no upstream.
+    pub ignored: usize,
     /// Upstreams found.
     pub upstreams: Vec<ListedUpstream>,
 }
+
+/// Where a read of the list of running upstreams ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReadEnd {
+    /// At the end of the list.
+    Complete,
+    /// Beyond the number of upstreams that were asked for.
+    Limit,
+    /// Before the end of the list, the rest of which is malformed.
+    Unreadable,
+}
--- a/crates/ebonystand/src/lib.rs
+++ b/crates/ebonystand/src/lib.rs
@@ -53,7 +53,7 @@
     files::once_there_is_room,
     gateway::{
         AnswerMarks, CallHead, ConnectionFault, Dialect, Extension, Fetch, FetchError, Gateway,
-        GatewaySettings, Handler, OutgoingCall, ReplaceError, Surface, UpstreamRead,
+        GatewaySettings, Handler, OutgoingCall, ReadEnd, ReplaceError, Surface, UpstreamRead,
         UpstreamSource, header_resumption, header_text, passed_on, set_header,
     },
     group::Group,
--- a/crates/ebonystand/src/metrics.rs
+++ b/crates/ebonystand/src/metrics.rs
@@ -25,6 +25,7 @@
     pub(crate) limit_refusals: Counter,
     /// Bytes that callers have not accepted yet.
     pub(crate) held_bytes: Gauge,
+    pub(crate) ignored_list_entries: Gauge,
     pub(crate) limited_upstreams: Gauge,
     pub(crate) noticed_upstreams: Gauge,
     pub(crate) offered_slots: Family<ServiceLabel, Gauge>,
@@ -134,6 +135,7 @@
             early_refusals: Counter::default(),
             first_token: Family::new_with_constructor(histogram),
             limit_refusals: Counter::default(),
+            ignored_list_entries: Gauge::default(),
             limited_upstreams: Gauge::default(),
             noticed_upstreams: Gauge::default(),
             offered_slots: Family::default(),
@@ -240,6 +242,11 @@
             "Requests refused while the limit of an upstream of their service was used up",
             self.limit_refusals.clone(),
         );
+        r.register(
+            "ignored_list_entries",
+            "Malformed entries of the list of upstreams as this VM last read it",
+            self.ignored_list_entries.clone(),
+        );
         r.register(
             "limited_upstreams",
             "Upstreams whose limit is in force on this VM",
