End an answer at its deadline also while its upstream sends without pause

What callers saw: an upstream that sends chunks, or a body without length, as fast as it is read is relayed beyond the route's time, without end for chunks; a core is busy with it all the while.

Cause: the relay waits for the next bytes with a timeout of what is left. A timeout looks at the bytes first and at the clock only if there are none, so one of no time lets through what is there already, and with such an upstream there always are some.

Change: the relay looks at the clock before it reads.

Seen failing: both cases at full pace of an_answer_that_never_ends_is_broken_off were still running after 60 s without the change; with it all four pass.

--- a/crates/ebonystand/src/gateway/relay.rs
+++ b/crates/ebonystand/src/gateway/relay.rs
@@ -199,12 +199,18 @@
             return Ok(None);
         };
         let left = self.end.saturating_sub(self.node.clock.now());
-        match actix_rt::time::timeout(left, reader.next()).await {
-            Ok(Ok(Some(bytes))) => {
+        // A timeout alone would let bytes through that are there already, and with an upstream that
+        // sends them without end there always are some.
+        let next = match left.is_zero() {
+            true => None,
+            false => actix_rt::time::timeout(left, reader.next()).await.ok(),
+        };
+        match next {
+            Some(Ok(Some(bytes))) => {
                 self.record_bytes(&bytes);
                 Ok(Some(bytes))
             }
-            Ok(Ok(None))
+            Some(Ok(None))
                 if self
                     .events
                     .as_ref()
@@ -214,19 +220,19 @@
                 self.abandon(AttemptEnd::Lost);
                 Err(RelayFault::Upstream)
             }
-            Ok(Ok(None)) => {
+            Some(Ok(None)) => {
                 self.finish();
                 match self.is_unframed && self.requires_framing {
                     true => Err(RelayFault::Unframed),
                     false => Ok(None),
                 }
             }
-            Ok(Err(fault)) => {
+            Some(Err(fault)) => {
                 log::warn!(request:% = self.request, upstream:% = self.instance, framing:% = self.framing(), fault:% = fault, bytes = self.bytes; "broke off midway");
                 self.abandon(AttemptEnd::Lost);
                 Err(RelayFault::Upstream)
             }
-            Err(_) => {
+            None => {
                 log::warn!(request:% = self.request, upstream:% = self.instance, bytes = self.bytes; "cut off: its time is over");
                 self.abandon(AttemptEnd::TimedOut);
                 Err(RelayFault::Deadline)
--- /dev/null
+++ b/crates/ebonystand/tests/integration/endless.rs
@@ -0,0 +1,253 @@
+//! Upstreams that send bytes without end, in a head or in a body, through real processes.
+
+use {
+    crate::{
+        fleet::{Fleet, KEY},
+        routes::{HOST, Setting, put, routing, served},
+        scripted::Scripted,
+        vm::Vm,
+    },
+    futures_util::future::join_all,
+    rstest::rstest,
+    serde_json::json,
+    std::{
+        io::{Read as _, Write as _},
+        net::{SocketAddr, TcpListener, TcpStream},
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        thread,
+        time::Duration,
+    },
+    tokio::io::{AsyncReadExt as _, AsyncWriteExt as _},
+};
+
+/// Callers at a time.
+const CALLERS: usize = 40;
+/// Memory of the VM, in MB.
+const MEMORY_MB: u64 = 100;
+/// Memory by which the process may grow, in bytes.
+const MAX_GROWTH: u64 = 32 << 20;
+/// Time of the routes and of calls of services, in milliseconds.
+const TIMEOUT_MS: u64 = 1_500;
+
+/// What an upstream sends: a beginning, and then the same bytes again and again.
+#[derive(Clone, Copy)]
+struct Endless {
+    beginning: &'static str,
+    repeated: &'static str,
+}
+
+#[derive(Clone, Copy)]
+enum Pace {
+    /// As fast as it is read.
+    Full,
+    /// A little at a time.
+    Trickle,
+}
+
+const UNFRAMED: Endless = Endless {
+    beginning: "HTTP/1.1 200 OK\r\nx-ebonystand-request: NAME\r\n\r\n",
+    repeated: "more",
+};
+const CHUNKS: Endless = Endless {
+    beginning: "HTTP/1.1 200 OK\r\nx-ebonystand-request: NAME\r\ntransfer-encoding: chunked\r\n\r\n",
+    repeated: "4\r\nmore\r\n",
+};
+
+/// An upstream that answers requests for `/endless` without end, and all others soundly.
+#[derive(Clone, Default)]
+struct Upstream {
+    /// Connections that carry an answer without end now.
+    open: Arc<AtomicUsize>,
+    /// Answers without end.
+    begun: Arc<AtomicUsize>,
+}
+
+impl Upstream {
+    fn start(endless: Endless, pace: Pace) -> (Self, SocketAddr) {
+        let upstream = Self::default();
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let state = upstream.clone();
+        thread::spawn(move || {
+            for io in listener.incoming() {
+                let state = state.clone();
+                thread::spawn(move || state.converse(io.unwrap(), endless, pace));
+            }
+        });
+        (upstream, address)
+    }
+
+    fn converse(&self, mut io: TcpStream, endless: Endless, pace: Pace) -> Option<()> {
+        let mut buf = Vec::new();
+        loop {
+            let head = loop {
+                if let Some(end) = buf.windows(4).position(|part| part == b"\r\n\r\n") {
+                    let head = String::from_utf8_lossy(&buf[..end]).into_owned();
+                    buf.drain(..end + 4);
+                    break head;
+                }
+                let mut chunk = [0; 4_096];
+                let len = io.read(&mut chunk).ok().filter(|len| *len > 0)?;
+                buf.extend_from_slice(&chunk[..len]);
+            };
+            let name = "x-ebonystand-request: ";
+            let name = head.lines().find_map(|line| line.strip_prefix(name));
+            let name = name.unwrap_or("none");
+            if head.contains("/endless") {
+                self.begun.fetch_add(1, Ordering::SeqCst);
+                self.open.fetch_add(1, Ordering::SeqCst);
+                let beginning = endless.beginning.replace("NAME", name);
+                send(&mut io, &beginning, endless.repeated, pace);
+                self.open.fetch_sub(1, Ordering::SeqCst);
+                return None;
+            }
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nx-ebonystand-request: {name}\r\ncontent-length: 6\r\n\r\nserved"
+            );
+            io.write_all(answer.as_bytes()).ok()?;
+        }
+    }
+}
+
+/// Sends until the other end closes the connection.
+fn send(io: &mut TcpStream, beginning: &str, repeated: &str, pace: Pace) {
+    let times = match pace {
+        Pace::Full => 4_096,
+        Pace::Trickle => 8,
+    };
+    let block = repeated.repeat(times);
+    let mut written = io.write(beginning.as_bytes());
+    while written.is_ok() {
+        if let Pace::Trickle = pace {
+            thread::sleep(Duration::from_millis(20));
+        }
+        written = io.write(block.as_bytes());
+    }
+}
+
+/// What a caller got, of whose body only the end is kept.
+#[derive(Debug)]
+struct Answer {
+    end: Vec<u8>,
+    head: String,
+    is_reset: bool,
+}
+
+impl Answer {
+    async fn read(vm: &Vm, path: &str, name: &str) -> Self {
+        let address = vm.addresses.callers;
+        let mut io = tokio::net::TcpStream::connect(address).await.unwrap();
+        let request = format!(
+            "GET {path} HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer {KEY}\r\nx-ebonystand-request: {name}\r\nx-ebonystand-deadline-ms: {TIMEOUT_MS}\r\nconnection: close\r\n\r\n"
+        );
+        io.write_all(request.as_bytes()).await.unwrap();
+        let (mut head, mut end) = (String::new(), Vec::new());
+        let is_reset = loop {
+            match io.read_buf(&mut end).await {
+                Ok(0) => break false,
+                Ok(_) => {}
+                Err(_) => break true,
+            }
+            let head_end = end.windows(4).position(|part| part == b"\r\n\r\n");
+            if let (true, Some(at)) = (head.is_empty(), head_end) {
+                head = String::from_utf8_lossy(&end[..at]).to_ascii_lowercase();
+                end.drain(..at + 4);
+            }
+            let excess = end.len().saturating_sub(4_096);
+            if !head.is_empty() {
+                end.drain(..excess);
+            }
+        };
+        Self {
+            end,
+            head,
+            is_reset,
+        }
+    }
+
+    fn status(&self) -> u16 {
+        let status = self.head.split(' ').nth(1);
+        status.and_then(|status| status.parse().ok()).unwrap_or(0)
+    }
+
+    /// Whether a caller can take the body for whole.
+    fn looks_whole(&self) -> bool {
+        match self.head.contains("transfer-encoding") {
+            true => self.end.ends_with(b"0\r\n\r\n"),
+            false => !self.head.is_empty() && !self.is_reset,
+        }
+    }
+}
+
+/// A VM before one upstream, with routes of a short time.
+async fn start(address: SocketAddr) -> Fleet {
+    let upstream = Scripted::start(|received| received.answer("200 OK", ""));
+    let mut setting = Setting::new(vec![("a", vec![upstream.at(address)])]);
+    setting.resources = json!({"memory_mb": MEMORY_MB});
+    let fleet = setting.start().await;
+    let mut routing = routing(1);
+    for route in &mut routing.routes {
+        route.aim_ms = TIMEOUT_MS / 2;
+        route.timeout_ms = TIMEOUT_MS;
+    }
+    put(&fleet, routing).await;
+    served(&fleet.vms[0], "/look/first").await;
+    fleet
+}
+
+/// Has callers ask for answers without end all at once, and returns what they got and by how many bytes the process grew.
+async fn ask(fleet: &Fleet, path: &str) -> (Vec<Answer>, u64) {
+    let vm = &fleet.vms[0];
+    let before = vm.resident_bytes();
+    let names = (0..CALLERS).map(|n| format!("endless-{n}"));
+    let names = names.collect::<Vec<_>>();
+    let answers = join_all(names.iter().map(|name| Answer::read(vm, path, name)));
+    let mut most = before;
+    tokio::pin!(answers);
+    loop {
+        match actix_rt::time::timeout(Duration::from_millis(10), &mut answers).await {
+            Ok(answers) => return (answers, most - before),
+            Err(_) => most = most.max(vm.resident_bytes()),
+        }
+    }
+}
+
+/// Waits until the VM has closed all connections that carry answers without end.
+async fn wait_until_closed(upstream: &Upstream, fleet: &Fleet) {
+    for _ in 0..1_000 {
+        if upstream.open.load(Ordering::SeqCst) == 0 {
+            return;
+        }
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("connections stay open: {}", fleet.vms[0].log());
+}
+
+/// Guards against answers without end that outlast their time, fill the memory, keep their connection, or look whole to a caller.
+#[rstest]
+#[case::unframed(UNFRAMED, Pace::Full)]
+#[case::unframed_trickles(UNFRAMED, Pace::Trickle)]
+#[case::chunks(CHUNKS, Pace::Full)]
+#[case::chunks_trickle(CHUNKS, Pace::Trickle)]
+#[actix_rt::test]
+async fn an_answer_that_never_ends_is_broken_off(
+    #[values("/stream/endless")] path: &str,
+    #[case] endless: Endless,
+    #[case] pace: Pace,
+) {
+    let (upstream, address) = Upstream::start(endless, pace);
+    let mut fleet = start(address).await;
+    let (answers, grown) = ask(&fleet, path).await;
+    for answer in &answers {
+        let is_told = answer.status() >= 500 || !answer.looks_whole();
+        assert!(is_told, "{} {:?}", answer.head, answer.is_reset);
+    }
+    wait_until_closed(&upstream, &fleet).await;
+    assert!(upstream.begun.load(Ordering::SeqCst) > 0);
+    assert!(grown < MAX_GROWTH, "grown by {grown} bytes");
+    assert!(fleet.vms[0].running());
+    served(&fleet.vms[0], "/look/after").await;
+}
--- a/crates/ebonystand/tests/integration/main.rs
+++ b/crates/ebonystand/tests/integration/main.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod crashes;
 mod cut_vms;
+mod endless;
 mod failures;
 mod faults;
 mod fleet;
