Bound the memory of answers that are read whole

What callers would see: a VM before an upstream whose bodies have no end holds up to 4 MiB for each request, so that some tens of them fill a small VM, which is killed with all its callers.

Cause: only the size of each answer was bounded, not their sum. Evidence: 40 requests at once on routes of idempotent and once-only calls broke the test's bounds, for bodies without length and in chunks at full pace and for no others; that run was ended before it printed by how much.

The upstream counts as having broken off.

Seen failing: on cases unframed and chunks, /look and /once at full pace, of an_answer_that_never_ends_is_broken_off.

--- a/crates/ebonystand-core/src/lib.rs
+++ b/crates/ebonystand-core/src/lib.rs
@@ -69,6 +69,7 @@
     append_outcome::AppendOutcome,
     ask_id::AskId,
     body_hash::BodyHash,
+    buffered_answers::BufferedAnswers,
     cache_change::CacheChange,
     cache_event::CacheEvent,
     call::Call,
@@ -211,6 +212,7 @@
 mod body_hash;
 mod borrowed_lease;
 mod borrower;
+mod buffered_answers;
 mod cache_change;
 mod cache_event;
 mod call;
--- a/crates/ebonystand/src/dispatch.rs
+++ b/crates/ebonystand/src/dispatch.rs
@@ -210,17 +210,16 @@
     }
     let content_type = content_type(&response);
     let collect = async {
-        let mut buf = BytesMut::new();
+        let mut buf = node.answer_buffers.open(limit);
         while let Some(chunk) = response.next().await {
             let chunk = chunk.map_err(|error| DispatchFailure::Broken {
                 message: error.to_string().into(),
             })?;
-            if buf.len() + chunk.len() > limit {
+            if buf.push(&chunk).is_err() {
                 return Err(DispatchFailure::Large { limit });
             }
-            buf.extend_from_slice(&chunk);
         }
-        Ok(buf.freeze())
+        Ok(buf.finish())
     };
     let body = actix_rt::time::timeout(timeout, collect)
         .await
--- a/crates/ebonystand/src/gateway/relay.rs
+++ b/crates/ebonystand/src/gateway/relay.rs
@@ -175,16 +175,18 @@
 
     /// Reads the whole answer, up to `limit` bytes.
     pub(crate) async fn read_whole(mut self, limit: usize) -> Result<Bytes, AttemptEnd> {
-        let mut whole = BytesMut::new();
+        let mut whole = self.node.answer_buffers.open(limit);
         loop {
             match self.next().await {
-                Ok(Some(bytes)) if whole.len() + bytes.len() <= limit => {
-                    whole.extend_from_slice(&bytes);
+                Ok(Some(bytes)) => {
+                    if let Err(error) = whole.push(&bytes) {
+                        log::warn!(request:% = self.request, upstream:% = self.instance, error:% = error; "given up");
+                        self.abandon(AttemptEnd::Lost);
+                        return Err(AttemptEnd::Lost);
+                    }
                 }
-                Ok(Some(_)) | Err(RelayFault::Upstream | RelayFault::Unframed) => {
-                    return Err(AttemptEnd::Lost);
-                }
-                Ok(None) => return Ok(whole.freeze()),
+                Err(RelayFault::Upstream | RelayFault::Unframed) => return Err(AttemptEnd::Lost),
+                Ok(None) => return Ok(whole.finish()),
                 Err(RelayFault::Deadline) => return Err(AttemptEnd::TimedOut),
             }
         }
--- a/crates/ebonystand/src/lib.rs
+++ b/crates/ebonystand/src/lib.rs
@@ -73,6 +73,7 @@
 
 mod admitted_request;
 mod allowance_controller;
+mod answer_buffers;
 mod attempt;
 mod authenticate;
 mod body;
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -1,6 +1,7 @@
 use super::*;
 use {
     allowance_controller::AllowanceController,
+    answer_buffers::AnswerBuffers,
     caller::Caller,
     capacity_controller::CapacityController,
     client_pool::ClientPool,
@@ -29,6 +30,7 @@
 pub(crate) struct Node {
     pub(crate) addresses: Listen,
     pub(crate) allowance: AllowanceController,
+    pub(crate) answer_buffers: Rc<AnswerBuffers>,
     pub(crate) capacity: CapacityController,
     pub(crate) clients: ClientPool,
     pub(crate) clock: Rc<dyn Clock>,
@@ -204,6 +206,7 @@
         Ok(Self {
             addresses,
             allowance: AllowanceController::new(vm.clone(), incarnation, region, now),
+            answer_buffers: AnswerBuffers::new(settings.resources.memory_bytes),
             capacity: CapacityController::default(),
             clients: ClientPool::new(),
             clock,
--- a/crates/ebonystand/tests/integration/endless.rs
+++ b/crates/ebonystand/tests/integration/endless.rs
@@ -55,6 +55,10 @@
     beginning: "HTTP/1.1 200 OK\r\nx-ebonystand-request: NAME\r\ntransfer-encoding: chunked\r\n\r\n",
     repeated: "4\r\nmore\r\n",
 };
+const FAILURE: Endless = Endless {
+    beginning: "HTTP/1.1 500 Internal Server Error\r\nx-ebonystand-request: NAME\r\n\r\n",
+    repeated: "more",
+};
 
 /// An upstream that answers requests for `/endless` without end, and all others soundly.
 #[derive(Clone, Default)]
@@ -234,7 +238,7 @@
 #[case::chunks_trickle(CHUNKS, Pace::Trickle)]
 #[actix_rt::test]
 async fn an_answer_that_never_ends_is_broken_off(
-    #[values("/stream/endless")] path: &str,
+    #[values("/look/endless", "/once/endless", "/stream/endless")] path: &str,
     #[case] endless: Endless,
     #[case] pace: Pace,
 ) {
@@ -251,3 +255,42 @@
     assert!(fleet.vms[0].running());
     served(&fleet.vms[0], "/look/after").await;
 }
+
+/// Guards against the same on the daemon's own API, whose answers another HTTP client reads.
+#[rstest]
+#[case::unframed(UNFRAMED)]
+#[case::chunks(CHUNKS)]
+#[actix_rt::test]
+async fn a_call_of_a_service_whose_answer_has_no_end_is_given_up(
+    #[case] endless: Endless,
+    #[values(Pace::Full, Pace::Trickle)] pace: Pace,
+) {
+    let (upstream, address) = Upstream::start(endless, pace);
+    let mut fleet = start(address).await;
+    let (answers, grown) = ask(&fleet, "/v1/services/orders/endless").await;
+    for answer in &answers {
+        assert!(answer.status() >= 500 && answer.looks_whole(), "{answer:?}");
+    }
+    wait_until_closed(&upstream, &fleet).await;
+    assert!(upstream.begun.load(Ordering::SeqCst) > 0);
+    assert!(grown < MAX_GROWTH, "grown by {grown} bytes");
+    assert!(fleet.vms[0].running());
+}
+
+/// Guards against the body of a failure that is waited for, or kept, without end.
+#[rstest]
+#[actix_rt::test]
+async fn the_body_of_a_failure_without_end_is_given_up(
+    #[values("/look/endless", "/once/endless", "/stream/endless")] path: &str,
+    #[values(Pace::Full, Pace::Trickle)] pace: Pace,
+) {
+    let (upstream, address) = Upstream::start(FAILURE, pace);
+    let fleet = start(address).await;
+    let (answers, grown) = ask(&fleet, path).await;
+    for answer in &answers {
+        assert!(answer.status() >= 500, "{answer:?}");
+    }
+    wait_until_closed(&upstream, &fleet).await;
+    assert!(grown < MAX_GROWTH, "grown by {grown} bytes");
+    served(&fleet.vms[0], "/look/after").await;
+}
--- a/crates/ebonystand/tests/integration/routes.rs
+++ b/crates/ebonystand/tests/integration/routes.rs
@@ -76,13 +76,17 @@
         }
         let regions = self.regions;
         let builder = builder.resources(self.resources).document(|document| {
-            let call = |method: &str| Call {
+            let call = |method: &str, path: &str| Call {
                 method: method.into(),
                 once: false,
-                path: "unframed".into(),
+                path: path.into(),
             };
             let service = Service {
-                calls: vec![call("GET"), call("POST")],
+                calls: vec![
+                    call("GET", "endless"),
+                    call("GET", "unframed"),
+                    call("POST", "unframed"),
+                ],
                 ..Service::default()
             };
             document.services.insert("orders".into(), service);
