Bound the bytes before and between the parts of an answer

What callers would see: an upstream that sends interim answers, the size of a chunk, or an extension of it, without end keeps a VM reading for as long as the request may take. Each such request got its refusal in time, but at full pace a core is busy with it meanwhile.

Cause: a head was bounded only while it was incomplete in the buffer, so interim answers (1xx), which are parsed and dropped one by one, never counted; nor did the framing of chunks, which the decoder swallows without yielding any bytes. Evidence: cases interim_answers (3 of 3 routes), chunk_size (2) and chunk_extension (3), at full pace only, failed a bound of 16 MiB on what the upstream could send.

Change: a head counts with the interim answers before it, 64 KiB in all; between two parts of a body 16 KiB of framing are read at most. Beyond that the connection is closed and the upstream counts as having broken off; the request is tried elsewhere or refused as before.

Seen failing on: those eight cases.

--- a/crates/ebonystand/src/gateway/connection.rs
+++ b/crates/ebonystand/src/gateway/connection.rs
@@ -60,10 +60,10 @@
         /// Error of the operating system.
         source: io::Error,
     },
-    /// The head or body of the answer is larger than its limit.
+    /// The head, body or framing of the answer is larger than its limit.
     #[snafu(display("the answer exceeds its limit of {limit} bytes"))]
     Large {
-        /// Limit of the head or body, in bytes.
+        /// Limit of the part that is too large, in bytes.
         limit: usize,
     },
     /// The received bytes are not a valid HTTP answer.
@@ -95,8 +95,11 @@
 
 impl Connection {
     const READ_CAPACITY: usize = 4 << 10;
-    /// Largest head of an answer, in bytes.
+    /// Largest head of an answer with the interim answers before it, in bytes.
     const MAX_HEAD_BYTES: usize = 64 << 10;
+    /// Most bytes of framing between two parts of a body, such as a chunk's size with its
+    /// extensions.
+    const MAX_FRAMING_BYTES: usize = 16 << 10;
 
     /// Longest time to open a connection: one round trip between regions and one lost packet.
     pub(crate) const MAX_CONNECT_TIME: Duration = Duration::from_millis(1_000);
@@ -170,10 +173,15 @@
         };
         tokio::pin!(send);
         let mut is_request_sent = false;
+        let mut received = 0;
         let head = loop {
             if let Some(head) = Self::parse(&mut codec, &mut self.buf)? {
                 break head;
             }
+            if received > Self::MAX_HEAD_BYTES {
+                let limit = Self::MAX_HEAD_BYTES;
+                return Err(ConnectionFault::Large { limit });
+            }
             self.buf.reserve(Self::READ_CAPACITY);
             tokio::select! {
                 sent = &mut send, if !is_request_sent => {
@@ -185,6 +193,7 @@
                     if read == 0 {
                         return Err(ConnectionFault::Truncated);
                     }
+                    received += read;
                 }
             }
         };
@@ -234,10 +243,6 @@
             match codec.decode(buf).map_err(malformed)? {
                 Some(head) if head.status.is_informational() => {}
                 Some(head) => return Ok(Some(head)),
-                None if buf.len() > Self::MAX_HEAD_BYTES => {
-                    let limit = Self::MAX_HEAD_BYTES;
-                    return Err(ConnectionFault::Large { limit });
-                }
                 None => return Ok(None),
             }
         }
@@ -270,14 +275,21 @@
     /// # Errors
     /// Any [`ConnectionFault`] except [`ConnectionFault::Connect`].
     pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, ConnectionFault> {
+        let mut framing_bytes = 0;
         loop {
             if let Some(next) = self.decode()? {
                 return Ok(next);
             }
+            if framing_bytes > Connection::MAX_FRAMING_BYTES {
+                let limit = Connection::MAX_FRAMING_BYTES;
+                return Err(ConnectionFault::Large { limit });
+            }
             let buf = &mut self.connection.buf;
             buf.reserve(Connection::READ_CAPACITY);
             let read = self.connection.io.read_buf(buf).await;
-            if read.map_err(|source| ConnectionFault::Broken { source })? > 0 {
+            let read = read.map_err(|source| ConnectionFault::Broken { source })?;
+            framing_bytes += read;
+            if read > 0 {
                 continue;
             }
             return match self.framing {
--- a/crates/ebonystand/tests/integration/endless.rs
+++ b/crates/ebonystand/tests/integration/endless.rs
@@ -15,7 +15,7 @@
         net::{SocketAddr, TcpListener, TcpStream},
         sync::{
             Arc,
-            atomic::{AtomicUsize, Ordering},
+            atomic::{AtomicU64, AtomicUsize, Ordering},
         },
         thread,
         time::Duration,
@@ -25,6 +25,8 @@
 
 /// Callers at a time.
 const CALLERS: usize = 40;
+/// Bytes that a VM may read of an answer that gets nowhere, with what the sockets of both ends hold.
+const MAX_IDLE_BYTES: u64 = 16 << 20;
 /// Memory of the VM, in MB.
 const MEMORY_MB: u64 = 100;
 /// Memory by which the process may grow, in bytes.
@@ -47,6 +49,46 @@
     Trickle,
 }
 
+const STATUS_LINE: Endless = Endless {
+    beginning: "HTTP/1.1 200 ",
+    repeated: "O",
+};
+const HEADER: Endless = Endless {
+    beginning: "HTTP/1.1 200 OK\r\nserver: ",
+    repeated: "s",
+};
+const HEADERS: Endless = Endless {
+    beginning: "HTTP/1.1 200 OK\r\n",
+    repeated: "server: s\r\n",
+};
+const INTERIM: Endless = Endless {
+    beginning: "",
+    repeated: "HTTP/1.1 103 Early Hints\r\n\r\n",
+};
+const NO_HTTP: Endless = Endless {
+    beginning: "",
+    repeated: "\0",
+};
+const CHUNK_SIZE: Endless = Endless {
+    beginning: "HTTP/1.1 200 OK\r\nx-ebonystand-request: NAME\r\ntransfer-encoding: chunked\r\n\r\n",
+    repeated: "0",
+};
+const CHUNK_EXTENSION: Endless = Endless {
+    beginning: "HTTP/1.1 200 OK\r\nx-ebonystand-request: NAME\r\ntransfer-encoding: chunked\r\n\r\n5;a=",
+    repeated: "b",
+};
+const TRAILER: Endless = Endless {
+    beginning: "HTTP/1.1 200 OK\r\nx-ebonystand-request: NAME\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n",
+    repeated: "server: s\r\n",
+};
+const EXTENSION_MIDWAY: Endless = Endless {
+    beginning: "HTTP/1.1 200 OK\r\nx-ebonystand-request: NAME\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n5;a=",
+    repeated: "b",
+};
+const BEYOND_LENGTH: Endless = Endless {
+    beginning: "HTTP/1.1 200 OK\r\nx-ebonystand-request: NAME\r\ncontent-length: 5\r\n\r\nwhole",
+    repeated: "more",
+};
 const UNFRAMED: Endless = Endless {
     beginning: "HTTP/1.1 200 OK\r\nx-ebonystand-request: NAME\r\n\r\n",
     repeated: "more",
@@ -65,6 +107,8 @@
 struct Upstream {
     /// Connections that carry an answer without end now.
     open: Arc<AtomicUsize>,
+    /// Bytes that were accepted of the answer that got furthest.
+    most: Arc<AtomicU64>,
     /// Answers without end.
     begun: Arc<AtomicUsize>,
 }
@@ -104,7 +148,8 @@
                 self.begun.fetch_add(1, Ordering::SeqCst);
                 self.open.fetch_add(1, Ordering::SeqCst);
                 let beginning = endless.beginning.replace("NAME", name);
-                send(&mut io, &beginning, endless.repeated, pace);
+                let sent = send(&mut io, &beginning, endless.repeated, pace);
+                self.most.fetch_max(sent, Ordering::SeqCst);
                 self.open.fetch_sub(1, Ordering::SeqCst);
                 return None;
             }
@@ -116,20 +161,23 @@
     }
 }
 
-/// Sends until the other end closes the connection.
-fn send(io: &mut TcpStream, beginning: &str, repeated: &str, pace: Pace) {
+/// Sends until the other end closes the connection, and returns how much was accepted.
+fn send(io: &mut TcpStream, beginning: &str, repeated: &str, pace: Pace) -> u64 {
     let times = match pace {
         Pace::Full => 4_096,
         Pace::Trickle => 8,
     };
     let block = repeated.repeat(times);
+    let mut sent = 0;
     let mut written = io.write(beginning.as_bytes());
-    while written.is_ok() {
+    while let Ok(len) = written {
+        sent += len as u64;
         if let Pace::Trickle = pace {
             thread::sleep(Duration::from_millis(20));
         }
         written = io.write(block.as_bytes());
     }
+    sent
 }
 
 /// What a caller got, of whose body only the end is kept.
@@ -230,8 +278,49 @@
     panic!("connections stay open: {}", fleet.vms[0].log());
 }
 
-/// Guards against answers without end that outlast their time, fill the memory, keep their connection, or look whole to a caller.
+/// Guards against answers without end that fill the memory, occupy the processor, keep their connection, look whole to a
+/// caller, or leave it without an answer.
+#[rstest]
+#[case::status_line(STATUS_LINE, Pace::Full)]
+#[case::status_line_trickles(STATUS_LINE, Pace::Trickle)]
+#[case::header(HEADER, Pace::Full)]
+#[case::header_trickles(HEADER, Pace::Trickle)]
+#[case::headers(HEADERS, Pace::Full)]
+#[case::headers_trickle(HEADERS, Pace::Trickle)]
+#[case::interim_answers(INTERIM, Pace::Full)]
+#[case::interim_answers_trickle(INTERIM, Pace::Trickle)]
+#[case::no_http(NO_HTTP, Pace::Full)]
+#[case::chunk_size(CHUNK_SIZE, Pace::Full)]
+#[case::chunk_size_trickles(CHUNK_SIZE, Pace::Trickle)]
+#[case::chunk_extension(CHUNK_EXTENSION, Pace::Full)]
+#[case::chunk_extension_trickles(CHUNK_EXTENSION, Pace::Trickle)]
+#[actix_rt::test]
+async fn an_answer_that_never_begins_is_given_up(
+    #[values("/look/endless", "/once/endless", "/stream/endless")] path: &str,
+    #[case] endless: Endless,
+    #[case] pace: Pace,
+) {
+    let (upstream, address) = Upstream::start(endless, pace);
+    let mut fleet = start(address).await;
+    let (answers, grown) = ask(&fleet, path).await;
+    for answer in &answers {
+        assert!(answer.status() >= 500 && answer.looks_whole(), "{answer:?}");
+    }
+    wait_until_closed(&upstream, &fleet).await;
+    assert!(upstream.begun.load(Ordering::SeqCst) > 0);
+    let most = upstream.most.load(Ordering::SeqCst);
+    assert!(most < MAX_IDLE_BYTES, "{most} bytes read");
+    assert!(grown < MAX_GROWTH, "grown by {grown} bytes");
+    assert!(fleet.vms[0].running());
+    served(&fleet.vms[0], "/look/after").await;
+}
+
+/// Guards against the same in answers that begin: a caller must see that its answer broke off.
 #[rstest]
+#[case::trailer(TRAILER, Pace::Full)]
+#[case::trailer_trickles(TRAILER, Pace::Trickle)]
+#[case::extension(EXTENSION_MIDWAY, Pace::Full)]
+#[case::extension_trickles(EXTENSION_MIDWAY, Pace::Trickle)]
 #[case::unframed(UNFRAMED, Pace::Full)]
 #[case::unframed_trickles(UNFRAMED, Pace::Trickle)]
 #[case::chunks(CHUNKS, Pace::Full)]
@@ -256,8 +345,38 @@
     served(&fleet.vms[0], "/look/after").await;
 }
 
+/// Guards against bytes behind a whole answer that cost the caller its answer, or the VM its memory.
+#[rstest]
+#[actix_rt::test]
+async fn an_answer_with_bytes_without_end_behind_it_is_delivered(
+    #[values("/look/endless", "/once/endless", "/stream/endless")] path: &str,
+) {
+    let (upstream, address) = Upstream::start(BEYOND_LENGTH, Pace::Full);
+    let fleet = start(address).await;
+    let (answers, grown) = ask(&fleet, path).await;
+    let whole = answers.iter().filter(|answer| answer.status() == 200);
+    assert!(whole.clone().count() > 0);
+    for answer in whole {
+        let body: &[u8] = match answer.head.contains("transfer-encoding") {
+            true => b"5\r\nwhole\r\n0\r\n\r\n",
+            false => b"whole",
+        };
+        assert_eq!(answer.end, body, "{}", answer.head);
+    }
+    wait_until_closed(&upstream, &fleet).await;
+    assert!(grown < MAX_GROWTH, "grown by {grown} bytes");
+    served(&fleet.vms[0], "/look/after").await;
+}
+
 /// Guards against the same on the daemon's own API, whose answers another HTTP client reads.
 #[rstest]
+#[case::status_line(STATUS_LINE)]
+#[case::headers(HEADERS)]
+#[case::interim_answers(INTERIM)]
+#[case::no_http(NO_HTTP)]
+#[case::chunk_size(CHUNK_SIZE)]
+#[case::chunk_extension(CHUNK_EXTENSION)]
+#[case::trailer(TRAILER)]
 #[case::unframed(UNFRAMED)]
 #[case::chunks(CHUNKS)]
 #[actix_rt::test]
