Free an answer that is given up at once, and tell its true reason

An answer that was given up for the memory of all was freed only with its next bytes, so one whose upstream had gone silent kept its memory, uncounted, until its deadline; and the daemon's own API said that it was larger than one answer may be. The wait for the next bytes now ends with the decision, and the two reasons are two errors. A route's answer that is too large counts against its upstream as broken off, not as cancelled.

Read, not seen failing: no test plays an upstream that falls silent with much sent. endless.rs: 90 of 90 pass.

--- a/crates/ebonystand/src/answer_buffers.rs
+++ b/crates/ebonystand/src/answer_buffers.rs
@@ -1,10 +1,10 @@
-use {super::*, ebonystand_core::BufferedAnswers};
+use {super::*, ebonystand_core::BufferedAnswers, tokio::sync::Notify};
 
 /// Bounds the memory of answers that this VM reads whole before it passes them on.
 pub(crate) struct AnswerBuffers {
     answers: RefCell<BufferedAnswers>,
     next_id: Cell<u64>,
-    stops: RefCell<FxHashMap<u64, Rc<Cell<bool>>>>,
+    stops: RefCell<FxHashMap<u64, Rc<Notify>>>,
 }
 
 /// An answer that is being read whole.
@@ -12,15 +12,18 @@
     buf: BytesMut,
     buffers: Rc<AnswerBuffers>,
     id: u64,
-    is_stopped: Rc<Cell<bool>>,
     limit: usize,
+    /// Notified if the answer must be given up.
+    stop: Rc<Notify>,
 }
 
-/// The answer is larger than an answer may be, or than the VM has memory for.
+/// Reason why an answer is not read whole.
 #[derive(Debug, Snafu)]
-#[snafu(display("the answer is too large to be read whole: {len} bytes so far"))]
-pub(crate) struct AnswerTooLarge {
-    len: usize,
+pub(crate) enum AnswerTooLarge {
+    #[snafu(display("the answer is larger than {limit} bytes"))]
+    Limit { limit: usize },
+    #[snafu(display("the answer is given up after {len} bytes: too much is read whole at once"))]
+    Stopped { len: usize },
 }
 
 impl AnswerBuffers {
@@ -36,14 +39,14 @@
     pub(crate) fn open(self: &Rc<Self>, limit: usize) -> AnswerBuffer {
         self.next_id.set(self.next_id.get() + 1);
         let id = self.next_id.get();
-        let is_stopped = Rc::<Cell<bool>>::default();
-        self.stops.borrow_mut().insert(id, Rc::clone(&is_stopped));
+        let stop = Rc::<Notify>::default();
+        self.stops.borrow_mut().insert(id, Rc::clone(&stop));
         AnswerBuffer {
             buf: BytesMut::new(),
             buffers: Rc::clone(self),
             id,
-            is_stopped,
             limit,
+            stop,
         }
     }
 
@@ -57,26 +60,34 @@
             "answers given up: too much is read whole at once"
         );
         let stops = self.stops.borrow();
-        let flags = stopped.iter().filter_map(|id| stops.get(id));
-        flags.for_each(|flag| flag.set(true));
+        let stops = stopped.iter().filter_map(|id| stops.get(id));
+        stops.for_each(|stop| stop.notify_one());
     }
 }
 
 impl AnswerBuffer {
+    /// Waits for the next bytes of the answer from `next`.
+    ///
+    /// # Errors
+    /// [`AnswerTooLarge::Stopped`] if the answer must be given up meanwhile.
+    pub(crate) async fn wait<T>(&self, next: impl Future<Output = T>) -> Result<T, AnswerTooLarge> {
+        let len = self.buf.len();
+        tokio::select! {
+            biased;
+            () = self.stop.notified() => StoppedSnafu { len }.fail(),
+            next = next => Ok(next),
+        }
+    }
+
     /// Adds the next bytes of the answer.
     ///
     /// # Errors
-    /// [`AnswerTooLarge`] if the answer must be given up.
+    /// [`AnswerTooLarge::Limit`] if the answer is too large.
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<(), AnswerTooLarge> {
-        let len = self.buf.len() + bytes.len();
-        if len <= self.limit && !self.is_stopped.get() {
-            self.buf.extend_from_slice(bytes);
-            self.buffers.set(self.id, self.buf.capacity());
-        }
-        ensure!(
-            len <= self.limit && !self.is_stopped.get(),
-            AnswerTooLargeSnafu { len }
-        );
+        let limit = self.limit;
+        ensure!(self.buf.len() + bytes.len() <= limit, LimitSnafu { limit });
+        self.buf.extend_from_slice(bytes);
+        self.buffers.set(self.id, self.buf.capacity());
         Ok(())
     }
 
--- a/crates/ebonystand/src/dispatch.rs
+++ b/crates/ebonystand/src/dispatch.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use {
+    answer_buffers::AnswerTooLarge,
     awc::{
         ClientResponse,
         error::{ConnectError, SendRequestError},
@@ -38,8 +39,8 @@
     Broken { message: Box<str> },
     #[snafu(display("the upstream cannot be connected to"))]
     Connect,
-    #[snafu(display("the upstream's answer is larger than {limit} bytes"))]
-    Large { limit: usize },
+    #[snafu(display("{source}"))]
+    Large { source: AnswerTooLarge },
     #[snafu(display("the upstream answered {status}"))]
     Status { status: u16 },
     #[snafu(display("the upstream was silent for too long"))]
@@ -211,15 +212,14 @@
     let content_type = content_type(&response);
     let collect = async {
         let mut buf = node.answer_buffers.open(limit);
-        while let Some(chunk) = response.next().await {
+        let too_large = |source| DispatchFailure::Large { source };
+        while let Some(chunk) = buf.wait(response.next()).await.map_err(too_large)? {
             let chunk = chunk.map_err(|error| DispatchFailure::Broken {
                 message: error.to_string().into(),
             })?;
-            if buf.push(&chunk).is_err() {
-                return Err(DispatchFailure::Large { limit });
-            }
+            buf.push(&chunk).map_err(too_large)?;
         }
-        Ok(buf.finish())
+        Ok::<_, DispatchFailure>(buf.finish())
     };
     let body = actix_rt::time::timeout(timeout, collect)
         .await
--- a/crates/ebonystand/src/gateway/relay.rs
+++ b/crates/ebonystand/src/gateway/relay.rs
@@ -2,6 +2,7 @@
 use {
     actix_http::ResponseHead,
     allowance_controller::Reserved,
+    answer_buffers::AnswerTooLarge,
     attempt::Attempt,
     call::{Answered, Call},
     ebonystand_core::{AttemptEnd, EventBoundary},
@@ -177,13 +178,11 @@
     pub(crate) async fn read_whole(mut self, limit: usize) -> Result<Bytes, AttemptEnd> {
         let mut whole = self.node.answer_buffers.open(limit);
         loop {
-            match self.next().await {
+            let next = whole.wait(self.next()).await;
+            match next.map_err(|error| self.give_up(&error))? {
                 Ok(Some(bytes)) => {
-                    if let Err(error) = whole.push(&bytes) {
-                        log::warn!(request:% = self.request, upstream:% = self.instance, error:% = error; "given up");
-                        self.abandon(AttemptEnd::Lost);
-                        return Err(AttemptEnd::Lost);
-                    }
+                    let pushed = whole.push(&bytes);
+                    pushed.map_err(|error| self.give_up(&error))?;
                 }
                 Err(RelayFault::Upstream | RelayFault::Unframed) => return Err(AttemptEnd::Lost),
                 Ok(None) => return Ok(whole.finish()),
@@ -192,6 +191,13 @@
         }
     }
 
+    /// Ends the attempt because its answer is too large to be read whole.
+    fn give_up(&mut self, error: &AnswerTooLarge) -> AttemptEnd {
+        log::warn!(request:% = self.request, upstream:% = self.instance, error:% = error; "given up");
+        self.abandon(AttemptEnd::Lost);
+        AttemptEnd::Lost
+    }
+
     async fn next(&mut self) -> Result<Option<Bytes>, RelayFault> {
         if let Some(first) = self.first.take() {
             self.record_bytes(&first);
