Log what tells apart why requests reach an evacuated zone

No line told when a VM put an evacuation in force and from whom it had it, by which version an upstream was chosen, when a change was acknowledged, or that a process had stood still. Added: `evacuated` and `from` in "configuration in force"; "change of an evacuation acknowledged" with the base and the version; "request sent to an evacuated zone" with both versions and the wait, and its counter; "process stood still" with the time, and its counter. One line a decision, the one for each request only while it should not happen. No decision changes.

--- a/crates/ebonystand-core/src/gateway/upstream_listing.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_listing.rs
@@ -111,6 +111,12 @@
         known.is_none_or(KnownUpstream::is_leaving)
     }
 
+    /// Returns the availability zone of a listed upstream.
+    #[must_use]
+    pub fn zone(&self, instance: &str) -> Option<&ZoneId> {
+        self.upstreams.get(instance).map(|known| &known.listed.zone)
+    }
+
     /// Treats the upstreams of a zone as cold after its evacuation ends, since they may have cooled
     /// down meanwhile.
     pub fn record_zone_return(&mut self, now: Duration, zone: &str) {
--- a/crates/ebonystand-core/src/lib.rs
+++ b/crates/ebonystand-core/src/lib.rs
@@ -172,6 +172,7 @@
     slots::*,
     smoothed_rate::SmoothedRate,
     software_status::SoftwareStatus,
+    stall_watch::StallWatch,
     state_machine::StateMachine,
     stream_fault::StreamFault,
     stream_framing::StreamFraming,
@@ -345,6 +346,7 @@
 mod snapshot_assembly;
 mod snapshot_transfer;
 mod software_status;
+mod stall_watch;
 mod state_machine;
 mod stream_fault;
 mod stream_framing;
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -3,7 +3,7 @@
     attempt::Attempt,
     ebonystand_core::{
         AnswerPause, AttemptEnd, CacheSource, ChoiceQuery, ColdTerms, Prompt, SoftwareRule,
-        SoftwareVersion, TargetChoice, UpstreamKey,
+        SoftwareVersion, TargetChoice, UpstreamKey, Version,
     },
     node::Node,
     part_controller::PartQuery,
@@ -283,6 +283,7 @@
             ref instance,
             ..
         } = *to;
+        let (chosen_at, chosen_by) = (node.clock.now(), node.document().version);
         let mut attempt = {
             let document = node.document();
             let none = BTreeSet::new();
@@ -290,6 +291,7 @@
             Attempt::begin(node, self, &query, to, slot)
         };
         let headers = || {
+            self.log_if_evacuated(node, instance, chosen_at, chosen_by);
             let outgoing = OutgoingCall {
                 has_prompt: self.prompt.is_some(),
                 import_from: import.as_ref().map(|source| source.address),
@@ -408,6 +410,35 @@
         }
     }
 
+    /// Logs that the evacuation of an upstream's zone has come into force between the choice of the
+    /// upstream and the moment at which the call is sent.
+    fn log_if_evacuated(
+        &self,
+        node: &Node,
+        instance: &str,
+        chosen_at: Duration,
+        chosen_by: Version,
+    ) {
+        let document = node.document();
+        if document.evacuated.is_empty() {
+            return;
+        }
+        let book = node.gateway.book.borrow();
+        let Some(zone) = book
+            .zone(instance)
+            .filter(|zone| document.evacuated.contains(*zone))
+        else {
+            return;
+        };
+        node.metrics.sent_to_evacuated.inc();
+        let waited = node.clock.now().saturating_sub(chosen_at);
+        log::warn!(
+            request:% = self.request, upstream:% = instance, zone:% = zone, chosen_by = chosen_by,
+            version = document.version, waited_ms = waited.as_millis() as u64;
+            "request sent to an evacuated zone"
+        );
+    }
+
     /// Reads an upstream's error response so that it can be passed on to the caller.
     async fn read_failure(
         &self,
--- a/crates/ebonystand/src/gateway/gateway_handle.rs
+++ b/crates/ebonystand/src/gateway/gateway_handle.rs
@@ -138,7 +138,10 @@
                 zone: zone.into(),
             };
             match self.propose(change, Some(base)).await? {
-                ChangeOutcome::Accepted { .. } => return Ok(()),
+                ChangeOutcome::Accepted { version } => {
+                    log::info!(zone:% = zone, evacuated = evacuated, base = base, version = version; "change of an evacuation acknowledged");
+                    return Ok(());
+                }
                 ChangeOutcome::Conflict { version } => pending.record_conflict(version),
                 outcome @ ChangeOutcome::Refused { .. } => return Err(not_accepted(&outcome)),
             }
--- a/crates/ebonystand/src/lib.rs
+++ b/crates/ebonystand/src/lib.rs
@@ -135,6 +135,7 @@
 mod settings_reader;
 mod slow_readers;
 mod snapshot_file;
+mod stall_controller;
 mod state_controller;
 mod storage;
 mod storage_error;
--- a/crates/ebonystand/src/metrics.rs
+++ b/crates/ebonystand/src/metrics.rs
@@ -41,8 +41,10 @@
     pub(crate) retry_grants: Family<GrantLabel, Counter>,
     pub(crate) sent_away: Counter,
     pub(crate) sent_beside: Counter,
+    pub(crate) sent_to_evacuated: Counter,
     pub(crate) slot_waiting: Gauge,
     pub(crate) slots: Family<SlotLabel, Counter>,
+    pub(crate) stalls: Counter,
     pub(crate) stream_origins: Gauge,
     pub(crate) stream_resumptions: Family<ResumptionLabel, Counter>,
     pub(crate) streams: Gauge,
@@ -151,8 +153,10 @@
             retry_grants: Family::default(),
             sent_away: Counter::default(),
             sent_beside: Counter::default(),
+            sent_to_evacuated: Counter::default(),
             slot_waiting: Gauge::default(),
             slots: Family::default(),
+            stalls: Counter::default(),
             stream_origins: Gauge::default(),
             stream_resumptions: Family::default(),
             streams: Gauge::default(),
@@ -318,6 +322,11 @@
             "Requests sent to another VM of the region, because this one reaches no upstream",
             self.sent_beside.clone(),
         );
+        r.register(
+            "sent_to_evacuated",
+            "Requests sent to upstreams of zones whose evacuation came into force after the choice",
+            self.sent_to_evacuated.clone(),
+        );
         r.register(
             "slot_waiting",
             "Requests of all VMs that wait for a slot of the engines that this VM schedules",
@@ -328,6 +337,11 @@
             "Requests of this VM that asked a scheduler for a slot, by what became of it",
             self.slots.clone(),
         );
+        r.register(
+            "stalls",
+            "Times for which the process did not run",
+            self.stalls.clone(),
+        );
         r.register(
             "stream_origins",
             "Streams of which this VM holds the software version that began them",
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -21,6 +21,7 @@
     rand_pcg::Pcg64Mcg,
     route_controller::RouteController,
     slow_readers::SlowReaders,
+    stall_controller::StallController,
     state_controller::StateController,
     std::collections::BTreeSet,
     tokio::{net::UdpSocket, sync::Notify},
@@ -56,6 +57,7 @@
     pub(crate) readers: Rc<SlowReaders>,
     pub(crate) routes: RouteController,
     pub(crate) settings: Settings,
+    pub(crate) stalls: StallController,
     pub(crate) state: StateController,
     pub(crate) stop: Notify,
 }
@@ -231,6 +233,7 @@
             readers,
             routes: RouteController::new(place.clone(), seed),
             place,
+            stalls: StallController::new(now),
             state: StateController::new(vm, log_members(&settings), now, seed),
             settings,
             stop: Notify::new(),
--- a/crates/ebonystand/src/serve.rs
+++ b/crates/ebonystand/src/serve.rs
@@ -15,6 +15,7 @@
     quarantine_controller::QuarantineController,
     queue_controller::QueueController,
     route_controller::RouteController,
+    stall_controller::StallController,
     state_controller::StateController,
     system_clock::SystemClock,
     tokio::net::UdpSocket,
@@ -228,6 +229,7 @@
     actix_rt::spawn(QueueController::run(Rc::clone(node)));
     actix_rt::spawn(QueueController::run_slots(Rc::clone(node)));
     actix_rt::spawn(RouteController::run(Rc::clone(node)));
+    actix_rt::spawn(StallController::run(Rc::clone(node)));
     actix_rt::spawn(StateController::run(Rc::clone(node)));
     actix_rt::spawn(StateController::run_prune(Rc::clone(node)));
 }
--- a/crates/ebonystand/src/state_controller.rs
+++ b/crates/ebonystand/src/state_controller.rs
@@ -55,7 +55,7 @@
             );
         }
         if let (Command::Change(req), true) = (command, version > before) {
-            Self::changed(node, Some(&req.change));
+            Self::changed(node, Some(&req.change), None);
             let change = AcceptedChange {
                 change: req.change.clone(),
                 version,
@@ -75,7 +75,7 @@
     /// Takes over the state of a snapshot.
     pub(crate) fn install(node: &Rc<Node>, machine: StateMachine) {
         node.state.machine.replace(machine);
-        Self::changed(node, None);
+        Self::changed(node, None, None);
     }
 
     pub(crate) fn key_valid(&self, id: &KeyId) -> bool {
@@ -171,12 +171,16 @@
     fn step_feed(node: &Rc<Node>, input: FeedInput) {
         let this = &node.state;
         let now = node.clock.now();
+        let from = match &input {
+            FeedInput::Message { from, .. } => Some(from.clone()),
+            _ => None,
+        };
         let outputs = {
             let document = this.document();
             this.feed.borrow_mut().step(now, &document, input)
         };
         for output in outputs {
-            Self::take(node, output);
+            Self::take(node, output, from.as_ref());
         }
         let version = this.document().version;
         let digest = this.feed.borrow().withdrawals().digest();
@@ -188,11 +192,16 @@
         self.feed.borrow().withdrawals().pending().count() as u64
     }
 
-    /// Tells the parts that work by the configuration; `None` if all of it may be new.
-    fn changed(node: &Rc<Node>, change: Option<&Change>) {
+    /// Tells the parts that work by the configuration; `change` is `None` if all of it may be new.
+    /// `from` is the VM that the change came from, if it did not come from this VM's log.
+    fn changed(node: &Rc<Node>, change: Option<&Change>, from: Option<&VmId>) {
         let document = node.document();
         let now = node.clock.now();
-        log::info!(version = document.version, preset:% = document.preset; "configuration in force");
+        log::info!(
+            version = document.version, preset:% = document.preset, evacuated:? = document.evacuated,
+            from:% = from.map_or("own log", |from| from);
+            "configuration in force"
+        );
         node.metrics.config_version.set(document.version as i64);
         node.gateway.configure(now, &document);
         let mut keys = node.state.keys.borrow_mut();
@@ -214,18 +223,18 @@
         }
     }
 
-    fn take(node: &Rc<Node>, output: FeedOutput) {
+    fn take(node: &Rc<Node>, output: FeedOutput, from: Option<&VmId>) {
         match output {
             FeedOutput::Apply { change } => {
                 let followed = node.state.machine.borrow_mut().apply_accepted(&change);
                 if followed {
-                    Self::changed(node, Some(&change.change));
+                    Self::changed(node, Some(&change.change), from);
                 }
             }
             FeedOutput::Install { document } => {
                 let installed = node.state.machine.borrow_mut().install_document(*document);
                 if installed {
-                    Self::changed(node, None);
+                    Self::changed(node, None, from);
                 }
             }
             FeedOutput::Propose { req } => {
