Refuse orders that may have waited while the VM stood still

Cause: a VM with a disk that stood still takes an order that waited in its socket for new when it goes on. Its caller gave up seconds ago and has had the zone evacuated again elsewhere. Since the order is dropped if the close of the caller's connection is read within 150 ms; when that close is lost nothing tells, and the order is accepted: on the version in force when it is read, which by then includes the later order, or after a conflict on the next.

Change: each VM observes its clock every 100 ms, and at each such order; a gap of over 500 ms is a stall. An order that is read within a second of one is refused with 503, and its caller, if there is one, turns to another VM. An order that waited for less has a caller who still waits, so that whatever it has acknowledged after giving up makes the order a conflict, without its close, however long the proposal takes.

--- a/crates/ebonystand-core/src/pending_evacuation.rs
+++ b/crates/ebonystand-core/src/pending_evacuation.rs
@@ -3,9 +3,10 @@
 /// Request to start or end an evacuation that a VM has read and that is not accepted yet.
 ///
 /// The request names no revision, so a copy that its caller has given up on looks like a new
-/// request. It is proposed only while its caller waits, and only on the version that was in force
-/// on the VM while the caller was last seen waiting: whatever is acknowledged after that makes it a
-/// conflict.
+/// request. One that is read before its caller gives up is proposed on the version in force at that
+/// time: whatever the caller has acknowledged elsewhere afterwards makes it a conflict, however long
+/// the proposal takes. One that may have waited in the socket of a process that did not run is
+/// refused, and so is one whose caller has closed its connection.
 #[derive(Clone, Debug)]
 pub struct PendingEvacuation {
     base: Version,
@@ -15,6 +16,9 @@
 /// Reason why a VM does not propose a request to start or end an evacuation.
 #[derive(Clone, Debug, Eq, PartialEq, Snafu)]
 pub enum EvacuationError {
+    /// The VM did not run until just now, so the request may be older than its caller's patience.
+    #[snafu(display("this VM stood still, and the request may have waited meanwhile"))]
+    AfterStall,
     /// The caller has closed its connection.
     #[snafu(display("the caller has closed its connection"))]
     CallerLeft,
@@ -30,13 +34,23 @@
     /// Time after which callers give up on a request and send it to another VM.
     pub const CALLER_TIMEOUT: Duration = Duration::from_secs(1);
 
-    /// Creates a request that was read at `now` by a VM with `version` in force.
-    #[must_use]
-    pub fn new(now: Duration, version: Version) -> Self {
-        Self {
+    /// Creates a request that was read at `now` by a VM with `version` in force. `may_have_waited` is
+    /// that of the [`StallWatch`].
+    ///
+    /// # Errors
+    /// [`EvacuationError::AfterStall`] if the caller may have given up before the request was read.
+    pub fn new(
+        now: Duration,
+        version: Version,
+        may_have_waited: bool,
+    ) -> Result<Self, EvacuationError> {
+        if may_have_waited {
+            return Err(EvacuationError::AfterStall);
+        }
+        Ok(Self {
             base: version,
             read_at: now,
-        }
+        })
     }
 
     /// Returns the version to propose the request on. `is_caller_connected` must have been found out
--- a/crates/ebonystand-core/tests/evacuations.rs
+++ b/crates/ebonystand-core/tests/evacuations.rs
@@ -204,16 +204,24 @@
     #[case] expected: Result<Version, EvacuationError>,
 ) {
     let read_at = Duration::from_secs(100);
-    let pending = PendingEvacuation::new(read_at, 7);
+    let pending = PendingEvacuation::new(read_at, 7, false).expect("a request");
     let now = read_at + Duration::from_millis(waited_ms);
     assert_eq!(pending.base_version(now, is_connected), expected);
 }
 
+/// Guards against requests that are taken for new by a VM that stood still while they waited.
+#[test]
+fn a_request_that_may_have_waited_is_refused() {
+    let pending = PendingEvacuation::new(Duration::from_secs(100), 7, true);
+    assert_eq!(pending.err(), Some(EvacuationError::AfterStall));
+}
+
 /// Guards against a request that never gets past a conflict although its caller waits.
 #[test]
 fn a_request_whose_caller_still_waits_is_based_on_what_the_conflict_reports() {
     let mut catalog = Catalog::default();
-    let mut pending = PendingEvacuation::new(Duration::ZERO, catalog.version());
+    let mut pending =
+        PendingEvacuation::new(Duration::ZERO, catalog.version(), false).expect("a request");
     assert!(is_accepted(&catalog.apply(&request("1", "a", true, 0))));
     for id in ["2", "3"] {
         let base = pending.base_version(Duration::from_millis(150), true);
--- a/crates/ebonystand-core/tests/stall_watch.rs
+++ b/crates/ebonystand-core/tests/stall_watch.rs
@@ -15,3 +15,22 @@
     assert_eq!(watch.observe(now), stalled_ms.map(Duration::from_millis));
     assert_eq!(watch.observe(now), None);
 }
+
+/// Guards against what waited in a socket during a stall and is taken for new, just after it or before the rest is read.
+#[rstest]
+#[case::before(99, false)]
+#[case::at_once(700, true)]
+#[case::soon(1_699, true)]
+#[case::later(1_700, false)]
+fn what_is_read_after_a_stall_may_have_waited(#[case] at_ms: u64, #[case] expected: bool) {
+    let mut watch = StallWatch::new(Duration::ZERO);
+    // The process does not run between 100 and 700 ms.
+    let runs = (0..100).chain(700..at_ms).step_by(50);
+    for ms in runs.filter(|ms| *ms < at_ms).chain([at_ms]) {
+        watch.observe(Duration::from_millis(ms));
+    }
+    assert_eq!(
+        watch.may_have_waited(Duration::from_millis(at_ms)),
+        expected
+    );
+}
--- a/crates/ebonystand/src/gateway/gateway_handle.rs
+++ b/crates/ebonystand/src/gateway/gateway_handle.rs
@@ -127,12 +127,15 @@
         caller: &CallerPresence,
     ) -> Result<(), ReplaceError> {
         let clock = &self.node.clock;
-        let mut pending = PendingEvacuation::new(clock.now(), self.node.document().version);
+        let stale = |source| ReplaceError::Stale { source };
+        let may_have_waited = self.node.stalls.may_have_waited(&self.node);
+        let version = self.node.document().version;
+        let mut pending =
+            PendingEvacuation::new(clock.now(), version, may_have_waited).map_err(stale)?;
         loop {
             let is_connected = caller.is_connected_after_settling().await;
-            let base = pending
-                .base_version(clock.now(), is_connected)
-                .map_err(|source| ReplaceError::Stale { source })?;
+            let base = pending.base_version(clock.now(), is_connected);
+            let base = base.map_err(stale)?;
             let change = Change::SetEvacuated {
                 evacuated,
                 zone: zone.into(),
--- a/crates/ebonystand/src/stall_controller.rs
+++ b/crates/ebonystand/src/stall_controller.rs
@@ -21,6 +21,13 @@
         }
     }
 
+    /// Returns whether a request that is read now may have waited in a socket while the process
+    /// stood still. A process that goes on may read it before [`Self::run`] observes the clock.
+    pub(crate) fn may_have_waited(&self, node: &Node) -> bool {
+        self.observe(node);
+        self.watch.borrow().may_have_waited(node.clock.now())
+    }
+
     fn observe(&self, node: &Node) {
         let stall = self.watch.borrow_mut().observe(node.clock.now());
         if let Some(stall) = stall {
