Refuse drains and clearings that may have waited while the VM stood still

What operators would see: a VM drains, or serves again what is quarantined, by a request that they gave up on while the VM stood still, and whose close is lost.

--- a/crates/ebonystand-core/src/operator_error.rs
+++ b/crates/ebonystand-core/src/operator_error.rs
@@ -5,6 +5,11 @@
 #[serde(rename_all = "snake_case", tag = "error")]
 #[snafu(visibility(pub))]
 pub enum OperatorError {
+    /// The VM did not run until just now, so the request may be older than its caller's patience.
+    #[snafu(display(
+        "this VM stood still, and the request may have waited meanwhile: send it again"
+    ))]
+    AfterStall,
     /// The body does not have the form that the path requires.
     #[snafu(display("bad body: {reason}"))]
     BadBody {
@@ -64,7 +69,7 @@
             | Self::UnknownPart { .. }
             | Self::UnknownPath
             | Self::UnknownSuspect { .. } => 404,
-            Self::CallerLeft | Self::NoLeader { .. } => 503,
+            Self::AfterStall | Self::CallerLeft | Self::NoLeader { .. } => 503,
         }
     }
 }
--- a/crates/ebonystand/src/operator_api.rs
+++ b/crates/ebonystand/src/operator_api.rs
@@ -117,8 +117,12 @@
     })
 }
 
-/// Refuses a request whose caller has given up on it. What it asks for may have been undone since.
-async fn require_caller(req: &Request) -> Result<(), OperatorError> {
+/// Refuses a request whose caller may have given up on it. What it asks for may have been undone
+/// since.
+async fn require_caller(node: &Node, req: &Request) -> Result<(), OperatorError> {
+    if node.stalls.may_have_waited(node) {
+        return Err(OperatorError::AfterStall);
+    }
     match CallerPresence::of(req).is_connected_after_settling().await {
         true => Ok(()),
         false => Err(OperatorError::CallerLeft),
@@ -126,7 +130,7 @@
 }
 
 async fn drain(node: &Rc<Node>, req: &Request) -> Answer {
-    require_caller(req).await?;
+    require_caller(node, req).await?;
     node.stop.notify_one();
     let status = DrainStatus {
         in_flight: node.in_flight.get() as u64,
@@ -166,7 +170,7 @@
 
 /// Serves prompts again with a part that is quarantined or suspected, on all VMs.
 async fn clear_part(node: &Node, req: &Request, part: &str) -> Answer {
-    require_caller(req).await?;
+    require_caller(node, req).await?;
     let number = PromptPartId::from_str_radix(part, 16).ok();
     if !number.is_some_and(|number| node.parts.clear(node, number)) {
         return Err(OperatorError::UnknownPart { part: part.into() });
@@ -178,7 +182,7 @@
 
 /// Serves a request again that is quarantined or suspected, on all VMs.
 async fn clear_quarantine(node: &Node, req: &Request, fingerprint: &str) -> Answer {
-    require_caller(req).await?;
+    require_caller(node, req).await?;
     let number = Fingerprint::from_str_radix(fingerprint, 16).ok();
     if !number.is_some_and(|number| node.quarantine.clear(node, number)) {
         let fingerprint = fingerprint.into();
