Number proposals so that no answer to a former process acknowledges another one

What operators would see: a change is acknowledged and never comes into force. A VM that restarts numbers its proposals to the leader from 1 again, and answers go to its name: the answer to a proposal of the former process, delivered late, acknowledges whichever the new one has numbered the same.

Seen failing before: an_answer_to_a_former_process_acknowledges_no_change, status 200 with version 2 while the leader stood still.

Change: a process begins at a random number. No message changes.

--- a/crates/ebonystand/src/group_controller.rs
+++ b/crates/ebonystand/src/group_controller.rs
@@ -18,6 +18,8 @@
     tried_at: Cell<Duration>,
     asked: RefCell<FxHashMap<u64, oneshot::Sender<Proposed>>>,
     leader: RefCell<Option<VmId>>,
+    /// Number of the next proposal. The first one is random: an answer to a proposal of a former
+    /// process reaches this one too.
     next: Cell<u64>,
     outcomes: RefCell<BTreeMap<u64, CommandOutcome>>,
     proposals: RefCell<FxHashMap<ProposalId, oneshot::Sender<Proposed>>>,
@@ -37,12 +39,13 @@
     /// Time after which a proposer is told that it does not know what became of its command.
     const TRY_FOR: Duration = Duration::from_secs(6);
 
-    pub(crate) fn new(thread: Option<GroupThread>) -> Self {
+    /// Creates the controller of a process; `first_id` is random.
+    pub(crate) fn new(thread: Option<GroupThread>, first_id: u64) -> Self {
         Self {
             asked: RefCell::default(),
             failing_since: Cell::new(None),
             leader: RefCell::default(),
-            next: Cell::new(0),
+            next: Cell::new(first_id),
             outcomes: RefCell::default(),
             proposals: RefCell::default(),
             status: RefCell::default(),
@@ -193,8 +196,9 @@
     }
 
     fn next_id(&self) -> u64 {
-        self.next.set(self.next.get() + 1);
-        self.next.get()
+        let id = self.next.get();
+        self.next.set(id.wrapping_add(1));
+        id
     }
 
     async fn propose_here(node: &Rc<Node>, command: &Command) -> Proposed {
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -214,7 +214,7 @@
             clock,
             draining: Cell::new(false),
             gateway,
-            group: GroupController::new(thread),
+            group: GroupController::new(thread, random_u64()?),
             in_flight: Rc::default(),
             incarnation,
             leaving: Cell::new(false),
--- a/crates/ebonystand/tests/integration/main.rs
+++ b/crates/ebonystand/tests/integration/main.rs
@@ -12,6 +12,7 @@
 mod failures;
 mod faults;
 mod fleet;
+mod former_process;
 mod full_disk;
 mod late_requests;
 mod links;
