Confirm a configuration only by answers to this process

Cause: a front VM asks the leader whether its configuration is the newest, with the time of the question on the clock of its process, which starts at zero. A question of the former process is answered to the next one, which takes a time in its own future for a proof of freshness until its clock gets there.

Change: the stamp of a question starts at a random number in each process, and an answer counts only if its stamp lies between the start of the process and now. The message keeps its form, so that builds can be mixed; a new leader's notice has no stamp and only tells who leads.

Seen failing with the check taken out and the stamps at zero: an_answer_to_a_former_process_confirms_no_configuration, which is served (200) while the leader stands still.

--- a/crates/ebonystand-core/src/lib.rs
+++ b/crates/ebonystand-core/src/lib.rs
@@ -149,6 +149,7 @@
     pull_outcome::PullOutcome,
     quarantine::*,
     quarantine_clear_status::QuarantineClearStatus,
+    question_stamps::QuestionStamps,
     queue_entry::QueueEntry,
     queue_outcome::QueueOutcome,
     refusal::Refusal,
@@ -310,6 +311,7 @@
 mod pull_outcome;
 mod quarantine;
 mod quarantine_clear_status;
+mod question_stamps;
 mod queue_entry;
 mod queue_outcome;
 mod readiness;
--- a/crates/ebonystand-wire/src/peer_message.rs
+++ b/crates/ebonystand-wire/src/peer_message.rs
@@ -11,14 +11,13 @@
     /// Asks a VM which configuration version it has, so that the sender can confirm that its own is the
     /// newest.
     Confirm {
-        /// Time of the question on the sender's clock, in microseconds; the answer repeats it.
-        asked_us: u64,
+        /// Stamp of the question, which the answer repeats.
+        stamp: u64,
     },
     /// Answers [`Self::Confirm`] with the version of the configuration that the sender uses.
     Confirmed {
-        /// Time of the question on the clock of the VM that asked, in microseconds; copied from
-        /// [`Self::Confirm`].
-        asked_us: u64,
+        /// Stamp of the question, copied from [`Self::Confirm`].
+        stamp: u64,
         /// Whether the answering VM leads the replicated log and holds a read lease, so that no other VM
         /// can have accepted a newer version.
         leading: bool,
--- a/crates/ebonystand-wire/tests/send_queue.rs
+++ b/crates/ebonystand-wire/tests/send_queue.rs
@@ -111,8 +111,8 @@
     for after in 0..3 {
         queue.push(PeerMessage::Feed(Box::new(FeedMessage::Pull { after })));
     }
-    queue.push(PeerMessage::Confirm { asked_us: 1 });
-    assert_eq!(queue.pop(), Some(PeerMessage::Confirm { asked_us: 1 }));
+    queue.push(PeerMessage::Confirm { stamp: 1 });
+    assert_eq!(queue.pop(), Some(PeerMessage::Confirm { stamp: 1 }));
     let first = PeerMessage::Feed(Box::new(FeedMessage::Pull { after: 0 }));
     assert_eq!(queue.pop(), Some(first));
 }
@@ -124,7 +124,7 @@
     let cached = || PeerMessage::Cached((0..1_000).map(cached_prefix).collect());
     let long = (0..10_000).filter(|_| queue.push(cached())).count();
     let short = (0..100_000)
-        .filter(|_| queue.push(PeerMessage::Confirm { asked_us: u64::MAX }))
+        .filter(|_| queue.push(PeerMessage::Confirm { stamp: u64::MAX }))
         .count();
     assert!(long > 10 && short > 1_000, "{long}, {short}");
     assert!(queue.bytes() <= SendQueue::MAX_LONG_BYTES + SendQueue::MAX_SHORT_BYTES);
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -4,8 +4,8 @@
     capacity_controller::CapacityController,
     crash_watch::CrashWatch,
     ebonystand_core::{
-        Confirmation, LoadMessage, Place, RegionVm, RelayPlan, RouteTable, UpstreamBook,
-        UpstreamLimit, VmEntry,
+        Confirmation, LoadMessage, Place, QuestionStamps, RegionVm, RelayPlan, RouteTable,
+        UpstreamBook, UpstreamLimit, VmEntry,
     },
     forwarders::Forwarders,
     list_controller::ListController,
@@ -40,6 +40,7 @@
     pub(crate) retries: RetryBudgets,
     rng: RefCell<Pcg64Mcg>,
     pub(crate) slots: SlotController,
+    stamps: QuestionStamps,
     /// VMs that left a forwarded request unanswered, and until when they get no others.
     suspects: RefCell<FxHashMap<VmId, Duration>>,
     table: RefCell<Rc<RouteTable>>,
@@ -83,6 +84,7 @@
             let without = without.collect::<Vec<_>>().join(" ");
             log::warn!(without:% = without; "mechanisms are disabled for an experiment");
         }
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
         Self {
             book: RefCell::new(book.with_disabled_mechanisms(gateway.without.clone())),
             confirmation: RefCell::new(Confirmation::new(gateway.confirmed_for)),
@@ -97,7 +99,8 @@
             origins: OriginController::default(),
             pool: ConnectionPool::default(),
             retries: RetryBudgets::new(gateway, now),
-            rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
+            stamps: QuestionStamps::new(rng.random()),
+            rng: RefCell::new(rng),
             slots: SlotController::new(seed),
             suspects: RefCell::default(),
             table: RefCell::default(),
@@ -133,13 +136,13 @@
         !self.needs_confirmation || self.confirmation.borrow().is_valid(now)
     }
 
-    /// Handles an answer to a request for confirmation, sent at `asked`. Only an answer of the
-    /// leader counts.
+    /// Handles an answer to the request for confirmation with this stamp, or a notice that another VM
+    /// has become the leader. Only an answer of the leader to this process confirms anything.
     pub(crate) fn confirm(
         &self,
         node: &Rc<Node>,
         from: &VmId,
-        asked: Duration,
+        stamp: u64,
         leading: bool,
         version: Version,
     ) {
@@ -151,6 +154,11 @@
             log::info!(leader:% = from; "leader of the log found");
             self.leader_changed.notify_one();
         }
+        let now = node.clock.now();
+        let Some(asked) = self.stamps.asked_at(stamp, now) else {
+            log::debug!(from:% = from; "confirmation ignored: this process has not asked for it");
+            return;
+        };
         let own = node.document().version;
         self.confirmation
             .borrow_mut()
@@ -360,7 +368,7 @@
             .filter(|entry| entry.record.vm != node.settings.vm);
         for entry in others.take(Self::MAX_LEADER_NOTICES) {
             let message = PeerMessage::Confirmed {
-                asked_us: 0,
+                stamp: 0,
                 leading: true,
                 version,
             };
@@ -382,13 +390,13 @@
 
     /// Asks a VM, or this VM itself, whether it leads the log and at which version.
     fn request_confirmation(node: &Rc<Node>, now: Duration, vm: &VmId) {
-        let asked_us = now.as_micros() as u64;
+        let stamp = node.gateway.stamps.stamp(now);
         if *vm == node.settings.vm {
             let (leading, version) = node.state.leads_at(node);
-            node.gateway.confirm(node, vm, now, leading, version);
+            node.gateway.confirm(node, vm, stamp, leading, version);
             return;
         }
-        node.send(vm, PeerMessage::Confirm { asked_us });
+        node.send(vm, PeerMessage::Confirm { stamp });
     }
 
     /// Returns the other VMs that accept forwarded requests, cached until the set of
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -253,23 +253,20 @@
 
     pub(crate) fn receive(self: &Rc<Self>, from: &VmId, message: PeerMessage) {
         match message {
-            PeerMessage::Confirm { asked_us } => {
+            PeerMessage::Confirm { stamp } => {
                 let (leading, version) = self.state.leads_at(self);
                 let answer = PeerMessage::Confirmed {
-                    asked_us,
+                    stamp,
                     leading,
                     version,
                 };
                 self.send(from, answer);
             }
             PeerMessage::Confirmed {
-                asked_us,
+                stamp,
                 leading,
                 version,
-            } => {
-                let asked = Duration::from_micros(asked_us);
-                self.gateway.confirm(self, from, asked, leading, version);
-            }
+            } => self.gateway.confirm(self, from, stamp, leading, version),
             PeerMessage::Listed(update) => self.gateway.list.receive(self, from, &update),
             PeerMessage::ListWanted => self.gateway.list.send_whole(self, from),
             PeerMessage::Cached(cached) => {
--- a/crates/ebonystand/tests/integration/former_process.rs
+++ b/crates/ebonystand/tests/integration/former_process.rs
@@ -3,6 +3,8 @@
 use {
     crate::{
         fleet::{Fleet, FleetBuilder},
+        routes::{Setting, call, echo, put, routing, served},
+        scripted::Scripted,
         vm::Vm,
     },
     bytes::BytesMut,
@@ -35,6 +37,31 @@
     actix_rt::time::sleep(Duration::from_millis(200)).await;
 }
 
+/// Guards against a VM that takes its configuration for confirmed by an answer that its former process has asked for.
+#[actix_rt::test]
+async fn an_answer_to_a_former_process_confirms_no_configuration() {
+    const WITHDRAWN_WITHIN: Duration = Duration::from_millis(1_500);
+    let mut setting = Setting::new(vec![("a", vec![Scripted::start(echo)])]);
+    setting.withdrawn_within_ms = WITHDRAWN_WITHIN.as_millis() as u64;
+    setting.vms = 2;
+    let fleet = setting.start().await;
+    let mut unlimited = routing(1);
+    unlimited.workspaces[0].quota = None;
+    put(&fleet, unlimited).await;
+    served(&fleet.vms[1], "/look/first").await;
+    fleet.vms[0].signal("STOP");
+    actix_rt::time::sleep(WITHDRAWN_WITHIN).await;
+    let minutes = (1..100).map(|minutes| minutes * 60_000_000);
+    let answers = minutes.map(|stamp| PeerMessage::Confirmed {
+        leading: true,
+        stamp,
+        version: 1,
+    });
+    send(&fleet.vms[1], &fleet.vms[0], answers).await;
+    let answer = call(&fleet.vms[1], "GET", "/look/second", "second", "").await;
+    assert_eq!(answer.status, 503, "{}", answer.body);
+}
+
 /// Guards against a change that is acknowledged by the answer to another one, which a former process has proposed.
 #[actix_rt::test]
 async fn an_answer_to_a_former_process_acknowledges_no_change() {
--- a/crates/ebonystand/tests/integration/routes.rs
+++ b/crates/ebonystand/tests/integration/routes.rs
@@ -30,7 +30,7 @@
     pub(crate) resources: serde_json::Value,
     start_takes_ms: u64,
     pub(crate) vms: usize,
-    withdrawn_within_ms: u64,
+    pub(crate) withdrawn_within_ms: u64,
 }
 
 fn upstream(region: &str, scripted: &Scripted) -> Upstream {
