Number inquiries about streams so that no answer to a former process tells another one's origin

What callers would see: a stream goes on at the software version, or the service, of another stream. A VM that restarts numbers its inquiries from zero again; the answer to an inquiry of the former process, delivered late, answers whichever the new one has numbered the same.

Seen failing before: an_answer_to_a_former_process_tells_no_origin_of_a_stream, 200 in place of 503.

Change: a process begins at a random number. No message changes.

--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -96,7 +96,7 @@
             leader: RefCell::default(),
             leader_changed: tokio::sync::Notify::new(),
             list: ListController::new(source, gateway.list_every, now),
-            origins: OriginController::default(),
+            origins: OriginController::new(rng.random()),
             pool: ConnectionPool::default(),
             retries: RetryBudgets::new(gateway, now),
             stamps: QuestionStamps::new(rng.random()),
--- a/crates/ebonystand/src/gateway/origin_controller.rs
+++ b/crates/ebonystand/src/gateway/origin_controller.rs
@@ -9,11 +9,12 @@
 };
 
 /// Records at which software version streams began, and finds out for those that are taken up again.
-#[derive(Default)]
 pub(crate) struct OriginController {
     held: RefCell<OriginTable>,
     holders: RefCell<Option<LiveHolders>>,
     inquiries: RefCell<FxHashMap<u64, OpenInquiry>>,
+    /// Number of the next inquiry. The first one is random: an answer to an inquiry of a former
+    /// process reaches this one too.
     next_inquiry: Cell<u64>,
     /// Services of each route that may be resumed, by the name of the route.
     services: RefCell<BTreeMap<Box<str>, RouteServices>>,
@@ -45,6 +46,17 @@
     /// Least time for which streams count as alive. Callers may be more patient than a route's timeout.
     const MIN_LIFETIME: Duration = Duration::from_secs(15);
 
+    /// Creates the controller of a process; `first_inquiry` is random.
+    pub(crate) fn new(first_inquiry: u64) -> Self {
+        Self {
+            held: RefCell::default(),
+            holders: RefCell::default(),
+            inquiries: RefCell::default(),
+            next_inquiry: Cell::new(first_inquiry),
+            services: RefCell::default(),
+        }
+    }
+
     /// Returns the longest time for which a stream of the route can be taken up again.
     pub(crate) fn max_lifetime(route: &GatewayRoute) -> Duration {
         let timeout = Duration::from_millis(route.timeout_ms);
@@ -180,7 +192,8 @@
         if asked.is_empty() {
             return inquiry.conclude();
         }
-        let id = self.next_inquiry.replace(self.next_inquiry.get() + 1);
+        let id = self.next_inquiry.get();
+        self.next_inquiry.set(id.wrapping_add(1));
         let (tx, rx) = oneshot::channel();
         let open = OpenInquiry { inquiry, tx };
         self.inquiries.borrow_mut().insert(id, open);
