--- a/crates/ebonystand-core/src/gateway/software_history.rs
+++ b/crates/ebonystand-core/src/gateway/software_history.rs
@@ -28,8 +28,6 @@
 impl SoftwareHistory {
     /// Time by which two lists read at the same time may differ in age, with the time until all VMs have them.
     const LIST_LAG: Duration = Duration::from_secs(1);
-    /// Time for which versions that are gone are remembered.
-    const MEMORY: Duration = Duration::from_secs(600);
 
     /// Creates the history of a VM whose region reads the list every `read_interval`.
     #[must_use]
@@ -59,17 +57,17 @@
                 .any(|seen| seen.first_seen.is_zero() || seen.first_seen + self.hold_back() <= now)
     }
 
-    /// Returns the only version of a service at which a stream that can still be taken up, at most
-    /// `max_lifetime` after its begin, can have begun; `None` if there are several or if the lists of that time
-    /// are not known.
+    /// Returns the only version of a service at which a stream that is at most `max_age` old can have begun;
+    /// `None` if there are several or if the lists of that time are not known. `max_age` is at most
+    /// [`StreamOrigin::MAX_STREAM_AGE`].
     #[must_use]
     pub fn only_version(
         &self,
         now: Duration,
         service: &str,
-        max_lifetime: Duration,
+        max_age: Duration,
     ) -> Option<&SoftwareVersion> {
-        let from = now.checked_sub(max_lifetime + self.hold_back())?;
+        let from = now.checked_sub(max_age + self.hold_back())?;
         let is_current = now.saturating_sub(self.confirmed_at) <= self.max_age();
         if !is_current || self.current_since? > from {
             return None;
@@ -96,6 +94,7 @@
         listed: impl Iterator<Item = (&'a ServiceId, &'a SoftwareVersion)>,
     ) {
         let is_first = self.current_since.is_none();
+        let memory = StreamOrigin::MAX_STREAM_AGE + self.hold_back();
         self.record_confirmation(now);
         let listed = listed.collect::<FxHashSet<_>>();
         for (service, seen) in &mut self.services {
@@ -111,7 +110,7 @@
             }
             seen.retain(|seen| {
                 let gone_for = seen.gone_at.map(|gone_at| now.saturating_sub(gone_at));
-                gone_for.is_none_or(|gone_for| gone_for < Self::MEMORY)
+                gone_for.is_none_or(|gone_for| gone_for < memory)
             });
         }
         self.services.retain(|_, seen| !seen.is_empty());
--- a/crates/ebonystand-core/src/gateway/upstream_eligibility.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_eligibility.rs
@@ -64,18 +64,17 @@
         }
     }
 
-    /// Returns the only software version of a service at which a stream that can still be taken up, at most
-    /// `max_lifetime` after its begin, can have begun. A list of the own region alone tells nothing of streams
-    /// that began in another one.
+    /// Returns the only software version of a service at which a stream that is at most `max_age` old can have
+    /// begun. A list of the own region alone tells nothing of streams that began in another one.
     #[must_use]
     pub fn only_software(
         &self,
         now: Duration,
         service: &str,
-        max_lifetime: Duration,
+        max_age: Duration,
     ) -> Option<&SoftwareVersion> {
         match self.lists_other_regions() {
-            true => self.software.only_version(now, service, max_lifetime),
+            true => self.software.only_version(now, service, max_age),
             false => None,
         }
     }
--- a/crates/ebonystand-core/src/stream_origin/origin_table.rs
+++ b/crates/ebonystand-core/src/stream_origin/origin_table.rs
@@ -15,8 +15,6 @@
 }
 
 impl OriginTable {
-    /// Longest time for which an origin is held.
-    pub const MAX_LIFETIME: Duration = Duration::from_secs(60);
     /// Most origins held, about 4 MB. The oldest to expire yields to a new one.
     const MAX_RECORDS: usize = 32_768;
     /// Resolution of expiry times.
@@ -29,7 +27,7 @@
         (now < record.expires_at).then_some(&record.origin)
     }
 
-    /// Holds an origin for `lifetime`. An origin that is held already stays as it is and is held for the
+    /// Holds an origin for `lifetime`, at most for [`StreamOrigin::MAX_STREAM_AGE`]. An origin that is held already stays as it is and is held for the
     /// longer of the two times: the first event came from one upstream only.
     pub fn hold(
         &mut self,
@@ -39,7 +37,7 @@
         lifetime: Duration,
     ) {
         self.remove_expired(now);
-        let expires_at = now + lifetime.min(Self::MAX_LIFETIME);
+        let expires_at = now + lifetime.min(StreamOrigin::MAX_STREAM_AGE);
         match self.records.get_mut(&key) {
             Some(record) if record.expires_at >= expires_at => return,
             Some(record) => record.expires_at = expires_at,
--- a/crates/ebonystand-core/tests/gateway/software.rs
+++ b/crates/ebonystand-core/tests/gateway/software.rs
@@ -210,6 +210,27 @@
     assert_eq!(only.map(|only| &**only), expected);
 }
 
+/// Guards against a version that is forgotten while streams which began at it can still be taken up.
+#[rstest]
+#[case::by_the_oldest_stream(602_000, None)]
+#[case::by_none(604_000, Some("v2"))]
+fn a_version_counts_as_long_as_its_streams_can_be_taken_up(
+    #[case] after_ms: u64,
+    #[case] expected: Option<&str>,
+) {
+    const RELEASE: u64 = 10_000;
+    let history = history(
+        &[(0, "v1"), (RELEASE, "v2")],
+        0,
+        0,
+        None,
+        RELEASE + after_ms,
+    );
+    let at = ms(RELEASE + after_ms);
+    let only = history.only_version(at, "s", StreamOrigin::MAX_STREAM_AGE);
+    assert_eq!(only.map(|only| &**only), expected);
+}
+
 /// Guards against a VM that concludes another version than the one at which a VM with an older or newer list began.
 #[test]
 fn no_two_vms_differ_on_where_a_stream_can_have_begun() {
--- a/crates/ebonystand/src/gateway/origin_controller.rs
+++ b/crates/ebonystand/src/gateway/origin_controller.rs
@@ -43,8 +43,6 @@
     const NEAR_WAIT: Duration = Duration::from_millis(100);
     /// Longest wait for VMs of all regions to tell an origin.
     const WAIT: Duration = Duration::from_millis(400);
-    /// Least time for which streams count as alive. Callers may be more patient than a route's timeout.
-    const MIN_LIFETIME: Duration = Duration::from_secs(15);
 
     /// Creates the controller of a process; `first_inquiry` is random.
     pub(crate) fn new(first_inquiry: u64) -> Self {
@@ -57,12 +55,6 @@
         }
     }
 
-    /// Returns the longest time for which a stream of the route can be taken up again.
-    pub(crate) fn max_lifetime(route: &GatewayRoute) -> Duration {
-        let timeout = Duration::from_millis(route.timeout_ms);
-        (2 * timeout).clamp(Self::MIN_LIFETIME, OriginTable::MAX_LIFETIME)
-    }
-
     /// Whether streams of the route may be taken up at another upstream.
     pub(crate) fn is_resumable(route: &GatewayRoute) -> bool {
         route.kind == CallKind::Stream && route.resumable
@@ -229,18 +221,17 @@
     /// Returns the only origin that streams of a route can have, by what this VM has seen.
     fn only_origin(&self, node: &Node, route: &str) -> Option<StreamOrigin> {
         let now = node.clock.now();
-        let table = node.gateway.table();
-        let lifetime = Self::max_lifetime(table.route(route)?);
+        let max_age = StreamOrigin::MAX_STREAM_AGE;
         let services = self.services.borrow();
         let in_force = services.get(route)?;
         let [service] = in_force.services.as_slice() else {
             return None;
         };
-        if in_force.since + lifetime > now {
+        if in_force.since + max_age > now {
             return None;
         }
         let book = node.gateway.book.borrow();
-        let software = book.only_software(now, service, lifetime)?;
+        let software = book.only_software(now, service, max_age)?;
         Some(StreamOrigin {
             service: service.clone(),
             software: software.clone(),
--- a/crates/ebonystand/src/gateway/serve_call.rs
+++ b/crates/ebonystand/src/gateway/serve_call.rs
@@ -237,7 +237,7 @@
         reserved,
         route,
         stream,
-        stream_lifetime: head.deadline.unwrap_or(longest).max(longest),
+        stream_lifetime: head.deadline.unwrap_or(StreamOrigin::MAX_STREAM_AGE),
         tokens,
         tried: 0,
     })
