--- a/crates/ebonystand-core/src/feed.rs
+++ b/crates/ebonystand-core/src/feed.rs
@@ -1,4 +1,8 @@
-use {super::*, rand::SeedableRng, rand_pcg::Pcg64Mcg};
+use {
+    super::*,
+    rand::{RngExt as _, SeedableRng},
+    rand_pcg::Pcg64Mcg,
+};
 
 /// Protocol that distributes the configuration from the members of its log to all VMs by push,
 /// gossip and pull.
@@ -30,6 +34,9 @@
     proposals: WithdrawalProposals,
     /// Pull that has not been answered yet.
     open_pull: Option<OpenPull>,
+    /// Number of this process's questions for versions. It is random: an answer to a former process
+    /// of the VM may be older than what that process has served.
+    question: u64,
     readiness: Readiness,
     rng: Pcg64Mcg,
     /// Number of consecutive pulls that timed out.
@@ -77,6 +84,7 @@
     /// which may include this VM.
     #[must_use]
     pub fn new(own: VmId, members: Vec<VmId>, now: Duration, seed: u64) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
         Self {
             sent_parts: SentParts::default(),
             withdrawals_requested: false,
@@ -88,8 +96,9 @@
             peers: FeedPeers::new(own, members),
             proposals: WithdrawalProposals::default(),
             open_pull: None,
+            question: rng.random(),
             readiness: Readiness::new(now),
-            rng: Pcg64Mcg::seed_from_u64(seed),
+            rng,
             unanswered_pulls: 0,
             version: 0,
             withdrawals: Withdrawals::default(),
@@ -168,8 +177,9 @@
     /// Asks the log's members and some live VMs for their versions.
     fn request_versions(&mut self, outputs: &mut Vec<FeedOutput>) {
         let asked = self.peers.pick_for_start(&mut self.rng);
+        let question = self.question;
         outputs.extend(asked.into_iter().map(|to| FeedOutput::Send {
-            message: FeedMessage::Ask,
+            message: FeedMessage::Ask { question },
             to,
         }));
     }
@@ -328,8 +338,9 @@
         outputs: &mut Vec<FeedOutput>,
     ) {
         let answer = match message {
-            FeedMessage::Ask => FeedMessage::Version {
+            FeedMessage::Ask { question } => FeedMessage::Version {
                 leading: self.is_leader,
+                question,
                 version: document.version,
                 withdrawals: self.withdrawals.page(None),
             },
@@ -346,10 +357,13 @@
             },
             FeedMessage::Version {
                 leading,
+                question,
                 version,
                 withdrawals,
             } => {
-                self.readiness.record_leader_version(leading, version);
+                if question == self.question {
+                    self.readiness.record_leader_version(leading, version);
+                }
                 self.add_withdrawals(document, &withdrawals, outputs);
                 return self.record_peer_version(now, from, version, None, outputs);
             }
--- a/crates/ebonystand-core/src/feed_message.rs
+++ b/crates/ebonystand-core/src/feed_message.rs
@@ -5,7 +5,10 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum FeedMessage {
     /// Asks for the receiver's [`FeedMessage::Version`].
-    Ask,
+    Ask {
+        /// Number of the question, which the answer repeats.
+        question: u64,
+    },
     /// Carries the changes that follow a version, pushed or as an answer. An empty list announces a
     /// version that the receiver has to pull.
     Changes {
@@ -39,6 +42,8 @@
     Version {
         /// Whether the sender leads the log, holds a lease, and has applied all committed changes.
         leading: bool,
+        /// Number of the question, copied from it.
+        question: u64,
         /// Version in force on the sender.
         version: Version,
         /// First page of the sender's [`Withdrawals`].
--- a/crates/ebonystand-core/tests/feed.rs
+++ b/crates/ebonystand-core/tests/feed.rs
@@ -5,8 +5,8 @@
 
 use {
     ebonystand_core::{
-        AcceptedChange, CallKind, Change, Document, Feed, FeedInput, FeedMessage, GatewayRoute,
-        GatewayService, PresetName, Routing, SplitPart, Version,
+        AcceptedChange, CallKind, Change, Document, Feed, FeedInput, FeedMessage, FeedOutput,
+        GatewayRoute, GatewayService, PresetName, Routing, SplitPart, Version,
     },
     feeds::{FeedFleet, Link, give_key, put_workspace},
     rand::{RngExt, SeedableRng},
@@ -339,23 +339,63 @@
     assert!((0..6).all(|vm| feeds.version(vm) == newest));
 }
 
+/// Answer of the leader "b" to a question for its version.
+fn leader_answer(question: u64, version: u64) -> FeedInput {
+    FeedInput::Message {
+        from: "b".into(),
+        message: FeedMessage::Version {
+            leading: true,
+            question,
+            version,
+            withdrawals: Vec::new(),
+        },
+    }
+}
+
+/// A process that starts with this version, and the number of its questions.
+fn starting_feed(document: &Document, seed: u64) -> (Feed, u64) {
+    let mut feed = Feed::new("a".into(), vec!["b".into()], Duration::ZERO, seed);
+    let outputs = feed.step(Duration::ZERO, document, FeedInput::Tick);
+    let question = outputs.iter().find_map(|output| match output {
+        FeedOutput::Send {
+            message: FeedMessage::Ask { question },
+            ..
+        } => Some(*question),
+        _ => None,
+    });
+    (feed, question.expect("a question"))
+}
+
+/// Guards against a VM that serves an older version than before its restart, since the leader's answer to its former process
+/// comes late.
+#[rstest]
+#[case::to_this_process(1, true)]
+#[case::to_the_former_process(2, false)]
+fn an_answer_to_a_former_process_makes_no_vm_ready(#[case] asked_by: u64, #[case] ready: bool) {
+    let document = Document {
+        version: 3,
+        ..Document::default()
+    };
+    let (mut feed, _) = starting_feed(&document, 1);
+    let (_, question) = starting_feed(&document, asked_by);
+    feed.step(
+        Duration::from_millis(100),
+        &document,
+        leader_answer(question, 3),
+    );
+    assert_eq!(feed.is_ready(), ready);
+}
+
 /// Guards against a starting VM that gets no answer to its request for the newest configuration in
 /// time, and serves with the early version that it has reached.
 #[test]
 fn a_vm_that_starts_does_not_serve_before_it_has_what_the_leader_has() {
-    let mut feed = Feed::new("a".into(), vec!["b".into()], Duration::ZERO, 1);
     let mut document = Document {
         version: 3,
         ..Document::default()
     };
-    let leader_answer = |version| FeedInput::Message {
-        from: "b".into(),
-        message: FeedMessage::Version {
-            leading: true,
-            version,
-            withdrawals: Vec::new(),
-        },
-    };
+    let (mut feed, question) = starting_feed(&document, 1);
+    let leader_answer = |version| leader_answer(question, version);
     feed.step(Duration::ZERO, &document, leader_answer(9));
     for tick in 1..20 {
         feed.step(tick * Feed::TICK_INTERVAL, &document, FeedInput::Tick);
--- a/crates/ebonystand-wire/tests/frames.rs
+++ b/crates/ebonystand-wire/tests/frames.rs
@@ -134,6 +134,10 @@
 #[case(15)]
 #[case(16)]
 #[case(17)]
+#[case(18)]
+#[case(19)]
+#[case(20)]
+#[case(21)]
 fn a_frame_of_an_earlier_build_is_refused_by_its_form(#[case] form: u8) {
     let payload = [form, 6];
     let mac = Hmac::<Sha256>::new_from_slice(SECRET).expect("a secret");
