--- a/crates/ebonystand-core/src/quarantine/part_case.rs
+++ b/crates/ebonystand-core/src/quarantine/part_case.rs
@@ -3,6 +3,8 @@
 /// What a VM knows of one part of the prompts for one service. Only the VMs that count for the service have ends.
 #[derive(Clone, Debug)]
 pub(crate) struct PartCase {
+    /// Number of the last announcement to the VMs; a VM that has restarted gets one with a new number.
+    pub(crate) announcement: u16,
     /// VM that announced the part last.
     pub(crate) announced_by: Option<VmId>,
     /// Time of the last announcement to the VMs; `None` if one is due.
@@ -53,6 +55,7 @@
 
     pub(crate) fn new(now: Duration) -> Self {
         Self {
+            announcement: 0,
             announced_by: None,
             announced_at: None,
             ends: Vec::new(),
--- a/crates/ebonystand-core/src/quarantine/part_message.rs
+++ b/crates/ebonystand-core/src/quarantine/part_message.rs
@@ -7,8 +7,8 @@
 pub enum PartMessage {
     /// Confirmation that the sender has recorded an [`Self::Announced`].
     Acknowledged {
-        /// Parts that were announced, with their stages.
-        parts: Vec<(PromptPartId, PartStage)>,
+        /// Parts that were announced, with their stages and the numbers of the announcements.
+        parts: Vec<(PromptPartId, PartStage, u16)>,
         /// Service whose upstreams run the parts.
         service: ServiceId,
     },
@@ -70,6 +70,8 @@
 /// What VMs must do about a part.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct AnnouncedPart {
+    /// Number of the announcement, which the acknowledgement repeats.
+    pub announcement: u16,
     /// Part of prompts.
     pub part: PromptPartId,
     /// Time until the entry expires.
--- a/crates/ebonystand-core/src/quarantine/part_quarantine.rs
+++ b/crates/ebonystand-core/src/quarantine/part_quarantine.rs
@@ -16,6 +16,8 @@
     /// Suspects announced after a single end, since the start of the window.
     early_suspects: (Duration, usize),
     live_vms: BTreeSet<VmId>,
+    /// Number of the next announcement. The first one differs between the processes of a VM.
+    next_announcement: u16,
     own_id: VmId,
     /// Requests of this VM that the owner has permitted, with the time until which they may begin.
     permitted: BTreeMap<u64, Duration>,
@@ -45,7 +47,7 @@
     /// Time over which [`Self::EARLY_BYTES`] are spread.
     const EARLY_WINDOW: Duration = Duration::from_secs(10);
     /// Bytes that the announcement of a part takes, its acknowledgement included.
-    const ANNOUNCED_PART_BYTES: usize = 24;
+    const ANNOUNCED_PART_BYTES: usize = 30;
     /// Time for which a VM suspects the parts of its lost runs without the counters' word.
     const LOCAL_SUSPECT_DURATION: Duration = Duration::from_secs(10);
     /// Largest number of reports that await confirmation. Beyond it, lost runs go unreported.
@@ -71,6 +73,7 @@
         Self {
             early_suspects: (Duration::ZERO, 0),
             live_vms: BTreeSet::from([own_id.clone()]),
+            next_announcement: first_report as u16,
             next_report: first_report,
             permitted: BTreeMap::new(),
             pending_reports: BTreeMap::new(),
@@ -423,6 +426,7 @@
     /// Announces the suspects of services that this VM counts to these VMs, until they acknowledge them.
     fn announce_all_to(&mut self, now: Duration, vms: &BTreeSet<VmId>, output: &mut PartOutput) {
         let services = self.services.keys().cloned().collect::<Vec<_>>();
+        let announcement = self.number_announcement();
         for service in services {
             if !self.counters(&service).contains(&self.own_id) {
                 continue;
@@ -435,6 +439,7 @@
                 case.unacked_vms.extend(vms.iter().cloned());
                 case.unacked_vms.remove(&self.own_id);
                 case.announced_at = None;
+                case.announcement = announcement;
             }
             Self::send_announcements(now, &service, known, output);
         }
@@ -448,6 +453,7 @@
         part: PromptPartId,
         output: &mut PartOutput,
     ) {
+        let announcement = self.number_announcement();
         let known = self.services.get_mut(service);
         let Some(case) = known.and_then(|known| known.cases.get_mut(&part)) else {
             return;
@@ -455,6 +461,7 @@
         case.unacked_vms = self.live_vms.clone();
         case.unacked_vms.remove(&self.own_id);
         case.announced_at = None;
+        case.announcement = announcement;
         case.is_announced = case.stage != PartStage::Cleared;
         if let Some(known) = self.services.get(service)
             && let Some(case) = known.cases.get(&part)
@@ -464,6 +471,12 @@
         }
     }
 
+    fn number_announcement(&mut self) -> u16 {
+        let number = self.next_announcement;
+        self.next_announcement = number.wrapping_add(1);
+        number
+    }
+
     /// Sends the announcements of a service that are due, one message a VM.
     fn send_announcements(
         now: Duration,
@@ -481,6 +494,7 @@
             }
             case.announced_at = Some(now);
             let announced = AnnouncedPart {
+                announcement: case.announcement,
                 part: *part,
                 remaining: case.expires_at.saturating_sub(now),
                 stage: case.stage(now),
@@ -598,9 +612,12 @@
             PartMessage::Acknowledged { parts, service } => {
                 let known = self.services.get_mut(&service);
                 let Some(known) = known else { return };
-                for (part, stage) in parts {
+                for (part, stage, announcement) in parts {
                     let case = known.cases.get_mut(&part);
-                    if let Some(case) = case.filter(|case| case.stage(now) == stage) {
+                    let is_current = |case: &&mut PartCase| {
+                        case.stage(now) == stage && case.announcement == announcement
+                    };
+                    if let Some(case) = case.filter(is_current) {
                         case.unacked_vms.remove(from);
                     }
                 }
@@ -611,7 +628,7 @@
                 }
                 let parts = parts
                     .iter()
-                    .map(|announced| (announced.part, announced.stage));
+                    .map(|announced| (announced.part, announced.stage, announced.announcement));
                 let parts = parts.collect();
                 output.send(from, PartMessage::Acknowledged { parts, service });
             }
@@ -675,6 +692,7 @@
             part,
             remaining,
             stage,
+            ..
         } = *announced;
         let known = self.services.entry(service.clone()).or_default();
         let before = known.stage(now, part);
--- a/crates/ebonystand-core/src/quarantine/quarantine_message.rs
+++ b/crates/ebonystand-core/src/quarantine/quarantine_message.rs
@@ -24,6 +24,8 @@
     },
     /// Announcement to all VMs of what they must do about a request.
     Announced {
+        /// Number of the announcement, which the acknowledgement repeats.
+        announcement: u64,
         /// Fingerprint of the request.
         fingerprint: Fingerprint,
         /// Time until the entry expires.
@@ -71,6 +73,8 @@
     /// Confirmation that the sender has recorded an [`Self::Announced`].
     #[serde(rename = "told")]
     Acknowledged {
+        /// Number of the announcement, copied from it.
+        announcement: u64,
         /// Fingerprint of the request.
         fingerprint: Fingerprint,
         /// Whether runs of the request are in progress on the sender, or have crashed without the
--- a/crates/ebonystand-core/src/quarantine/state.rs
+++ b/crates/ebonystand-core/src/quarantine/state.rs
@@ -50,7 +50,7 @@
     pub fn new(own_id: VmId, first_run: RunId) -> Self {
         Self {
             pending_permits: BTreeMap::new(),
-            suspects: SuspectTable::new(own_id.clone()),
+            suspects: SuspectTable::new(own_id.clone(), first_run),
             own_id,
             next_run: first_run,
             pending_reports: BTreeMap::new(),
@@ -431,13 +431,14 @@
                 self.handle_answer(now, run, permit, output)
             }
             QuarantineMessage::Announced {
+                announcement,
                 fingerprint,
                 remaining,
                 stage,
             } => {
                 self.suspects
                     .record_announced(now, fingerprint, stage, remaining, output);
-                self.acknowledge(from, fingerprint, stage, output);
+                self.acknowledge(from, fingerprint, (announcement, stage), output);
                 if stage.is_suspect() && self.survivals.contains(now, fingerprint) {
                     output.append(self.report_survival(now, fingerprint));
                 }
@@ -529,12 +530,14 @@
                 output.send(from, QuarantineMessage::Recorded { run });
             }
             QuarantineMessage::Acknowledged {
+                announcement,
                 fingerprint,
                 is_running,
                 stage,
             } => {
+                let announced = (announcement, stage);
                 self.suspects
-                    .handle_acknowledgement(fingerprint, from, stage, is_running);
+                    .handle_acknowledgement(fingerprint, from, announced, is_running);
                 self.suspects.confirm_reports(now, fingerprint, output);
             }
             _ => {}
@@ -545,10 +548,11 @@
         &self,
         owner: &VmId,
         fingerprint: Fingerprint,
-        stage: SuspectStage,
+        (announcement, stage): (u64, SuspectStage),
         output: &mut QuarantineOutput,
     ) {
         let message = QuarantineMessage::Acknowledged {
+            announcement,
             fingerprint,
             is_running: self.is_running(fingerprint),
             stage,
--- a/crates/ebonystand-core/src/quarantine/suspect.rs
+++ b/crates/ebonystand-core/src/quarantine/suspect.rs
@@ -4,6 +4,8 @@
 /// and its expiry; only the owner uses the other fields.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub(crate) struct Suspect {
+    /// Number of the last announcement to the VMs; a VM that has restarted gets one with a new number.
+    pub(crate) announcement: u64,
     /// Runs whose crash report was counted. A repeated report is ignored.
     counted_runs: BTreeSet<VmRun>,
     /// Number of crashes that count towards the quarantine.
@@ -80,6 +82,7 @@
 
     pub(crate) fn new(expires_at: Duration) -> Self {
         Self {
+            announcement: 0,
             counted_runs: BTreeSet::new(),
             crashes: 0,
             grant: None,
@@ -99,6 +102,11 @@
         }
     }
 
+    /// Gives the next announcement a new number above `first`.
+    pub(crate) fn renumber(&mut self, first: u64) {
+        self.announcement = self.announcement.max(first) + 1;
+    }
+
     /// Counts a crash report, unless this run's report was counted before.
     pub(crate) fn record_crash(&mut self, now: Duration, crash: &CrashReport) {
         if now < self.innocent_until || !self.counted_runs.insert(crash.run.clone()) {
--- a/crates/ebonystand-core/src/quarantine/suspect_table.rs
+++ b/crates/ebonystand-core/src/quarantine/suspect_table.rs
@@ -3,6 +3,8 @@
 /// Bounded table of the [`Suspect`]s that a VM knows, with the decisions of a suspect's owner.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub(crate) struct SuspectTable {
+    /// Number below those of this process's announcements.
+    first_announcement: u64,
     live_vms: BTreeSet<VmId>,
     own_id: VmId,
     /// Live VMs of the own region, this one included.
@@ -24,8 +26,10 @@
     /// Interval between two sends of an unconfirmed message.
     pub(crate) const RESEND_INTERVAL: Duration = Duration::from_millis(200);
 
-    pub(crate) fn new(own_id: VmId) -> Self {
+    /// Creates an empty table; `first_announcement` is above the numbers of the VM's former processes.
+    pub(crate) fn new(own_id: VmId, first_announcement: u64) -> Self {
         Self {
+            first_announcement,
             live_vms: BTreeSet::from([own_id.clone()]),
             region_vms: BTreeSet::from([own_id.clone()]),
             own_id,
@@ -118,7 +122,7 @@
         if is_announced {
             suspect.ack_deadline = now + Quarantine::CRASH_ACK_TIMEOUT;
             suspect.unacked_vms = others;
-            self.announce(now, fingerprint, output);
+            self.announce_anew(now, fingerprint, output);
         } else {
             self.confirm_reports(now, fingerprint, output);
         }
@@ -158,7 +162,7 @@
                 cleared.unacked_vms = self.live_vms.clone();
                 cleared.unacked_vms.remove(&self.own_id);
                 self.suspects.insert(fingerprint, cleared);
-                self.announce(now, fingerprint, output);
+                self.announce_anew(now, fingerprint, output);
             }
         }
     }
@@ -210,18 +214,23 @@
             .filter(|suspect| suspect.expires_at > now)
     }
 
-    /// Records that a VM has acknowledged the announcement of a stage.
+    /// Records that a VM has acknowledged the announcement of a stage. Of an older announcement, which a former
+    /// process of the VM may have got, it counts only that runs are in progress.
     pub(crate) fn handle_acknowledgement(
         &mut self,
         fingerprint: Fingerprint,
         from: &VmId,
-        stage: SuspectStage,
+        (announcement, stage): (u64, SuspectStage),
         is_running: bool,
     ) {
-        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
-            if stage == suspect.stage {
-                suspect.unacked_vms.remove(from);
-            }
+        let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
+            return;
+        };
+        let is_current = announcement == suspect.announcement && stage == suspect.stage;
+        if is_current {
+            suspect.unacked_vms.remove(from);
+        }
+        if is_current || is_running {
             suspect.set_running(from, is_running);
         }
     }
@@ -286,7 +295,7 @@
                 suspect.unacked_vms.insert(vm.clone());
                 suspect.ack_deadline = now + Quarantine::CRASH_ACK_TIMEOUT;
             }
-            self.announce(now, fingerprint, output);
+            self.announce_anew(now, fingerprint, output);
         }
     }
 
@@ -307,8 +316,9 @@
             }
             suspect.running_vms.retain(|vm| live_vms.contains(vm));
             suspect.unacked_vms.retain(|vm| live_vms.contains(vm));
-            if counted.contains(fingerprint) {
+            if counted.contains(fingerprint) && !joined.is_empty() {
                 suspect.unacked_vms.extend(joined.iter().cloned());
+                suspect.renumber(self.first_announcement);
             }
         }
         self.live_vms = live_vms;
@@ -320,6 +330,19 @@
         self.region_vms = region_vms;
     }
 
+    /// Announces a suspect under a new number.
+    fn announce_anew(
+        &mut self,
+        now: Duration,
+        fingerprint: Fingerprint,
+        output: &mut QuarantineOutput,
+    ) {
+        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+            suspect.renumber(self.first_announcement);
+        }
+        self.announce(now, fingerprint, output);
+    }
+
     /// Announces a suspect to the VMs that have not acknowledged it, and confirms its crash reports
     /// if all have.
     pub(crate) fn announce(
@@ -334,6 +357,7 @@
         suspect.announced_at = now;
         let remaining = suspect.expires_at.saturating_sub(now);
         let message = QuarantineMessage::Announced {
+            announcement: suspect.announcement,
             fingerprint,
             remaining,
             stage: suspect.stage,
@@ -349,19 +373,23 @@
     /// together with the run.
     pub(crate) fn tick(&mut self, now: Duration, output: &mut QuarantineOutput) {
         self.suspects.retain(|_, suspect| suspect.expires_at > now);
+        let mut changed = Vec::new();
         let mut due = Vec::new();
         for (fingerprint, suspect) in &mut self.suspects {
             let has_expired = suspect.expire_grant(now);
             if suspect.quarantine_if_due(now) || has_expired {
                 suspect.unacked_vms = self.live_vms.clone();
                 suspect.unacked_vms.remove(&self.own_id);
-                due.push(*fingerprint);
+                changed.push(*fingerprint);
             } else if suspect.has_unacked_messages()
                 && now >= suspect.announced_at + Self::RESEND_INTERVAL
             {
                 due.push(*fingerprint);
             }
         }
+        for fingerprint in changed {
+            self.announce_anew(now, fingerprint, output);
+        }
         for fingerprint in due {
             self.announce(now, fingerprint, output);
         }
--- a/crates/ebonystand-core/tests/part_evidence/main.rs
+++ b/crates/ebonystand-core/tests/part_evidence/main.rs
@@ -222,6 +222,54 @@
     }
 }
 
+/// Guards against a loss that nobody counts, since the confirmation of one that the former process has reported ends its
+/// repetition.
+#[rstest]
+#[case::of_this_process(1 << 32, false)]
+#[case::of_the_former_process(0, true)]
+fn a_confirmation_to_a_former_process_ends_no_report(
+    #[case] reported_by: u64,
+    #[case] is_repeated: bool,
+) {
+    let report = |first_report| {
+        let mut vm = PartQuarantine::new("vm-0".into(), first_report);
+        vm.set_live_vms(Duration::ZERO, ["vm-0".into(), "vm-1".into()].into());
+        let output = vm.report_loss(
+            Duration::ZERO,
+            &trio::SERVICE.into(),
+            &"i-0".into(),
+            &[(false, &[CAUSE])],
+        );
+        let reports = output
+            .messages
+            .into_iter()
+            .filter_map(|sent| match sent.message {
+                PartMessage::Lost { report, .. } => Some((sent.to, report)),
+                _ => None,
+            });
+        (vm, reports.collect::<Vec<_>>())
+    };
+    let (mut vm, _) = report(1 << 32);
+    let (_, reports) = report(reported_by);
+    assert!(!reports.is_empty());
+    for (counter, report) in reports {
+        vm.handle_message(Duration::ZERO, &counter, PartMessage::Recorded { report });
+    }
+    let output = vm.tick(500 * MS);
+    let is_report = |sent: &OutgoingPartMessage| matches!(sent.message, PartMessage::Lost { .. });
+    assert_eq!(output.messages.iter().any(is_report), is_repeated);
+}
+
+/// Guards against a VM that has restarted and is not told what is quarantined, since its former process has acknowledged it.
+#[rstest]
+fn an_acknowledgement_of_a_former_process_ends_no_announcement(#[values(0, 1, 2)] vm: usize) {
+    let mut vms = Vms::new(3);
+    lose_three(&mut vms, [&[CAUSE]; 3]);
+    vms.restart_before_acknowledgements(vm);
+    vms.pass(500 * MS);
+    assert!(vms.is_refused(vm, &[CAUSE]));
+}
+
 /// Guards against an operator's order that some VMs forget, or that a late announcement undoes.
 #[rstest]
 fn an_operator_clears_a_part_on_all_vms(#[values(0, 1, 2)] vm: usize) {
--- a/crates/ebonystand-core/tests/part_evidence/trio.rs
+++ b/crates/ebonystand-core/tests/part_evidence/trio.rs
@@ -63,6 +63,26 @@
         }
     }
 
+    /// Starts a VM twice without its memory. The first process acknowledges what it is told, which arrives late; what the
+    /// second one is told at once gets lost.
+    pub(crate) fn restart_before_acknowledgements(&mut self, vm: usize) {
+        for other in (0..self.vms.len()).filter(|other| *other != vm) {
+            let mut former = PartQuarantine::new(name(vm), 1 << 32);
+            let told = self.vms[other].handle_restart(self.now, &name(vm));
+            let late = told.messages.into_iter().flat_map(|sent| {
+                let acknowledged = former.handle_message(self.now, &name(other), sent.message);
+                acknowledged.messages
+            });
+            let late = late.collect::<Vec<_>>();
+            self.vms[other].handle_restart(self.now, &name(vm));
+            for sent in late {
+                self.vms[other].handle_message(self.now, &name(vm), sent.message);
+            }
+        }
+        self.vms[vm] = PartQuarantine::new(name(vm), 2 << 32);
+        self.tell_live();
+    }
+
     pub(crate) fn pass(&mut self, time: Duration) {
         const TICK: Duration = Duration::from_millis(50);
         let until = self.now + time;
@@ -149,9 +169,10 @@
 /// Bytes of a message's fields, without the names of upstreams and the service.
 fn size(message: &PartMessage) -> usize {
     const PART: usize = 9;
+    const NUMBER: usize = 3;
     match message {
-        PartMessage::Acknowledged { parts, .. } => (PART + 1) * parts.len(),
-        PartMessage::Announced { parts, .. } => (PART + 7) * parts.len(),
+        PartMessage::Acknowledged { parts, .. } => (PART + NUMBER + 1) * parts.len(),
+        PartMessage::Announced { parts, .. } => (PART + NUMBER + 7) * parts.len(),
         PartMessage::Lost { runs, .. } => {
             let runs = runs.iter().map(|run| 2 + PART * run.parts.len());
             runs.sum()
--- a/crates/ebonystand-core/tests/quarantine.rs
+++ b/crates/ebonystand-core/tests/quarantine.rs
@@ -278,6 +278,65 @@
     );
 }
 
+/// Guards against a suspect that runs by the permit of a run of the former process.
+#[rstest]
+#[case::to_this_process(1 << 32, 1)]
+#[case::to_the_former_process(0, 0)]
+fn a_permit_of_a_former_process_starts_no_run(#[case] asked_by: RunId, #[case] permits: usize) {
+    let announced = QuarantineMessage::Announced {
+        announcement: 1,
+        fingerprint: FINGERPRINT,
+        remaining: RUN_LIMIT,
+        stage: SuspectStage::Suspected,
+    };
+    let ask = |first_run| {
+        let mut vm = Quarantine::new(VMS[0].into(), first_run);
+        vm.set_live_vms(Duration::ZERO, VMS.map(VmId::from).into());
+        vm.handle_message(Duration::ZERO, &VMS[1].into(), announced.clone());
+        let run = vm.allocate_run();
+        vm.request_permit(Duration::ZERO, run, FINGERPRINT, RUN_LIMIT);
+        (vm, run)
+    };
+    let (mut vm, _) = ask(1 << 32);
+    let (_, run) = ask(asked_by);
+    let permit = RunPermit::Granted;
+    let answer = QuarantineMessage::Answer { permit, run };
+    let output = vm.handle_message(Duration::ZERO, &VMS[1].into(), answer);
+    assert_eq!(output.permit_answers.len(), permits);
+}
+
+/// Guards against a VM that has restarted and is not told of a suspect, since its former process has acknowledged it.
+#[test]
+fn an_acknowledgement_of_a_former_process_ends_no_announcement() {
+    let first = World::new(3, 1, 0, Without::Nothing).after_send_and_deliveries(0);
+    let mut world = first.after_crash(0, 0, 1);
+    let is_ack = |send: &OutgoingQuarantineMessage| {
+        matches!(send.message, QuarantineMessage::Acknowledged { .. })
+    };
+    while let Some(at) = world.network.iter().position(|(_, send)| !is_ack(send)) {
+        world = world.after_delivery(at);
+    }
+    let (told, late) = world.network.remove(0);
+    let live = world.vms[told].clone();
+    world = world.after_all_deliveries();
+    assert!(live.is_suspect(world.now, FINGERPRINT));
+
+    let owner = VMS
+        .iter()
+        .position(|vm| **vm == *late.to)
+        .expect("it exists");
+    let mut restarted = Quarantine::new(VMS[told].into(), 1 << 32);
+    restarted.set_live_vms(world.now, VMS.map(VmId::from).into());
+    world.vms[told] = restarted;
+    // What is sent first to the new process gets lost.
+    world.vms[owner].handle_restart(world.now, &VMS[told].into());
+    let output = world.vms[owner].handle_message(world.now, &VMS[told].into(), late.message);
+    world.apply(owner, output);
+    let world = world.after_all_deliveries();
+    let world = world.after_tick().after_all_deliveries();
+    assert!(world.vms[told].is_suspect(world.now, FINGERPRINT));
+}
+
 /// The owner of a suspect leaves while another VM runs it under the owner's grant. The new owner
 /// does not know of that grant and must not give a second one before the run has ended.
 #[rstest]
