--- a/crates/ebonystand-core/tests/load_exchange.rs
+++ b/crates/ebonystand-core/tests/load_exchange.rs
@@ -237,6 +237,34 @@
     assert_eq!(known.collect::<Vec<_>>(), vec![others; count]);
 }
 
+/// Guards against a VM that for long subtracts a report of its own from sums that include one of its former process, which
+/// has the same number.
+#[rstest]
+#[case::reporter(false)]
+#[case::relay(true)]
+fn a_vm_that_starts_anew_counts_the_others_right_after_half_a_second(#[case] is_relay: bool) {
+    const COUNT: usize = 40;
+    let mut region = Region::new(COUNT);
+    let all = UpstreamKey::from("all");
+    let load = |requests| UnderWay {
+        requests,
+        unread: 10,
+    };
+    let run = |region: &mut Region, requests, steps| {
+        for _ in 0..steps {
+            region.run_with(ms(50), &vec![(all, load(requests))]);
+        }
+    };
+    run(&mut region, 3, 20);
+    let (relay, reporter) = region.pair();
+    let vm = if is_relay { relay } else { reporter };
+    region.vms[vm] = LoadExchange::new(name(vm), zone(vm));
+    region.set_live(&BTreeSet::new());
+    run(&mut region, 1, 10);
+    let known = region.vms.iter().map(|vm| vm.load_at(all).requests);
+    assert_eq!(known.collect::<Vec<_>>(), vec![COUNT as u32 - 1; COUNT]);
+}
+
 /// A relay stops or freezes. Until that is noticed, the VMs that report to it would know nothing of
 /// the others' load, so they must switch to another relay.
 #[rstest]
--- a/crates/ebonystand-core/tests/slots/main.rs
+++ b/crates/ebonystand-core/tests/slots/main.rs
@@ -13,6 +13,7 @@
 
 mod cost;
 mod failures;
+mod former_process;
 mod load;
 mod queue;
 mod region;
