--- a/crates/ebonystand-core/src/quarantine/part_case.rs
+++ b/crates/ebonystand-core/src/quarantine/part_case.rs
@@ -46,7 +46,7 @@
     /// Failed trials that quarantine a part although many upstreams go down without it. One may fail by chance.
     const FAILED_TRIALS: u32 = 2;
     /// Ends without which no part is quarantined.
-    const QUARANTINE_ENDS: usize = 3;
+    pub(crate) const QUARANTINE_ENDS: usize = 3;
     /// Time after a suspicion in which survivals on other VMs may still clear the part.
     const SETTLE_DURATION: Duration = Duration::from_millis(400);
 
@@ -152,13 +152,13 @@
         now >= self.expires_at + kept
     }
 
-    /// Returns whether the evidence is enough to quarantine a suspect: enough upstreams went down under it, and they are half
-    /// of the `recent_ends` of the service or several failed trials are among them. Among many that go down for other
+    /// Returns whether the evidence is enough to quarantine a suspect: enough upstreams went down under it, and these `ends` are
+    /// half of the `recent_ends` of the service or several failed trials are among them. Among many that go down for other
     /// reasons, a part is lost with several by chance. While upstreams begin no answers on other prompts, a part of all
     /// prompts is lost with each that goes down, and more failed trials are needed.
-    pub(crate) fn is_conclusive(&self, now: Duration, recent_ends: usize) -> bool {
+    pub(crate) fn is_conclusive(&self, now: Duration, ends: usize, recent_ends: usize) -> bool {
         let is_settled = now >= self.suspected_at + Self::SETTLE_DURATION;
-        let explains_half = self.ends.len() * 2 >= recent_ends;
+        let explains_half = ends * 2 >= recent_ends;
         let is_proved = match (self.is_known_cause, self.others_survive) {
             (true, _) => self.failed_trials > 0,
             (false, true) => {
@@ -166,7 +166,7 @@
             }
             (false, false) => self.failed_trials > Self::FAILED_TRIALS,
         };
-        self.has_enough_ends() && is_proved
+        ends >= Self::QUARANTINE_ENDS && is_proved
     }
 
     /// Returns whether enough upstreams went down for a quarantine.
--- a/crates/ebonystand-core/src/quarantine/service_parts.rs
+++ b/crates/ebonystand-core/src/quarantine/service_parts.rs
@@ -131,10 +131,18 @@
 
     /// Returns whether some end under a part is of an upstream that lost no prompt with a quarantined part.
     fn has_unexplained_end(&self, now: Duration, case: &PartCase) -> bool {
-        let mut ends = case.ends().iter().map(|end| self.end(*end));
-        ends.any(|end| {
-            end.is_none_or(|end| !end.parts.iter().any(|part| self.is_quarantined(now, part)))
-        })
+        self.count_unexplained_ends(now, case) > 0
+    }
+
+    fn count_unexplained_ends(&self, now: Duration, case: &PartCase) -> usize {
+        let ends = case.ends().iter().map(|end| self.end(*end));
+        let unexplained = ends.filter(|end| end.is_none_or(|end| !self.is_explained(now, end)));
+        unexplained.count()
+    }
+
+    /// Returns whether an upstream lost a prompt with a quarantined part as it ended.
+    fn is_explained(&self, now: Duration, end: &UpstreamEnd) -> bool {
+        end.parts.iter().any(|part| self.is_quarantined(now, part))
     }
 
     /// Returns whether all VMs have had the time to report the last end under a part.
@@ -153,7 +161,8 @@
         ends.map(|end| end.upstream.clone()).collect()
     }
 
-    /// Returns the suspects under which enough upstreams went down.
+    /// Returns the suspects under which enough upstreams went down. An end that a quarantined part explains is no evidence
+    /// against the others that were lost with it.
     fn conclusive(&self, now: Duration) -> Vec<PromptPartId> {
         let is_recent = |end: &&UpstreamEnd| now < end.at + Self::RECENT_DURATION;
         if self.grave.is_empty() {
@@ -164,29 +173,33 @@
         let grave = self.grave.iter();
         let grave = grave.filter_map(|part| self.cases.get_key_value(part));
         let conclusive = grave.filter(|(_, case)| {
+            let ends = self.count_unexplained_ends(now, case);
             case.stage(now) == PartStage::Suspected
-                && case.is_conclusive(now, recent_ends)
+                && case.is_conclusive(now, ends, recent_ends)
                 && self.is_reported(now, case)
         });
         conclusive.map(|(part, _)| *part).collect()
     }
 
-    /// Returns the suspects that explain all ends under a part as well as the part does.
+    /// Returns the suspects with enough ends of their own that share so many ends with a part that the others are not enough.
     fn rivals(&self, now: Duration, part: PromptPartId) -> Vec<PromptPartId> {
         let Some(case) = self.cases.get(&part) else {
             return Vec::new();
         };
         let ends = case.ends().iter().filter_map(|end| self.end(*end));
-        let shared = ends.map(|end| end.parts.clone());
-        let shared = shared.reduce(|shared, parts| &shared & &parts);
+        let ends = ends.filter(|end| !self.is_explained(now, end));
+        let ends = ends.collect::<Vec<_>>();
         let is_rival = |other: &PromptPartId| {
+            let without = ends.iter().filter(|end| !end.parts.contains(other));
             let other = self.cases.get(other);
             other.is_some_and(|other| {
-                other.stage(now) == PartStage::Suspected && other.ends().len() >= case.ends().len()
-            })
+                other.stage(now) == PartStage::Suspected && other.has_enough_ends()
+            }) && without.count() < PartCase::QUARANTINE_ENDS
         };
-        let shared = shared.unwrap_or_default().into_iter();
-        shared
+        let others = ends.iter().flat_map(|end| &end.parts);
+        let others = others.copied().collect::<BTreeSet<_>>();
+        others
+            .into_iter()
             .filter(|other| *other != part && is_rival(other))
             .collect()
     }
--- a/crates/ebonystand-core/tests/part_evidence/main.rs
+++ b/crates/ebonystand-core/tests/part_evidence/main.rs
@@ -143,6 +143,44 @@
     }
 }
 
+/// Guards against the quarantine of a sound part by ends that a quarantined part has caused, and one other.
+#[test]
+fn ends_that_a_quarantined_part_explains_are_no_evidence_against_others() {
+    let mut vms = Vms::new(3);
+    vms.survive_elsewhere();
+    let lost: [&[PromptPartId]; 3] = [&[OTHER, CAUSE], &[OTHER, CAUSE], &[CAUSE]];
+    for (vm, parts) in lost.into_iter().enumerate() {
+        vms.lose(vm, &format!("i-{vm}"), &[parts]);
+        vms.pass(500 * MS);
+    }
+    assert!(vms.is_refused(0, &[CAUSE]));
+    vms.lose(0, "i-3", &[&[OTHER]]);
+    vms.pass(500 * MS);
+    for vm in 0..3 {
+        assert!(!vms.is_refused(vm, &[OTHER]));
+    }
+}
+
+/// Guards against the quarantine of a sound part together with the cause, which ended most of the upstreams that lost it.
+#[test]
+fn of_two_parts_that_share_ends_a_trial_finds_the_cause() {
+    let mut vms = Vms::new(3);
+    vms.survive_elsewhere();
+    let lost: [&[PromptPartId]; 4] = [&[OTHER], &[CAUSE], &[OTHER, CAUSE], &[OTHER, CAUSE]];
+    for (n, parts) in lost.into_iter().enumerate() {
+        vms.lose(n % 3, &format!("i-{n}"), &[parts]);
+    }
+    vms.pass(500 * MS);
+    assert!(!vms.is_refused(0, &[OTHER]));
+    assert_eq!(vms.gate(0, 9, &[OTHER]), PartGate::Open);
+    vms.survive(0, &[OTHER]);
+    vms.pass(500 * MS);
+    for vm in 0..3 {
+        assert!(vms.is_refused(vm, &[CAUSE]));
+        assert_eq!(vms.gate(vm, 10, &[OTHER]), PartGate::Open);
+    }
+}
+
 /// Guards against a quarantine of the wrong one of two parts that were lost together each time.
 #[rstest]
 fn of_two_parts_lost_together_a_trial_finds_the_cause(#[values(true, false)] is_first: bool) {
