--- a/crates/ebonystand-core/src/stream_origin/origin_table.rs
+++ b/crates/ebonystand-core/src/stream_origin/origin_table.rs
@@ -27,8 +27,9 @@
         (now < record.expires_at).then_some(&record.origin)
     }
 
-    /// Holds an origin for `lifetime`, at most for [`StreamOrigin::MAX_STREAM_AGE`]. An origin that is held already stays as it is and is held for the
-    /// longer of the two times: the first event came from one upstream only.
+    /// Holds an origin for `lifetime`, at most for [`StreamOrigin::MAX_STREAM_AGE`]. An origin that is held
+    /// already stays as it is and is held for the longer of the two times: the first event came from one
+    /// upstream only.
     pub fn hold(
         &mut self,
         now: Duration,
