--- a/crates/ebonystand/tests/integration/answer.rs
+++ b/crates/ebonystand/tests/integration/answer.rs
@@ -1,4 +1,4 @@
-use {serde::de::DeserializeOwned, serde_json::Value};
+use {serde::de::DeserializeOwned, serde_json::Value, std::time::Duration};
 
 /// What a caller or operator got.
 #[derive(Debug)]
@@ -20,6 +20,13 @@
         }
     }
 
+    /// Time after which a refusal tells the caller to come back.
+    pub(crate) fn return_time(&self) -> Duration {
+        let body = self.json::<Value>();
+        let ms = body["error"]["retry_after_ms"].as_u64();
+        Duration::from_millis(ms.unwrap_or_default())
+    }
+
     pub(crate) fn run(&self) -> String {
         self.field("run")
     }
--- a/crates/ebonystand/tests/integration/scripted.rs
+++ b/crates/ebonystand/tests/integration/scripted.rs
@@ -95,7 +95,7 @@
                 tx.send(listener.local_addr().unwrap()).unwrap();
                 let mut number = 0;
                 loop {
-                    let io = tokio::select! {
+                    let mut io = tokio::select! {
                         accepted = listener.accept() => accepted.unwrap().0,
                         () = death.notified() => return,
                     };
@@ -104,11 +104,13 @@
                     let (death, ended) = (Arc::clone(&death), Arc::clone(&ended));
                     let script = Arc::clone(&script);
                     actix_rt::spawn(async move {
-                        let then = converse(io, number, &*script, &seen).await;
+                        let then = converse(&mut io, number, &*script, &seen).await;
                         closed.lock().unwrap().insert(number);
                         if then == Some(Then::Die) {
                             ended.store(true, Ordering::SeqCst);
                             death.notify_one();
+                            // The connections are closed after the listener, as those of a process that ends.
+                            std::future::pending::<()>().await;
                         }
                     });
                 }
@@ -146,13 +148,13 @@
 }
 
 async fn converse(
-    mut io: TcpStream,
+    io: &mut TcpStream,
     connection: usize,
     script: &(dyn Fn(&Received) -> Reply + Send + Sync),
     seen: &Mutex<Vec<Received>>,
 ) -> Option<Then> {
     let mut buf = Vec::new();
-    while let Some(received) = receive(&mut io, &mut buf, connection).await {
+    while let Some(received) = receive(io, &mut buf, connection).await {
         seen.lock().unwrap().push(received.clone());
         let Reply { bytes, then } = script(&received);
         io.write_all(bytes.as_bytes()).await.ok()?;
--- a/crates/ebonystand/tests/integration/slots.rs
+++ b/crates/ebonystand/tests/integration/slots.rs
@@ -51,7 +51,7 @@
     fleet
 }
 
-/// Sends requests one after the other and returns how many were served and how many were not.
+/// Sends requests one after the other, after a refusal when it says so, and returns how many were served and how many were not.
 async fn ask(vm: &Vm, name: &str, count: usize) -> (usize, usize) {
     let mut served = 0;
     for n in 0..count {
@@ -68,7 +68,10 @@
         let answer = vm.call_with(KEY, "GET", "/look/x", "", &headers).await;
         match answer.status {
             200 => served += 1,
-            _ => println!("{request}: {answer:?}"),
+            _ => {
+                println!("{request}: {answer:?}");
+                actix_rt::time::sleep(answer.return_time()).await;
+            }
         }
     }
     (served, count - served)
