Have verdicts name the requests that were lost and who announced them

What was logged could not tell whether a part of prompts and a request were quarantined by the same ends. A lost run now carries the fingerprint of its request, "part of prompts quarantined" names the requests lost at its ends, both verdicts name the VM that announced them, and the refusal of a quarantined request names its fingerprint. Nothing is decided by it yet.

--- a/crates/ebonystand-core/src/quarantine/part_message.rs
+++ b/crates/ebonystand-core/src/quarantine/part_message.rs
@@ -83,8 +83,11 @@
 /// Run that was lost with its upstream before it had begun to answer.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LostRun {
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
     /// Whether the owner had permitted the run as a trial.
     pub is_trial: bool,
-    /// Parts of its prompt that no upstream has begun an answer on lately, in the order of the prompt.
+    /// Shared parts of its prompt, in the order of the prompt. A report leaves out those that an upstream has begun an answer
+    /// on lately.
     pub parts: Vec<PromptPartId>,
 }
--- a/crates/ebonystand-core/src/quarantine/part_quarantine.rs
+++ b/crates/ebonystand-core/src/quarantine/part_quarantine.rs
@@ -183,23 +183,19 @@
         self.handle_own_messages(now, output)
     }
 
-    /// Reports runs that were lost with their upstream before they had begun to answer, each with whether it was a trial and
-    /// the shared parts of its prompt. Parts on which this VM has seen answers begin lately are left out, and so are all
-    /// but the quarantined ones of a prompt that has one.
+    /// Reports runs that were lost with their upstream before they had begun to answer. Parts on which this VM has seen
+    /// answers begin lately are left out, and so are all but the quarantined ones of a prompt that has one.
     pub fn report_loss(
         &mut self,
         now: Duration,
         service: &ServiceId,
         upstream: &UpstreamId,
-        runs: &[(bool, &[PromptPartId])],
+        runs: Vec<LostRun>,
     ) -> PartOutput {
         let mut output = PartOutput::default();
         let mut reported = Vec::new();
-        for (is_trial, parts) in runs {
-            let run = LostRun {
-                is_trial: *is_trial,
-                parts: self.unsound_parts(now, service, parts),
-            };
+        for mut run in runs {
+            run.parts = self.unsound_parts(now, service, &run.parts);
             if !run.parts.is_empty() && !reported.contains(&run) {
                 reported.push(run);
             }
@@ -381,9 +377,11 @@
         case: &PartCase,
     ) -> PartStatus {
         PartStatus {
+            announced_by: case.announced_by.clone(),
             crashed_upstreams: known.crashed_upstreams(case),
             part: format!("{part:x}").into(),
             remaining_ms: case.expires_at.saturating_sub(now).as_millis() as u64,
+            requests: known.lost_requests(part, case),
             service: service.clone(),
             stage: case.stage(now),
         }
--- a/crates/ebonystand-core/src/quarantine/service_parts.rs
+++ b/crates/ebonystand-core/src/quarantine/service_parts.rs
@@ -21,6 +21,8 @@
     const MAX_CASES: usize = 4_096;
     /// Largest number of ends that are remembered.
     const MAX_ENDS: usize = 256;
+    /// Largest number of requests that a status names.
+    const MAX_NAMED_REQUESTS: usize = 8;
     /// Time within which VMs report the end of an upstream. Until then, the part that caused it may be missing.
     const REPORT_DURATION: Duration = Duration::from_millis(150);
     /// Reports about one upstream within this time are of one end.
@@ -43,7 +45,7 @@
         let parts = parts.collect::<BTreeSet<_>>();
         let number = self.number_of_end(now, upstream);
         if let Some(end) = self.ends.get_mut(&number) {
-            end.parts.extend(parts.iter().copied());
+            runs.iter().for_each(|run| end.record(run));
         }
         for part in &parts {
             let of_part = runs.iter().filter(|run| run.parts.contains(part));
@@ -71,7 +73,7 @@
         let end = UpstreamEnd {
             at: now,
             number: self.next_end,
-            parts: BTreeSet::new(),
+            parts: BTreeMap::new(),
             upstream: upstream.clone(),
         };
         self.ends.insert(self.next_end, end);
@@ -142,7 +144,7 @@
 
     /// Returns whether an upstream lost a prompt with a quarantined part as it ended.
     fn is_explained(&self, now: Duration, end: &UpstreamEnd) -> bool {
-        end.parts.iter().any(|part| self.is_quarantined(now, part))
+        end.parts.keys().any(|part| self.is_quarantined(now, part))
     }
 
     /// Returns whether all VMs have had the time to report the last end under a part.
@@ -161,6 +163,17 @@
         ends.map(|end| end.upstream.clone()).collect()
     }
 
+    /// Returns the fingerprints of the requests that were lost with the last upstreams that went down under a part.
+    pub(crate) fn lost_requests(&self, part: PromptPartId, case: &PartCase) -> Vec<Box<str>> {
+        let ends = case.ends().iter().filter_map(|end| self.end(*end));
+        let requests = ends.flat_map(|end| end.requests(part));
+        let requests = requests.collect::<BTreeSet<_>>().into_iter();
+        requests
+            .take(Self::MAX_NAMED_REQUESTS)
+            .map(|fingerprint| format!("{fingerprint:032x}").into())
+            .collect()
+    }
+
     /// Returns the suspects under which enough upstreams went down. An end that a quarantined part explains is no evidence
     /// against the others that were lost with it.
     fn conclusive(&self, now: Duration) -> Vec<PromptPartId> {
@@ -190,13 +203,13 @@
         let ends = ends.filter(|end| !self.is_explained(now, end));
         let ends = ends.collect::<Vec<_>>();
         let is_rival = |other: &PromptPartId| {
-            let without = ends.iter().filter(|end| !end.parts.contains(other));
+            let without = ends.iter().filter(|end| !end.parts.contains_key(other));
             let other = self.cases.get(other);
             other.is_some_and(|other| {
                 other.stage(now) == PartStage::Suspected && other.has_enough_ends()
             }) && without.count() < PartCase::QUARANTINE_ENDS
         };
-        let others = ends.iter().flat_map(|end| &end.parts);
+        let others = ends.iter().flat_map(|end| end.parts.keys());
         let others = others.copied().collect::<BTreeSet<_>>();
         others
             .into_iter()
--- a/crates/ebonystand-core/src/quarantine/state.rs
+++ b/crates/ebonystand-core/src/quarantine/state.rs
@@ -223,6 +223,7 @@
         suspects
             .filter(|(_, suspect)| suspect.stage.is_suspect())
             .map(move |(fingerprint, suspect)| SuspectStatus {
+                announced_by: suspect.announced_by.clone(),
                 crashed_upstreams: suspect.crashed_upstreams().cloned().collect(),
                 crashes: suspect.crashes(),
                 fingerprint: format!("{fingerprint:032x}").into(),
@@ -254,11 +255,10 @@
     pub fn refusal(&self, now: Duration, fingerprint: Fingerprint) -> Option<Refusal> {
         let suspect = self.suspects.get(now, fingerprint)?;
         suspect.is_quarantined().then(|| {
-            Refusal::not_run(
-                RefusalCode::Quarantined,
-                "upstreams went down while they ran this request",
-            )
-            .with_retry_after(suspect.expires_at.saturating_sub(now))
+            let message =
+                format!("upstreams went down while they ran this request {fingerprint:032x}");
+            Refusal::not_run(RefusalCode::Quarantined, message)
+                .with_retry_after(suspect.expires_at.saturating_sub(now))
         })
     }
 
@@ -437,7 +437,7 @@
                 stage,
             } => {
                 self.suspects
-                    .record_announced(now, fingerprint, stage, remaining, output);
+                    .record_announced(now, from, fingerprint, stage, remaining, output);
                 self.acknowledge(from, fingerprint, (announcement, stage), output);
                 if stage.is_suspect() && self.survivals.contains(now, fingerprint) {
                     output.append(self.report_survival(now, fingerprint));
--- a/crates/ebonystand-core/src/quarantine/suspect.rs
+++ b/crates/ebonystand-core/src/quarantine/suspect.rs
@@ -4,6 +4,8 @@
 /// and its expiry; only the owner uses the other fields.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub(crate) struct Suspect {
+    /// VM that announced the request last.
+    pub(crate) announced_by: Option<VmId>,
     /// Number of the last announcement to the VMs; a VM that has restarted gets one with a new number.
     pub(crate) announcement: u64,
     /// Runs whose crash report was counted. A repeated report is ignored.
@@ -82,6 +84,7 @@
 
     pub(crate) fn new(expires_at: Duration) -> Self {
         Self {
+            announced_by: None,
             announcement: 0,
             counted_runs: BTreeSet::new(),
             crashes: 0,
--- a/crates/ebonystand-core/src/quarantine/suspect_status.rs
+++ b/crates/ebonystand-core/src/quarantine/suspect_status.rs
@@ -3,6 +3,8 @@
 /// Request that crashed upstreams, as one VM knows it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SuspectStatus {
+    /// VM that announced the request last; `None` if only this VM knows of it.
+    pub announced_by: Option<VmId>,
     /// Last upstreams that went down under the request; empty on a VM that does not count its
     /// crashes.
     pub crashed_upstreams: Vec<UpstreamId>,
--- a/crates/ebonystand-core/src/quarantine/suspect_table.rs
+++ b/crates/ebonystand-core/src/quarantine/suspect_table.rs
@@ -171,6 +171,7 @@
     pub(crate) fn record_announced(
         &mut self,
         now: Duration,
+        from: &VmId,
         fingerprint: Fingerprint,
         stage: SuspectStage,
         remaining: Duration,
@@ -198,6 +199,9 @@
                     .suspect();
             }
         }
+        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+            suspect.announced_by = Some(from.clone());
+        }
     }
 
     /// Records the end of a run that did not crash its upstream.
--- a/crates/ebonystand-core/tests/part_evidence/fleet.rs
+++ b/crates/ebonystand-core/tests/part_evidence/fleet.rs
@@ -446,11 +446,13 @@
             let is_trial = |id| self.vms[vm].is_trial(self.now, id);
             let trials = requests.iter().copied().filter(|id| is_trial(*id));
             let trials = trials.collect::<BTreeSet<_>>();
-            let runs = requests
-                .iter()
-                .map(|id| (trials.contains(id), &*self.requests[id].parts));
-            let runs = runs.collect::<Vec<_>>();
-            let output = self.vms[vm].report_loss(self.now, &SERVICE.into(), &upstream, &runs);
+            let runs = requests.iter().map(|id| LostRun {
+                fingerprint: Fingerprint::from(*id),
+                is_trial: trials.contains(id),
+                parts: self.requests[id].parts.clone(),
+            });
+            let runs = runs.collect();
+            let output = self.vms[vm].report_loss(self.now, &SERVICE.into(), &upstream, runs);
             self.send(vm, output);
             for id in requests {
                 self.retry(id, trials.contains(&id));
--- a/crates/ebonystand-core/tests/part_evidence/main.rs
+++ b/crates/ebonystand-core/tests/part_evidence/main.rs
@@ -119,6 +119,19 @@
     }
 }
 
+/// Guards against a verdict that does not tell which requests it is based on, or whose it is.
+#[test]
+fn a_verdict_names_its_requests_and_the_vm_that_announced_it() {
+    let mut vms = Vms::new(3);
+    lose_three(&mut vms, [&[CAUSE]; 3]);
+    let statuses = (0..3).flat_map(|vm| vms.statuses(vm)).collect::<Vec<_>>();
+    assert_eq!(statuses.len(), 3);
+    let by = |status: &&PartStatus| status.announced_by.is_some();
+    assert!(statuses.iter().filter(by).count() >= 2);
+    let named = statuses.iter().map(|status| status.requests.len()).max();
+    assert_eq!(named, Some(3));
+}
+
 /// Guards against a prompt that is sent on while its part is a suspect, and against two trials at once.
 #[test]
 fn one_trial_at_a_time_is_permitted() {
@@ -276,7 +289,11 @@
             Duration::ZERO,
             &trio::SERVICE.into(),
             &"i-0".into(),
-            &[(false, &[CAUSE])],
+            vec![LostRun {
+                fingerprint: 1,
+                is_trial: false,
+                parts: vec![CAUSE],
+            }],
         );
         let reports = output
             .messages
--- a/crates/ebonystand-core/tests/part_evidence/trio.rs
+++ b/crates/ebonystand-core/tests/part_evidence/trio.rs
@@ -1,6 +1,6 @@
 use {
     ebonystand_core::*,
-    std::{collections::BTreeSet, time::Duration},
+    std::{cell::Cell, collections::BTreeSet, time::Duration},
 };
 
 pub(crate) const SERVICE: &str = "engines";
@@ -11,6 +11,8 @@
     pub(crate) received: Vec<usize>,
     /// Bytes that each VM has sent.
     pub(crate) sent_bytes: Vec<usize>,
+    /// Fingerprints that were given out.
+    fingerprints: Cell<Fingerprint>,
     live: Vec<bool>,
     now: Duration,
     vms: Vec<PartQuarantine>,
@@ -26,6 +28,7 @@
         let mut this = Self {
             received: vec![0; count],
             sent_bytes: vec![0; count],
+            fingerprints: Cell::default(),
             live: vec![true; count],
             now: Duration::ZERO,
             vms: vms.collect(),
@@ -98,8 +101,9 @@
     }
 
     pub(crate) fn lose(&mut self, vm: usize, upstream: &str, runs: &[&[PromptPartId]]) {
-        let runs = runs.iter().map(|parts| (false, *parts)).collect::<Vec<_>>();
-        self.report(vm, upstream, &runs);
+        let runs = runs.iter().map(|parts| self.lost_run(false, parts));
+        let runs = runs.collect();
+        self.report(vm, upstream, runs);
     }
 
     /// Loses a run of a request, as a trial if it was permitted.
@@ -111,10 +115,26 @@
         parts: &[PromptPartId],
     ) {
         let is_trial = self.vms[vm].is_trial(self.now, request);
-        self.report(vm, upstream, &[(is_trial, parts)]);
+        let run = LostRun {
+            fingerprint: request.into(),
+            is_trial,
+            parts: parts.into(),
+        };
+        self.report(vm, upstream, vec![run]);
+    }
+
+    /// Run of a request like no other.
+    fn lost_run(&self, is_trial: bool, parts: &[PromptPartId]) -> LostRun {
+        const FIRST_FINGERPRINT: Fingerprint = 1 << 64;
+        let number = self.fingerprints.replace(self.fingerprints.get() + 1);
+        LostRun {
+            fingerprint: FIRST_FINGERPRINT + number,
+            is_trial,
+            parts: parts.into(),
+        }
     }
 
-    fn report(&mut self, vm: usize, upstream: &str, runs: &[(bool, &[PromptPartId])]) {
+    fn report(&mut self, vm: usize, upstream: &str, runs: Vec<LostRun>) {
         let output = self.vms[vm].report_loss(self.now, &SERVICE.into(), &upstream.into(), runs);
         self.deliver(vm, output);
     }
@@ -148,6 +168,10 @@
         matches!(gate, PartGate::Refused { .. })
     }
 
+    pub(crate) fn statuses(&self, vm: usize) -> Vec<PartStatus> {
+        self.vms[vm].statuses(self.now)
+    }
+
     pub(crate) fn clear(&mut self, vm: usize, part: PromptPartId) {
         let output = self.vms[vm].clear(self.now, part).unwrap();
         self.deliver(vm, output);
@@ -170,11 +194,14 @@
 fn size(message: &PartMessage) -> usize {
     const PART: usize = 9;
     const NUMBER: usize = 3;
+    const FINGERPRINT: usize = 19;
     match message {
         PartMessage::Acknowledged { parts, .. } => (PART + NUMBER + 1) * parts.len(),
         PartMessage::Announced { parts, .. } => (PART + NUMBER + 7) * parts.len(),
         PartMessage::Lost { runs, .. } => {
-            let runs = runs.iter().map(|run| 2 + PART * run.parts.len());
+            let runs = runs
+                .iter()
+                .map(|run| 2 + FINGERPRINT + PART * run.parts.len());
             runs.sum()
         }
         PartMessage::RequestTrial { parts, .. } | PartMessage::Survived { parts, .. } => {
--- a/crates/ebonystand/src/gateway/crash_watch.rs
+++ b/crates/ebonystand/src/gateway/crash_watch.rs
@@ -1,7 +1,10 @@
 use super::*;
 use {
-    ebonystand_core::PromptPartId, node::Node, path_watch::PathWatch,
-    request_content::RequestContent, std::collections::VecDeque,
+    ebonystand_core::{LostRun, PromptPartId},
+    node::Node,
+    path_watch::PathWatch,
+    request_content::RequestContent,
+    std::collections::VecDeque,
 };
 
 /// Finds out whether an upstream went down when connections to it ended during a run, and reports
@@ -33,6 +36,17 @@
     pub(crate) request: Box<str>,
 }
 
+impl EndedRun {
+    /// Builds what the quarantine of parts is told of the run.
+    fn lost(&self) -> LostRun {
+        LostRun {
+            fingerprint: self.content.fingerprint(),
+            is_trial: self.is_trial,
+            parts: self.parts.to_vec(),
+        }
+    }
+}
+
 impl CrashWatch {
     /// Time for which an upstream that has gone down is not asked whether the path is gone.
     const DOWN_DURATION: Duration = Duration::from_secs(10);
@@ -69,9 +83,8 @@
         if is_down {
             node.gateway.crashes.record_down(&node, &upstream);
             let lost = runs.iter().filter(|run| !run.has_survived);
-            let lost = lost.map(|run| (run.is_trial, &*run.parts));
-            let lost = lost.collect::<Vec<_>>();
-            node.parts.report_loss(&node, &service, &upstream, &lost);
+            let lost = lost.map(EndedRun::lost).collect();
+            node.parts.report_loss(&node, &service, &upstream, lost);
         }
         for EndedRun {
             content,
--- a/crates/ebonystand/src/part_controller.rs
+++ b/crates/ebonystand/src/part_controller.rs
@@ -1,7 +1,7 @@
 use super::*;
 use {
     ebonystand_core::{
-        PartGate, PartMessage, PartOutput, PartQuarantine, PartStage, PartStatus, Prompt,
+        LostRun, PartGate, PartMessage, PartOutput, PartQuarantine, PartStage, PartStatus, Prompt,
         PromptPartId,
     },
     node::Node,
@@ -129,7 +129,7 @@
         node: &Node,
         service: &ServiceId,
         upstream: &UpstreamId,
-        runs: &[(bool, &[PromptPartId])],
+        runs: Vec<LostRun>,
     ) {
         let now = node.clock.now();
         let mut quarantine = self.quarantine.borrow_mut();
@@ -221,7 +221,8 @@
             .filter(|change| change.stage == PartStage::Quarantined)
         {
             log::warn!(
-                part:% = change.part, service:% = change.service, upstreams:? = change.crashed_upstreams;
+                part:% = change.part, service:% = change.service, announced_by:? = change.announced_by,
+                upstreams:? = change.crashed_upstreams, requests:? = change.requests;
                 "part of prompts quarantined"
             );
         }
--- a/crates/ebonystand/src/quarantine_controller.rs
+++ b/crates/ebonystand/src/quarantine_controller.rs
@@ -201,7 +201,7 @@
             if !known.contains(&status.fingerprint) {
                 log::warn!(
                     fingerprint:% = status.fingerprint, crashes = status.crashes,
-                    upstreams:? = status.crashed_upstreams;
+                    announced_by:? = status.announced_by, upstreams:? = status.crashed_upstreams;
                     "request quarantined"
                 );
             }
--- a/crates/ebonystandctl/tests/status.rs
+++ b/crates/ebonystandctl/tests/status.rs
@@ -69,6 +69,7 @@
 #[test]
 fn requests_that_crash_upstreams_are_listed_with_their_fingerprints() {
     let suspect = SuspectStatus {
+        announced_by: None,
         crashed_upstreams: vec!["i-1".into(), "i-2".into(), "i-3".into()],
         crashes: 3,
         fingerprint: "00ff".into(),
@@ -82,9 +83,11 @@
         upstream: "i-4".into(),
     };
     let part = PartStatus {
+        announced_by: None,
         crashed_upstreams: vec!["i-1".into(), "i-2".into()],
         part: "5c1e07a2".into(),
         remaining_ms: 3_600_000,
+        requests: Vec::new(),
         service: "engines".into(),
         stage: PartStage::Quarantined,
     };
