Count an end against the narrowest feature that explains it, and test doubtful verdicts soon

Cause: the quarantine of parts did not know which request a lost run belonged to. One request that came again as it was gave its three ends as evidence against each of its parts that no VM had seen survive lately. Evidence: the part and the request name the same upstreams, at each of which one fingerprint was lost. A verdict then held for an hour without a test.

A lost run tells its request. Ends at which a request with the part was lost that accounts for three of them, or is quarantined by itself, are no evidence against the part. Three ends under two requests still quarantine it, since a part that is the cause gives the same; if one of the two comes again, or is quarantined, the part becomes a suspect and a request that was not lost under it is tried. Other verdicts are tested after 1, 5 and 25 minutes, then each hour: three trials in an hour, kept through restarts since all VMs are told how often the part was quarantined and for which requests. A failed trial counts once, also if its report arrives twice.

--- a/crates/ebonystand-core/src/lib.rs
+++ b/crates/ebonystand-core/src/lib.rs
@@ -50,6 +50,7 @@
         cmp::Ordering,
         collections::{BTreeMap, BTreeSet, VecDeque},
         net::SocketAddr,
+        rc::Rc,
         time::Duration,
     },
     token_bucket::{TokenBucket, accrual_time, mul_div},
--- a/crates/ebonystand-core/src/quarantine/part_message.rs
+++ b/crates/ebonystand-core/src/quarantine/part_message.rs
@@ -37,8 +37,17 @@
         /// Number of the report.
         report: u64,
     },
+    /// Report to the counters that a request which has ended upstreams comes again, with a quarantined part.
+    Repeated {
+        /// Quarantined part of its prompt.
+        part: PromptPartId,
+        /// Service that is to run it.
+        service: ServiceId,
+    },
     /// Request to the owner to run a prompt that has suspected parts.
     RequestTrial {
+        /// Fingerprint of the request.
+        fingerprint: Fingerprint,
         /// Parts of the prompt that the sender knows as suspects.
         parts: Vec<PromptPartId>,
         /// Request, the same on each VM that it passes.
@@ -68,16 +77,20 @@
 }
 
 /// What VMs must do about a part.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct AnnouncedPart {
     /// Number of the announcement, which the acknowledgement repeats.
     pub announcement: u16,
+    /// Requests that were lost under a part until it was quarantined. Their trials would not test the verdict.
+    pub lost_requests: Vec<Fingerprint>,
     /// Part of prompts.
     pub part: PromptPartId,
     /// Time until the entry expires.
     pub remaining: Duration,
     /// What the VMs must do.
     pub stage: PartStage,
+    /// Times that the part was quarantined since it was last cleared, as far as the announcing VM knows.
+    pub verdicts: u8,
 }
 
 /// Run that was lost with its upstream before it had begun to answer.
--- a/crates/ebonystand-core/src/quarantine/part_quarantine.rs
+++ b/crates/ebonystand-core/src/quarantine/part_quarantine.rs
@@ -13,6 +13,8 @@
 /// of VMs; beyond it, parts are suspects on the VMs alone that lost runs of them.
 #[derive(Clone, Debug)]
 pub struct PartQuarantine {
+    /// Requests that are quarantined by themselves.
+    crashing_requests: Rc<BTreeSet<Fingerprint>>,
     /// Suspects announced after a single end, since the start of the window.
     early_suspects: (Duration, usize),
     live_vms: BTreeSet<VmId>,
@@ -56,10 +58,10 @@
     const MAX_REPORTED_RUNS: usize = 64;
     /// Largest number of requests whose permission is remembered.
     const MAX_PERMITTED: usize = 1_024;
-    /// Time for which prompts with a quarantined part are refused.
+    /// Longest time for which prompts with a quarantined part are refused before a trial.
     pub const QUARANTINE_DURATION: Duration = Duration::from_secs(3_600);
     /// Interval between two sends of an unconfirmed message.
-    const RESEND_INTERVAL: Duration = Duration::from_millis(200);
+    pub(crate) const RESEND_INTERVAL: Duration = Duration::from_millis(200);
     /// Time for which a report is repeated.
     const REPORT_DURATION: Duration = Duration::from_secs(10);
     /// Time for which ends of upstreams under a part count, and for which a suspect needs a trial.
@@ -71,6 +73,7 @@
     #[must_use]
     pub fn new(own_id: VmId, first_report: u64) -> Self {
         Self {
+            crashing_requests: Rc::default(),
             early_suspects: (Duration::ZERO, 0),
             live_vms: BTreeSet::from([own_id.clone()]),
             next_announcement: first_report as u16,
@@ -150,6 +153,7 @@
         service: &ServiceId,
         parts: &[PromptPartId],
         request: u64,
+        fingerprint: Fingerprint,
     ) -> PartOutput {
         let mut output = PartOutput::default();
         let Some(known) = self.services.get_mut(service) else {
@@ -160,6 +164,7 @@
             return output;
         }
         let message = PartMessage::RequestTrial {
+            fingerprint,
             parts,
             request,
             service: service.clone(),
@@ -170,6 +175,60 @@
         self.handle_own_messages(now, output)
     }
 
+    /// Sets the requests that are quarantined by themselves. Ends at which they were lost are no evidence against the parts of
+    /// their prompts.
+    pub fn set_crashing_requests(
+        &mut self,
+        now: Duration,
+        requests: BTreeSet<Fingerprint>,
+    ) -> PartOutput {
+        let mut output = PartOutput::default();
+        if requests == *self.crashing_requests {
+            return output;
+        }
+        self.crashing_requests = Rc::new(requests);
+        let services = self.services.keys().cloned().collect::<Vec<_>>();
+        for service in services {
+            let crashing_requests = Rc::clone(&self.crashing_requests);
+            let known = self.track_service(&service);
+            for part in known.set_crashing_requests(now, &crashing_requests) {
+                self.announce(now, &service, part, &mut output);
+            }
+            self.flush(now, &service, &mut output);
+        }
+        self.handle_own_messages(now, output)
+    }
+
+    /// Returns what is known of a service, inserted if missing.
+    fn track_service(&mut self, service: &ServiceId) -> &mut ServiceParts {
+        let crashing_requests = &self.crashing_requests;
+        let known = self.services.entry(service.clone());
+        known.or_insert_with(|| ServiceParts::new(Rc::clone(crashing_requests)))
+    }
+
+    /// Reports that a request which has ended upstreams comes again and is refused for a part. If the part was quarantined
+    /// for its ends, it may be the request alone that causes them.
+    pub fn report_repeated(
+        &mut self,
+        now: Duration,
+        service: &ServiceId,
+        part: PromptPartId,
+    ) -> PartOutput {
+        let mut output = PartOutput::default();
+        let recipients = self.counters(service);
+        let known = self.services.get_mut(service);
+        let Some(case) = known.and_then(|known| known.cases.get_mut(&part)) else {
+            return output;
+        };
+        if case.is_repeat_report_due(now) {
+            for to in &recipients {
+                let service = service.clone();
+                output.send(to, PartMessage::Repeated { part, service });
+            }
+        }
+        self.handle_own_messages(now, output)
+    }
+
     /// Tells the owner that a permitted request was not run.
     pub fn return_trial(&mut self, now: Duration, service: &ServiceId, request: u64) -> PartOutput {
         let mut output = PartOutput::default();
@@ -206,7 +265,7 @@
         // Trials tell most.
         reported.sort_by_key(|run| !run.is_trial);
         reported.truncate(Self::MAX_REPORTED_RUNS);
-        let known = self.services.entry(service.clone()).or_default();
+        let known = self.track_service(service);
         for part in reported.iter().flat_map(|run| &run.parts) {
             let case = known.track(now, *part);
             case.suspect(now, Self::LOCAL_SUSPECT_DURATION);
@@ -380,7 +439,7 @@
             announced_by: case.announced_by.clone(),
             crashed_upstreams: known.crashed_upstreams(case),
             part: format!("{part:x}").into(),
-            remaining_ms: case.expires_at.saturating_sub(now).as_millis() as u64,
+            remaining_ms: case.remaining(now).as_millis() as u64,
             requests: known.lost_requests(part, case),
             service: service.clone(),
             stage: case.stage(now),
@@ -493,12 +552,14 @@
             case.announced_at = Some(now);
             let announced = AnnouncedPart {
                 announcement: case.announcement,
+                lost_requests: case.lost_requests.iter().copied().collect(),
                 part: *part,
-                remaining: case.expires_at.saturating_sub(now),
+                remaining: case.remaining(now),
                 stage: case.stage(now),
+                verdicts: case.verdicts,
             };
             for vm in &case.unacked_vms {
-                by_vm.entry(vm.clone()).or_default().push(announced);
+                by_vm.entry(vm.clone()).or_default().push(announced.clone());
             }
         }
         for (vm, parts) in by_vm {
@@ -637,8 +698,7 @@
                 service,
                 upstream,
             } => {
-                let known = self.services.entry(service.clone()).or_default();
-
+                let known = self.track_service(&service);
                 let lost = known.record_losses(now, &upstream, &runs, others_survive);
                 output.send(from, PartMessage::Recorded { report });
                 self.judge(now, &service, &lost, output);
@@ -646,7 +706,15 @@
             PartMessage::Recorded { report } => {
                 self.pending_reports.remove(&report);
             }
+            PartMessage::Repeated { part, service } => {
+                let known = self.services.get_mut(&service);
+                if known.is_some_and(|known| known.reopen_doubtful(now, part)) {
+                    self.announce(now, &service, part, output);
+                    self.flush(now, &service, output);
+                }
+            }
             PartMessage::RequestTrial {
+                fingerprint,
                 parts,
                 request,
                 service,
@@ -654,8 +722,8 @@
                 if self.owner(&service).as_ref() != Some(&self.own_id) {
                     return;
                 }
-                let known = self.services.entry(service).or_default();
-                if known.grant_trial(now, &parts, request) {
+                let known = self.track_service(&service);
+                if known.grant_trial(now, &parts, request, fingerprint) {
                     output.send(from, PartMessage::TrialGranted { request });
                 }
             }
@@ -686,13 +754,14 @@
         announced: &AnnouncedPart,
         output: &mut PartOutput,
     ) {
-        let AnnouncedPart {
+        let &AnnouncedPart {
             part,
             remaining,
             stage,
+            verdicts,
             ..
-        } = *announced;
-        let known = self.services.entry(service.clone()).or_default();
+        } = announced;
+        let known = self.track_service(service);
         let before = known.stage(now, part);
         match stage {
             PartStage::Counted => return,
@@ -701,12 +770,19 @@
                     case.clear(now);
                 }
             }
-            PartStage::Quarantined => known.track(now, part).quarantine(now, remaining),
-            PartStage::Suspected => known.track(now, part).suspect(now, remaining),
+            PartStage::Quarantined => {
+                let case = known.track(now, part);
+                case.record_verdict(now, verdicts, remaining);
+            }
+            PartStage::Suspected => {
+                let case = known.track(now, part);
+                case.record_suspicion(now, verdicts, remaining);
+            }
         }
         let Some(case) = known.cases.get_mut(&part) else {
             return;
         };
+        case.record_lost_requests(announced.lost_requests.iter().copied());
         case.announced_by = Some(from.clone());
         case.is_announced = stage.is_suspect();
         if before != Some(stage)
--- a/crates/ebonystand-core/src/quarantine/service_parts.rs
+++ b/crates/ebonystand-core/src/quarantine/service_parts.rs
@@ -6,6 +6,8 @@
     /// Requests of this VM that ask the owner for its permission, by their suspects, and when they last did.
     asking: BTreeMap<Vec<PromptPartId>, (u64, Duration)>,
     pub(crate) cases: BTreeMap<PromptPartId, PartCase>,
+    /// Quarantined requests, which explain the ends at which they were lost.
+    crashing_requests: Rc<BTreeSet<Fingerprint>>,
     /// Ends of upstreams by their numbers, in their order.
     ends: BTreeMap<u64, UpstreamEnd>,
 
@@ -33,6 +35,13 @@
     /// Time for which an end is compared with those under a part.
     const RECENT_DURATION: Duration = Duration::from_secs(30);
 
+    pub(crate) fn new(crashing_requests: Rc<BTreeSet<Fingerprint>>) -> Self {
+        Self {
+            crashing_requests,
+            ..Self::default()
+        }
+    }
+
     /// Counts runs that were lost with their upstream. Returns their parts.
     pub(crate) fn record_losses(
         &mut self,
@@ -44,12 +53,18 @@
         let parts = runs.iter().flat_map(|run| run.parts.iter().copied());
         let parts = parts.collect::<BTreeSet<_>>();
         let number = self.number_of_end(now, upstream);
+        let trials = runs.iter().filter(|run| run.is_trial);
+        let is_tried = |part: &&PromptPartId| {
+            let mut of_part = trials.clone().filter(|run| run.parts.contains(part));
+            of_part.any(|run| self.tests_verdict(**part, run.fingerprint))
+        };
+        let tried = parts.iter().filter(is_tried).copied();
+        let tried = tried.collect::<BTreeSet<_>>();
         if let Some(end) = self.ends.get_mut(&number) {
             runs.iter().for_each(|run| end.record(run));
         }
         for part in &parts {
-            let of_part = runs.iter().filter(|run| run.parts.contains(part));
-            let is_trial = of_part.into_iter().any(|run| run.is_trial);
+            let is_trial = tried.contains(part);
             let case = self.track(now, *part);
             case.record_loss(now, number, is_trial, others_survive);
             if case.has_enough_ends() {
@@ -108,13 +123,22 @@
         }
         while let Some(part) = self.find_cause(now) {
             changed.insert(part);
-            if let Some(case) = self.cases.get_mut(&part) {
-                case.quarantine(now, PartQuarantine::QUARANTINE_DURATION);
-            }
+            self.quarantine(now, part);
         }
         changed.into_iter().collect()
     }
 
+    fn quarantine(&mut self, now: Duration, part: PromptPartId) {
+        let case = self.cases.get(&part);
+        let lost = case.map(|case| self.ends_of_requests(part, case));
+        let lost = lost.into_iter().flat_map(BTreeMap::into_keys);
+        let lost = lost.collect::<Vec<_>>();
+        if let Some(case) = self.cases.get_mut(&part) {
+            case.record_lost_requests(lost);
+            case.quarantine(now);
+        }
+    }
+
     /// Finds a suspect that is proved to end upstreams. Suspects whose ends a quarantined part explains stay suspects.
     fn find_cause(&mut self, now: Duration) -> Option<PromptPartId> {
         let conclusive = self.conclusive(now);
@@ -133,13 +157,100 @@
 
     /// Returns whether some end under a part is of an upstream that lost no prompt with a quarantined part.
     fn has_unexplained_end(&self, now: Duration, case: &PartCase) -> bool {
-        self.count_unexplained_ends(now, case) > 0
+        let mut ends = case.ends().iter().map(|end| self.end(*end));
+        ends.any(|end| end.is_none_or(|end| !self.is_explained(now, end)))
     }
 
-    fn count_unexplained_ends(&self, now: Duration, case: &PartCase) -> usize {
+    /// Counts the ends that only the part explains: no prompt with a quarantined part was lost there, and no crashing request
+    /// that has the part.
+    fn count_evidence(&self, now: Duration, part: PromptPartId, case: &PartCase) -> usize {
+        let ends = self.ends_beside_requests(part, case).into_iter();
+        let evidence = ends.filter(|end| end.is_none_or(|end| !self.is_explained(now, end)));
+        evidence.count()
+    }
+
+    /// Returns the ends under a part at which no crashing request that has it was lost; `None` stands for one that is
+    /// forgotten.
+    fn ends_beside_requests(
+        &self,
+        part: PromptPartId,
+        case: &PartCase,
+    ) -> Vec<Option<&UpstreamEnd>> {
+        let crashing = self.crashing_requests(part, case);
         let ends = case.ends().iter().map(|end| self.end(*end));
-        let unexplained = ends.filter(|end| end.is_none_or(|end| !self.is_explained(now, end)));
-        unexplained.count()
+        let is_beside = |end: &Option<&UpstreamEnd>| {
+            end.is_none_or(|end| end.requests(part).all(|of| !crashing.contains(&of)))
+        };
+        ends.filter(is_beside).collect()
+    }
+
+    /// Returns the requests with a part that are quarantined, or were lost with as many upstreams as a quarantine takes.
+    fn crashing_requests(&self, part: PromptPartId, case: &PartCase) -> BTreeSet<Fingerprint> {
+        let lost = self.ends_of_requests(part, case).into_iter();
+        let crashing = lost.filter(|(request, ends)| {
+            *ends >= PartCase::QUARANTINE_ENDS || self.crashing_requests.contains(request)
+        });
+        crashing.map(|(request, _)| request).collect()
+    }
+
+    /// Returns the requests with a part that were lost with upstreams, each with the number of these.
+    fn ends_of_requests(
+        &self,
+        part: PromptPartId,
+        case: &PartCase,
+    ) -> BTreeMap<Fingerprint, usize> {
+        let mut lost = BTreeMap::new();
+        for end in case.ends().iter().filter_map(|end| self.end(*end)) {
+            for request in end.requests(part) {
+                *lost.entry(request).or_default() += 1;
+            }
+        }
+        lost
+    }
+
+    /// Sets the quarantined requests. Returns the quarantined parts that are made suspects since these explain their ends.
+    pub(crate) fn set_crashing_requests(
+        &mut self,
+        now: Duration,
+        requests: &Rc<BTreeSet<Fingerprint>>,
+    ) -> Vec<PromptPartId> {
+        self.crashing_requests = Rc::clone(requests);
+        let lacks_evidence = |(part, case): &(&PromptPartId, &PartCase)| {
+            case.is_first_verdict(now)
+                && case.ends().len() >= PartCase::QUARANTINE_ENDS
+                && self.ends_beside_requests(**part, case).len() < PartCase::QUARANTINE_ENDS
+        };
+        let doubtful = self.cases.iter().filter(lacks_evidence);
+        let doubtful = doubtful.map(|(part, _)| *part).collect::<Vec<_>>();
+        for part in &doubtful {
+            if let Some(case) = self.cases.get_mut(part) {
+                case.reopen(now);
+            }
+        }
+        doubtful
+    }
+
+    /// Makes a quarantined part a suspect if one of the requests that it was quarantined for ended several upstreams, as
+    /// one that ends them by itself does. Returns whether it did.
+    pub(crate) fn reopen_doubtful(&mut self, now: Duration, part: PromptPartId) -> bool {
+        let Some(case) = self.cases.get(&part) else {
+            return false;
+        };
+        let lost = self.ends_of_requests(part, case);
+        let is_reopened = case.is_first_verdict(now) && lost.values().any(|ends| *ends > 1);
+        if is_reopened && let Some(case) = self.cases.get_mut(&part) {
+            case.reopen(now);
+        }
+        is_reopened
+    }
+
+    /// Returns whether a trial of a request would test the verdict on a part: none of a request that was lost under it would.
+    fn tests_verdict(&self, part: PromptPartId, request: Fingerprint) -> bool {
+        let case = self.cases.get(&part).filter(|case| case.is_known_cause());
+        case.is_none_or(|case| {
+            let lost = self.ends_of_requests(part, case);
+            !lost.contains_key(&request) && !case.lost_requests.contains(&request)
+        })
     }
 
     /// Returns whether an upstream lost a prompt with a quarantined part as it ended.
@@ -174,8 +285,8 @@
             .collect()
     }
 
-    /// Returns the suspects under which enough upstreams went down. An end that a quarantined part explains is no evidence
-    /// against the others that were lost with it.
+    /// Returns the suspects under which enough upstreams went down. An end that a quarantined part or a crashing request
+    /// explains is no evidence against the others that were lost with it.
     fn conclusive(&self, now: Duration) -> Vec<PromptPartId> {
         let is_recent = |end: &&UpstreamEnd| now < end.at + Self::RECENT_DURATION;
         if self.grave.is_empty() {
@@ -185,8 +296,8 @@
 
         let grave = self.grave.iter();
         let grave = grave.filter_map(|part| self.cases.get_key_value(part));
-        let conclusive = grave.filter(|(_, case)| {
-            let ends = self.count_unexplained_ends(now, case);
+        let conclusive = grave.filter(|(part, case)| {
+            let ends = self.count_evidence(now, **part, case);
             case.stage(now) == PartStage::Suspected
                 && case.is_conclusive(now, ends, recent_ends)
                 && self.is_reported(now, case)
@@ -250,6 +361,7 @@
         now: Duration,
         parts: &[PromptPartId],
         request: u64,
+        fingerprint: Fingerprint,
     ) -> bool {
         for part in parts {
             // An owner that has lost its memory learns of the suspect from the VM that asks.
@@ -266,7 +378,14 @@
                     && case.may_try(now, request)
                     && self.is_reported(now, case)
             });
-        let may_try = may_try && !self.is_uninformative(now, parts);
+        let suspects = parts.iter().filter(|part| {
+            let stage = self.stage(now, **part);
+            stage == Some(PartStage::Suspected)
+        });
+        let tests_verdicts = suspects
+            .into_iter()
+            .all(|part| self.tests_verdict(*part, fingerprint));
+        let may_try = may_try && tests_verdicts && !self.is_uninformative(now, parts);
         if may_try {
             for part in parts {
                 if let Some(case) = self.cases.get_mut(part) {
--- a/crates/ebonystand-core/src/quarantine/state.rs
+++ b/crates/ebonystand-core/src/quarantine/state.rs
@@ -232,6 +232,15 @@
             })
     }
 
+    /// Returns the requests that this VM refuses as quarantined.
+    #[must_use]
+    pub fn quarantined(&self, now: Duration) -> BTreeSet<Fingerprint> {
+        let suspects = self.suspects.iter();
+        let quarantined =
+            suspects.filter(|(_, suspect)| suspect.is_quarantined() && suspect.expires_at > now);
+        quarantined.map(|(fingerprint, _)| fingerprint).collect()
+    }
+
     /// Returns a run id that this VM has not used before.
     pub fn allocate_run(&mut self) -> RunId {
         self.next_run += 1;
--- a/crates/ebonystand-core/tests/part_evidence/main.rs
+++ b/crates/ebonystand-core/tests/part_evidence/main.rs
@@ -16,6 +16,11 @@
 
 const SEEDS: std::ops::Range<u64> = 0..40;
 const MS: Duration = Duration::from_millis(1);
+/// Prompts none of whose parts ends upstreams.
+const ORDINARY: Load = Load {
+    crashing_parts: 0,
+    ..Load::DEFAULT
+};
 
 fn play(load: Load) -> Vec<Outcome> {
     let play = |seed| Fleet::new(seed, load).play(Duration::from_secs(40));
@@ -29,8 +34,10 @@
     let late = outcomes.iter().map(|o| o.late).max();
     let hold = outcomes.iter().map(|o| o.longest_hold).max();
     println!(
-        "ended {ended:?}, late {late:?}, sound {}, held {}, refused {}, unserved {}, longest hold {hold:?}, ends {}",
+        "ended {ended:?}, by a request {:?}, late {late:?}, sound {}, denied {}, held {}, refused {}, unserved {}, longest hold {hold:?}, ends {}",
+        outcomes.iter().map(|o| o.ended_by_request).max(),
         sum(|o| o.sound),
+        sum(|o| o.denied),
         sum(|o| o.held),
         sum(|o| o.refused),
         sum(|o| o.unserved),
@@ -92,6 +99,36 @@
     assert!(refused * 1_000 <= sound, "{refused} of {sound}");
 }
 
+/// Guards against sound prompts that are denied since a request which ends upstreams, and comes again as it was, shares their
+/// parts.
+#[rstest]
+#[case::one(Load { crashing_requests: 1, ..ORDINARY })]
+#[case::rare_parts(Load { crashing_requests: 1, third_parts: 127, ..ORDINARY })]
+#[case::quiet(Load { crashing_requests: 1, sound_per_s: 5.0, ..ORDINARY })]
+#[case::quiet_and_often(Load { crashing_requests: 1, crashing_request_per_s: 5.0, sound_per_s: 10.0, ..ORDINARY })]
+#[case::often(Load { crashing_requests: 1, crashing_request_per_s: 5.0, third_parts: 127, ..ORDINARY })]
+#[case::two(Load { crashing_requests: 2, third_parts: 127, ..ORDINARY })]
+#[case::two_in_quiet(Load { crashing_requests: 2, sound_per_s: 5.0, ..ORDINARY })]
+#[case::beside_a_part(Load { crashing_requests: 1, crashing_parts: 1, third_parts: 127, ..ORDINARY })]
+#[case::with_such_a_part(Load { crashing_requests: 1, crashing_parts: 1, has_both: true, third_parts: 127, ..ORDINARY })]
+#[case::beside_crashes(Load { crashing_requests: 1, crashes_per_s: 0.5, third_parts: 127, ..ORDINARY })]
+#[case::with_restarts(Load { crashing_requests: 1, restarts_per_s: 0.2, third_parts: 127, ..ORDINARY })]
+#[case::with_cuts(Load { crashing_requests: 1, cuts: true, third_parts: 127, ..ORDINARY })]
+#[case::repeated_beside_a_part(Load { crashing_parts: 1, repeated: 20, sound_per_s: 10.0, third_parts: 127, ..ORDINARY })]
+#[case::repeated_beside_crashes(Load { crashes_per_s: 1.0, crashing_parts: 2, repeated: 20, sound_per_s: 10.0, third_parts: 127, ..ORDINARY })]
+fn sound_prompts_beside_crashing_requests_are_not_denied(#[case] load: Load) {
+    const MAX_LATE: usize = 3;
+    const MAX_DENIED: u32 = 5;
+    const DENIED_IN: u32 = 500;
+    let outcomes = play(load);
+    print(&outcomes);
+    for (seed, outcome) in outcomes.iter().enumerate() {
+        assert!(outcome.late <= MAX_LATE, "seed {seed}: {outcome:?}");
+        let allowed = MAX_DENIED + outcome.sound / DENIED_IN;
+        assert!(outcome.denied <= allowed, "seed {seed}: {outcome:?}");
+    }
+}
+
 /// Part that ends upstreams, and sound ones.
 const CAUSE: PromptPartId = 0xdead;
 const FIRST: PromptPartId = 1;
@@ -174,6 +211,129 @@
     }
 }
 
+/// Guards against the quarantine of parts by the ends of one request that comes again as it was, and one other end.
+#[test]
+fn ends_under_one_request_are_no_evidence_against_its_parts() {
+    let mut vms = Vms::new(3);
+    vms.survive_elsewhere();
+    for vm in 0..3 {
+        vms.lose_request(vm, &format!("i-{vm}"), 7, &[FIRST, OTHER]);
+    }
+    vms.lose(0, "i-3", &[&[OTHER]]);
+    vms.pass(500 * MS);
+    for vm in 0..3 {
+        assert!(!vms.is_refused(vm, &[FIRST, OTHER]));
+    }
+}
+
+/// Two crashing requests with a sound part in common, which is quarantined for their ends.
+fn quarantine_for_two_requests(vms: &mut Vms) {
+    vms.survive_elsewhere();
+    for (vm, request) in [7, 7, 8].into_iter().enumerate() {
+        vms.lose_request(vm, &format!("i-{vm}"), request, &[OTHER]);
+    }
+    vms.pass(500 * MS);
+    assert!(vms.is_refused(0, &[OTHER]));
+}
+
+/// Guards against a wrong verdict for the ends of two crashing requests that stays though one of them comes again.
+#[rstest]
+fn a_doubtful_verdict_is_tested_when_one_of_its_requests_comes_again(#[values(0, 1, 2)] vm: usize) {
+    let mut vms = Vms::new(3);
+    quarantine_for_two_requests(&mut vms);
+    vms.repeat(vm, OTHER);
+    vms.pass(500 * MS);
+    // Another loss of these requests would tell nothing.
+    assert_eq!(vms.gate(vm, 7, &[OTHER]), PartGate::Held);
+    assert_eq!(vms.gate(vm, 8, &[OTHER]), PartGate::Held);
+    vms.pass(500 * MS);
+    assert_eq!(vms.gate(vm, 9, &[OTHER]), PartGate::Open);
+    vms.survive(vm, &[OTHER]);
+    vms.pass(500 * MS);
+    for vm in 0..3 {
+        assert_eq!(vms.gate(vm, 10, &[OTHER]), PartGate::Open);
+    }
+}
+
+/// Guards against a wrong verdict that stays when one of its requests turns out to end upstreams by itself.
+#[test]
+fn a_verdict_is_tested_when_one_of_its_requests_is_quarantined() {
+    let mut vms = Vms::new(3);
+    quarantine_for_two_requests(&mut vms);
+    vms.quarantine_requests(&[7]);
+    vms.pass(500 * MS);
+    assert!(!vms.is_refused(0, &[OTHER]));
+    assert_eq!(vms.gate(0, 9, &[OTHER]), PartGate::Open);
+}
+
+/// Guards against tests of a verdict that cost more upstreams than a deployment allows, whatever VMs forget meanwhile.
+#[rstest]
+fn a_right_verdict_costs_three_trials_in_an_hour(
+    #[values(None, Some(0), Some(1), Some(2))] restarts: Option<usize>,
+) {
+    const MAX_TRIALS: usize = 3;
+    const STEP: Duration = Duration::from_secs(1);
+    let mut vms = Vms::new(3);
+    lose_three(&mut vms, [&[CAUSE]; 3]);
+    // A run that was in progress as the part was quarantined.
+    vms.lose(0, "i-3", &[&[CAUSE]]);
+    let mut trials = 0;
+    for n in 0..3_600 {
+        vms.pass(STEP);
+        let vm = n as usize % 3;
+        if vms.gate(vm, 100 + n, &[CAUSE]) == PartGate::Open {
+            trials += 1;
+            vms.lose_request(vm, &format!("i-{}", 10 + trials), 100 + n, &[CAUSE]);
+        }
+        if let Some(vm) = restarts.filter(|_| n % 50 == 49) {
+            vms.restart(vm);
+        }
+    }
+    assert_eq!(trials, MAX_TRIALS);
+}
+
+/// Guards against one failed trial that counts as several, since its report arrives twice.
+#[test]
+fn a_report_that_arrives_twice_counts_a_failed_trial_once() {
+    let mut vm = PartQuarantine::new("vm-0".into(), 0);
+    vm.set_live_vms(Duration::ZERO, ["vm-0".into(), "vm-1".into()].into());
+    for (n, upstream) in ["i-0", "i-1", "i-2"].into_iter().enumerate() {
+        let run = LostRun {
+            fingerprint: n as Fingerprint,
+            is_trial: n > 0,
+            parts: vec![CAUSE],
+        };
+        let report = PartMessage::Lost {
+            others_survive: false,
+            report: 1,
+            runs: vec![run],
+            service: trio::SERVICE.into(),
+            upstream: upstream.into(),
+        };
+        for _ in 0..2 {
+            vm.handle_message(Duration::ZERO, &"vm-1".into(), report.clone());
+        }
+    }
+    vm.tick(500 * MS);
+    let gate = vm.gate(500 * MS, trio::SERVICE, &[CAUSE], 1);
+    assert!(!matches!(gate, PartGate::Refused { .. }));
+}
+
+/// Guards against a part that ends upstreams for good, since one of the requests with it comes again as it was.
+#[test]
+fn a_request_that_comes_again_does_not_hide_the_part_that_ends_upstreams() {
+    let mut vms = Vms::new(3);
+    vms.survive_elsewhere();
+    for (n, request) in [7, 7, 7, 8, 9, 10].into_iter().enumerate() {
+        assert!(!vms.is_refused(0, &[CAUSE]), "{n}");
+        vms.lose_request(n % 3, &format!("i-{n}"), request, &[CAUSE]);
+        vms.pass(500 * MS);
+    }
+    for vm in 0..3 {
+        assert!(vms.is_refused(vm, &[CAUSE]));
+    }
+}
+
 /// Guards against the quarantine of a sound part together with the cause, which ended most of the upstreams that lost it.
 #[test]
 fn of_two_parts_that_share_ends_a_trial_finds_the_cause() {
--- a/crates/ebonystand-core/tests/part_evidence/trio.rs
+++ b/crates/ebonystand-core/tests/part_evidence/trio.rs
@@ -156,7 +156,10 @@
     pub(crate) fn gate(&mut self, vm: usize, request: u64, parts: &[PromptPartId]) -> PartGate {
         let gate = self.vms[vm].gate(self.now, SERVICE, parts, request);
         if gate == PartGate::Held {
-            let output = self.vms[vm].request_trial(self.now, &SERVICE.into(), parts, request);
+            let service = ServiceId::from(SERVICE);
+            let fingerprint = Fingerprint::from(request);
+            let vm_state = &mut self.vms[vm];
+            let output = vm_state.request_trial(self.now, &service, parts, request, fingerprint);
             self.deliver(vm, output);
             return self.vms[vm].gate(self.now, SERVICE, parts, request);
         }
@@ -168,6 +171,22 @@
         matches!(gate, PartGate::Refused { .. })
     }
 
+    /// Reports at a VM that a request which has ended upstreams comes again with a quarantined part.
+    pub(crate) fn repeat(&mut self, vm: usize, part: PromptPartId) {
+        let output = self.vms[vm].report_repeated(self.now, &SERVICE.into(), part);
+        self.deliver(vm, output);
+    }
+
+    /// Tells all VMs which requests are quarantined.
+    pub(crate) fn quarantine_requests(&mut self, requests: &[u64]) {
+        let requests = requests.iter().map(|request| Fingerprint::from(*request));
+        let requests = requests.collect::<BTreeSet<_>>();
+        for vm in 0..self.vms.len() {
+            let output = self.vms[vm].set_crashing_requests(self.now, requests.clone());
+            self.deliver(vm, output);
+        }
+    }
+
     pub(crate) fn statuses(&self, vm: usize) -> Vec<PartStatus> {
         self.vms[vm].statuses(self.now)
     }
@@ -197,17 +216,22 @@
     const FINGERPRINT: usize = 19;
     match message {
         PartMessage::Acknowledged { parts, .. } => (PART + NUMBER + 1) * parts.len(),
-        PartMessage::Announced { parts, .. } => (PART + NUMBER + 7) * parts.len(),
+        PartMessage::Announced { parts, .. } => {
+            let parts = parts
+                .iter()
+                .map(|part| PART + NUMBER + 9 + FINGERPRINT * part.lost_requests.len());
+            parts.sum()
+        }
         PartMessage::Lost { runs, .. } => {
             let runs = runs
                 .iter()
                 .map(|run| 2 + FINGERPRINT + PART * run.parts.len());
             runs.sum()
         }
-        PartMessage::RequestTrial { parts, .. } | PartMessage::Survived { parts, .. } => {
-            PART * parts.len()
-        }
+        PartMessage::RequestTrial { parts, .. } => FINGERPRINT + PART * parts.len(),
+        PartMessage::Survived { parts, .. } => PART * parts.len(),
         PartMessage::Recorded { .. }
+        | PartMessage::Repeated { .. }
         | PartMessage::Returned { .. }
         | PartMessage::TrialGranted { .. } => PART,
     }
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -171,10 +171,12 @@
         }
     }
 
-    /// Builds the query for the quarantine of parts; `None` without a prompt.
+    /// Builds the query for the quarantine of parts; `None` without a prompt, or while no upstream goes down.
     fn part_query(&self, node: &Node) -> Option<PartQuery<'_>> {
         let prompt = self.prompt.as_ref()?;
-        Some(PartQuery {
+        let is_watched = node.parts.is_watching(&self.service);
+        is_watched.then(|| PartQuery {
+            content: self.content(),
             prompt,
             request: &self.request,
             service: &self.service,
--- a/crates/ebonystand/src/gateway/mod.rs
+++ b/crates/ebonystand/src/gateway/mod.rs
@@ -19,7 +19,8 @@
 };
 
 pub(crate) use {
-    controller::GatewayController, list_controller::ListController, slot_controller::SlotController,
+    controller::GatewayController, list_controller::ListController,
+    request_content::RequestContent, slot_controller::SlotController,
 };
 
 use {
--- a/crates/ebonystand/src/part_controller.rs
+++ b/crates/ebonystand/src/part_controller.rs
@@ -1,9 +1,10 @@
 use super::*;
 use {
     ebonystand_core::{
-        LostRun, PartGate, PartMessage, PartOutput, PartQuarantine, PartStage, PartStatus, Prompt,
-        PromptPartId,
+        Fingerprint, LostRun, PartGate, PartMessage, PartOutput, PartQuarantine, PartStage,
+        PartStatus, Prompt, PromptPartId,
     },
+    gateway::RequestContent,
     node::Node,
     std::collections::BTreeSet,
 };
@@ -16,6 +17,7 @@
 
 /// What a prompt is sent for, as far as its parts are concerned.
 pub(crate) struct PartQuery<'a> {
+    pub(crate) content: RequestContent,
     pub(crate) prompt: &'a Prompt,
     pub(crate) request: &'a str,
     pub(crate) service: &'a ServiceId,
@@ -43,9 +45,6 @@
     /// Waits while a part of the prompt is a suspect and the prompt is not permitted as a trial. Returns the refusal of a
     /// prompt with a quarantined part, or of one that waited too long.
     pub(crate) async fn admit(&self, node: &Node, query: &PartQuery<'_>) -> Result<(), Refusal> {
-        if !self.quarantine.borrow().is_watching(query.service) {
-            return Ok(());
-        }
         let parts = query.prompt.shared_part_ids();
         let since = node.clock.now();
         let until = since + Self::MAX_HOLD.min(query.remaining_time / 2);
@@ -58,8 +57,12 @@
                 .gate(now, query.service, &parts, request);
             match gate {
                 PartGate::Open => break Ok(()),
-                PartGate::Refused { refusal, .. } => {
+                PartGate::Refused { part, refusal } => {
                     node.metrics.part_refusals.inc();
+                    let fingerprint = query.content.fingerprint();
+                    if node.quarantine.is_suspect(now, fingerprint) {
+                        self.report_repeated(node, query.service, part);
+                    }
                     break Err(refusal);
                 }
                 PartGate::Held if now >= until => {
@@ -69,7 +72,7 @@
                 }
                 PartGate::Held => {}
             }
-            self.request_trial(node, query.service, &parts, request);
+            self.request_trial(node, query, &parts, request);
             actix_rt::time::sleep(Self::POLL_INTERVAL).await;
         };
         let held = node.clock.now().saturating_sub(since);
@@ -87,17 +90,40 @@
     fn request_trial(
         &self,
         node: &Node,
-        service: &ServiceId,
+        query: &PartQuery<'_>,
         parts: &[PromptPartId],
         request: u64,
     ) {
         let now = node.clock.now();
+        let fingerprint = query.content.fingerprint();
         let mut quarantine = self.quarantine.borrow_mut();
-        let output = quarantine.request_trial(now, service, parts, request);
+        let output = quarantine.request_trial(now, query.service, parts, request, fingerprint);
         drop(quarantine);
         self.take(node, output);
     }
 
+    /// Sets the requests that are quarantined by themselves.
+    pub(crate) fn set_crashing_requests(&self, node: &Node, requests: BTreeSet<Fingerprint>) {
+        let now = node.clock.now();
+        let mut quarantine = self.quarantine.borrow_mut();
+        let output = quarantine.set_crashing_requests(now, requests);
+        drop(quarantine);
+        self.take(node, output);
+    }
+
+    fn report_repeated(&self, node: &Node, service: &ServiceId, part: PromptPartId) {
+        let now = node.clock.now();
+        let mut quarantine = self.quarantine.borrow_mut();
+        let output = quarantine.report_repeated(now, service, part);
+        drop(quarantine);
+        self.take(node, output);
+    }
+
+    /// Returns whether upstreams of the service went down lately, so that parts of prompts matter.
+    pub(crate) fn is_watching(&self, service: &str) -> bool {
+        self.quarantine.borrow().is_watching(service)
+    }
+
     /// Clears a part by order of an operator. Returns false if this VM does not know it.
     pub(crate) fn clear(&self, node: &Node, part: PromptPartId) -> bool {
         let output = self.quarantine.borrow_mut().clear(node.clock.now(), part);
@@ -107,9 +133,6 @@
     /// Returns whether prompts with one of these parts are refused.
     pub(crate) fn is_refused(&self, node: &Node, query: &PartQuery<'_>) -> bool {
         let quarantine = self.quarantine.borrow();
-        if !quarantine.is_watching(query.service) {
-            return false;
-        }
         let parts = query.prompt.shared_part_ids();
         let request = PartQuarantine::request_key(query.request);
         let gate = quarantine.gate(node.clock.now(), query.service, &parts, request);
--- a/crates/ebonystand/src/quarantine_controller.rs
+++ b/crates/ebonystand/src/quarantine_controller.rs
@@ -143,6 +143,11 @@
         self.quarantine.borrow().statuses(now).collect()
     }
 
+    /// Returns whether a request has ended several upstreams.
+    pub(crate) fn is_suspect(&self, now: Duration, fingerprint: Fingerprint) -> bool {
+        self.quarantine.borrow().is_suspect(now, fingerprint)
+    }
+
     pub(crate) fn refusal(&self, now: Duration, fingerprint: Fingerprint) -> Option<Refusal> {
         self.quarantine.borrow().refusal(now, fingerprint)
     }
@@ -166,6 +171,8 @@
             let step = this.quarantine.borrow_mut().tick(now);
             this.take(&node, step);
             this.log_quarantined(&node, now);
+            let quarantined = this.quarantine.borrow().quarantined(now);
+            node.parts.set_crashing_requests(&node, quarantined);
         }
     }
 
