Excuse requests that were lost with upstreams which a quarantined part ended

A sound request that its caller sends again, with the same body, and that is lost three times with upstreams under a crashing part was quarantined itself: 400 for an hour. The crashes of requests were counted without the verdicts on parts, and on other VMs.

A verdict on a part tells all VMs at which upstreams' ends it is based, and later ends under the part are added. They are no evidence against requests that do not have the part: those that are held or quarantined for them are cleared, and their crashes count again once the part is cleared. Requests that have the part stay suspects, since either may be the cause.

core/crash_evidence: found before the third crash, while held and after the quarantine, the request is not refused; refused in all three with the excuse taken out.

--- a/crates/ebonystand-core/src/quarantine/mod.rs
+++ b/crates/ebonystand-core/src/quarantine/mod.rs
@@ -4,6 +4,7 @@
 
 pub use {
     crash_rule::CrashRule,
+    explained_ends::ExplainedEnds,
     outgoing_quarantine_message::OutgoingQuarantineMessage,
     part_gate::PartGate,
     part_message::{AnnouncedPart, LostRun, PartMessage},
@@ -34,6 +35,7 @@
 };
 
 mod crash_rule;
+mod explained_ends;
 mod outgoing_quarantine_message;
 mod part_case;
 mod part_gate;
--- a/crates/ebonystand-core/src/quarantine/part_case.rs
+++ b/crates/ebonystand-core/src/quarantine/part_case.rs
@@ -12,6 +12,8 @@
     /// Numbers of the last upstreams' ends under the part.
     ends: Vec<u64>,
     pub(crate) expires_at: Duration,
+    /// Upstreams that went down under the part, on the VMs that know it as quarantined.
+    pub(crate) explained: BTreeSet<UpstreamId>,
     /// Time until which ends do not count, since an upstream has begun an answer on the part.
     innocent_until: Duration,
     /// Numbers of the ends with which trials were lost.
@@ -74,6 +76,7 @@
             announced_at: None,
             ends: Vec::new(),
             expires_at: now + PartQuarantine::SUSPECT_DURATION,
+            explained: BTreeSet::new(),
             innocent_until: Duration::ZERO,
             failed_trials: BTreeSet::new(),
             lost_requests: BTreeSet::new(),
@@ -121,6 +124,7 @@
     pub(crate) fn clear(&mut self, now: Duration) -> bool {
         self.ends.clear();
         self.failed_trials.clear();
+        self.explained.clear();
         self.lost_requests.clear();
         self.verdicts = 0;
         self.others_survive = false;
@@ -145,6 +149,18 @@
         }
     }
 
+    /// Records upstreams that went down under the part, as another request's loss there is no evidence against that request.
+    /// Returns whether any was not known.
+    pub(crate) fn record_explained(
+        &mut self,
+        upstreams: impl IntoIterator<Item = UpstreamId>,
+    ) -> bool {
+        let known = self.explained.len();
+        let room = Self::MAX_ENDS.saturating_sub(known);
+        self.explained.extend(upstreams.into_iter().take(room));
+        self.explained.len() > known
+    }
+
     /// Records requests that were lost under the part before it was quarantined.
     pub(crate) fn record_lost_requests(&mut self, requests: impl IntoIterator<Item = Fingerprint>) {
         let room = Self::MAX_LOST_REQUESTS.saturating_sub(self.lost_requests.len());
--- a/crates/ebonystand-core/src/quarantine/part_message.rs
+++ b/crates/ebonystand-core/src/quarantine/part_message.rs
@@ -81,6 +81,8 @@
 pub struct AnnouncedPart {
     /// Number of the announcement, which the acknowledgement repeats.
     pub announcement: u16,
+    /// Upstreams that went down under a part that is or was quarantined.
+    pub explained: Vec<UpstreamId>,
     /// Requests that were lost under a part until it was quarantined. Their trials would not test the verdict.
     pub lost_requests: Vec<Fingerprint>,
     /// Part of prompts.
--- a/crates/ebonystand-core/src/quarantine/part_quarantine.rs
+++ b/crates/ebonystand-core/src/quarantine/part_quarantine.rs
@@ -199,6 +199,21 @@
         self.handle_own_messages(now, output)
     }
 
+    /// Returns the ends that parts explain which are quarantined, or were until a trial was due.
+    #[must_use]
+    pub fn explained_ends(&self, now: Duration) -> ExplainedEnds {
+        let mut explained = ExplainedEnds::default();
+        let cases = self
+            .services
+            .values()
+            .flat_map(|known| known.cases.values());
+        for case in cases.filter(|case| case.is_known_cause() && !case.has_expired(now)) {
+            explained.requests.extend(&case.lost_requests);
+            explained.upstreams.extend(case.explained.iter().cloned());
+        }
+        explained
+    }
+
     /// Returns what is known of a service, inserted if missing.
     fn track_service(&mut self, service: &ServiceId) -> &mut ServiceParts {
         let crashing_requests = &self.crashing_requests;
@@ -552,6 +567,7 @@
             case.announced_at = Some(now);
             let announced = AnnouncedPart {
                 announcement: case.announcement,
+                explained: case.explained.iter().cloned().collect(),
                 lost_requests: case.lost_requests.iter().copied().collect(),
                 part: *part,
                 remaining: case.remaining(now),
@@ -700,6 +716,9 @@
             } => {
                 let known = self.track_service(&service);
                 let lost = known.record_losses(now, &upstream, &runs, others_survive);
+                for part in known.explain(now, &lost) {
+                    self.announce(now, &service, part, output);
+                }
                 output.send(from, PartMessage::Recorded { report });
                 self.judge(now, &service, &lost, output);
             }
@@ -783,6 +802,7 @@
             return;
         };
         case.record_lost_requests(announced.lost_requests.iter().copied());
+        case.record_explained(announced.explained.iter().cloned());
         case.announced_by = Some(from.clone());
         case.is_announced = stage.is_suspect();
         if before != Some(stage)
--- a/crates/ebonystand-core/src/quarantine/service_parts.rs
+++ b/crates/ebonystand-core/src/quarantine/service_parts.rs
@@ -137,6 +137,35 @@
             case.record_lost_requests(lost);
             case.quarantine(now);
         }
+        self.explain(now, &BTreeSet::from([part]));
+    }
+
+    /// Records for those of these parts that are quarantined which ends they explain. Returns the parts that explain ends which
+    /// they did not explain before.
+    pub(crate) fn explain(
+        &mut self,
+        now: Duration,
+        parts: &BTreeSet<PromptPartId>,
+    ) -> Vec<PromptPartId> {
+        let quarantined = parts.iter().filter(|part| self.is_quarantined(now, part));
+        let mut changed = Vec::new();
+        for part in quarantined.copied().collect::<Vec<_>>() {
+            let case = self.cases.get(&part);
+            let ends = case.map(|case| self.ends_beside_requests(part, case));
+            let ends = ends.into_iter().flatten().flatten();
+            let ends = ends.map(|end| {
+                let requests = end.requests(part).collect::<Vec<_>>();
+                (end.upstream.clone(), requests)
+            });
+            let (upstreams, requests) = ends.collect::<(Vec<_>, Vec<_>)>();
+            if let Some(case) = self.cases.get_mut(&part)
+                && case.record_explained(upstreams)
+            {
+                case.record_lost_requests(requests.into_iter().flatten());
+                changed.push(part);
+            }
+        }
+        changed
     }
 
     /// Finds a suspect that is proved to end upstreams. Suspects whose ends a quarantined part explains stay suspects.
--- a/crates/ebonystand-core/src/quarantine/state.rs
+++ b/crates/ebonystand-core/src/quarantine/state.rs
@@ -186,6 +186,14 @@
         })
     }
 
+    /// Sets the ends of upstreams that are no evidence against the requests of [`CrashRule::Evidence`] which were lost with
+    /// them, since something else explains them.
+    pub fn set_explained_ends(&mut self, now: Duration, ends: ExplainedEnds) -> QuarantineOutput {
+        let mut output = QuarantineOutput::default();
+        self.suspects.set_explained(now, ends, &mut output);
+        self.handle_own_messages(now, output)
+    }
+
     /// Clears a request by order of an operator, on all VMs. Returns `None` if this VM does not know
     /// it.
     pub fn clear(&mut self, now: Duration, fingerprint: Fingerprint) -> Option<QuarantineOutput> {
--- a/crates/ebonystand-core/src/quarantine/suspect.rs
+++ b/crates/ebonystand-core/src/quarantine/suspect.rs
@@ -38,6 +38,8 @@
     pub(crate) announced_at: Duration,
     /// VMs that have not acknowledged the announcement of the stage.
     pub(crate) unacked_vms: BTreeSet<VmId>,
+    /// Rule by which the last crash counted.
+    rule: CrashRule,
     /// Time at which the entry is removed.
     pub(crate) expires_at: Duration,
 }
@@ -101,6 +103,7 @@
             running_deadline: Duration::ZERO,
             announced_at: Duration::ZERO,
             unacked_vms: BTreeSet::new(),
+            rule: CrashRule::Evidence,
             expires_at,
         }
     }
@@ -111,7 +114,12 @@
     }
 
     /// Counts a crash report, unless this run's report was counted before.
-    pub(crate) fn record_crash(&mut self, now: Duration, crash: &CrashReport) {
+    pub(crate) fn record_crash(
+        &mut self,
+        now: Duration,
+        crash: &CrashReport,
+        explained: &BTreeSet<UpstreamId>,
+    ) {
         if now < self.innocent_until || !self.counted_runs.insert(crash.run.clone()) {
             return;
         }
@@ -120,16 +128,13 @@
         if was_granted || !is_same {
             self.crashes += 1;
         }
+        self.rule = crash.rule;
         match crash.rule {
             CrashRule::Evidence => {
                 if self.crashes >= Self::EVIDENCE_SUSPECT_THRESHOLD {
                     self.suspect();
                 }
-                if self.crashes >= Self::EVIDENCE_QUARANTINE_THRESHOLD && !self.is_quarantined() {
-                    let at = now + Quarantine::SURVIVAL_TIMEOUT;
-                    self.quarantine_at.get_or_insert(at);
-                    self.hold(now);
-                }
+                self.hold_if_guilty(now, explained);
             }
             CrashRule::Permits => {
                 self.suspect();
@@ -138,6 +143,37 @@
         }
     }
 
+    /// Holds new runs back if the crashes that nothing else explains are enough for a quarantine by
+    /// [`CrashRule::Evidence`]. Returns whether they are held back from now on.
+    pub(crate) fn hold_if_guilty(
+        &mut self,
+        now: Duration,
+        explained: &BTreeSet<UpstreamId>,
+    ) -> bool {
+        let is_held = self.quarantine_at.is_some() || self.is_quarantined();
+        if is_held || !self.is_guilty(explained) {
+            return false;
+        }
+        self.quarantine_at = Some(now + Quarantine::SURVIVAL_TIMEOUT);
+        self.hold(now);
+        true
+    }
+
+    /// Returns whether the crashes that nothing else explains are enough for a quarantine by [`CrashRule::Evidence`].
+    fn is_guilty(&self, explained: &BTreeSet<UpstreamId>) -> bool {
+        let crashed = self.crashed_upstreams();
+        let excused = crashed.filter(|upstream| explained.contains(*upstream));
+        let crashes = self.crashes.saturating_sub(excused.count() as u32);
+        self.rule == CrashRule::Evidence && crashes >= Self::EVIDENCE_QUARANTINE_THRESHOLD
+    }
+
+    /// Returns whether the request is held or quarantined for crashes that this VM counted and that something else explains.
+    pub(crate) fn is_excused(&self, explained: &BTreeSet<UpstreamId>) -> bool {
+        let is_enough = self.crashes >= Self::EVIDENCE_QUARANTINE_THRESHOLD;
+        let is_judged = self.quarantine_at.is_some() || self.is_quarantined();
+        self.rule == CrashRule::Evidence && is_enough && is_judged && !self.is_guilty(explained)
+    }
+
     /// Records the upstream of a crash report. Returns whether the report is of a crash that was
     /// reported before.
     fn record_crashed_upstream(&mut self, now: Duration, upstream: &UpstreamId) -> bool {
--- a/crates/ebonystand-core/src/quarantine/suspect_table.rs
+++ b/crates/ebonystand-core/src/quarantine/suspect_table.rs
@@ -3,6 +3,8 @@
 /// Bounded table of the [`Suspect`]s that a VM knows, with the decisions of a suspect's owner.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub(crate) struct SuspectTable {
+    /// Ends that are no evidence against requests.
+    explained: ExplainedEnds,
     /// Number below those of this process's announcements.
     first_announcement: u64,
     live_vms: BTreeSet<VmId>,
@@ -29,6 +31,7 @@
     /// Creates an empty table; `first_announcement` is above the numbers of the VM's former processes.
     pub(crate) fn new(own_id: VmId, first_announcement: u64) -> Self {
         Self {
+            explained: ExplainedEnds::default(),
             first_announcement,
             live_vms: BTreeSet::from([own_id.clone()]),
             region_vms: BTreeSet::from([own_id.clone()]),
@@ -105,11 +108,12 @@
         let own_id = self.own_id.clone();
         let mut others = self.live_vms.clone();
         others.remove(&own_id);
+        let explained = std::mem::take(&mut self.explained);
         let suspect = self.track_until(now, fingerprint, now + Quarantine::SUSPECT_DURATION);
         let stage_before = suspect.stage;
         suspect.set_running(&own_id, runs_here);
         suspect.set_running(&crash.run.vm, crash.is_running);
-        suspect.record_crash(now, &crash);
+        suspect.record_crash(now, &crash, explained.upstreams_for(fingerprint));
         suspect.running_deadline = now + Self::MAX_RUN_DURATION;
         let is_announced = match crash.rule {
             CrashRule::Evidence => suspect.stage != stage_before,
@@ -122,12 +126,46 @@
         if is_announced {
             suspect.ack_deadline = now + Quarantine::CRASH_ACK_TIMEOUT;
             suspect.unacked_vms = others;
+        }
+        self.explained = explained;
+        if is_announced {
             self.announce_anew(now, fingerprint, output);
         } else {
             self.confirm_reports(now, fingerprint, output);
         }
     }
 
+    /// Sets the ends that are no evidence against requests. Requests that are held or quarantined for such ends are cleared.
+    pub(crate) fn set_explained(
+        &mut self,
+        now: Duration,
+        explained: ExplainedEnds,
+        output: &mut QuarantineOutput,
+    ) {
+        if explained == self.explained {
+            return;
+        }
+        let mut held = Vec::new();
+        let mut excused = Vec::new();
+        for (fingerprint, suspect) in &mut self.suspects {
+            let upstreams = explained.upstreams_for(*fingerprint);
+            if suspect.is_excused(upstreams) {
+                excused.push(*fingerprint);
+            } else if suspect.hold_if_guilty(now, upstreams) {
+                suspect.unacked_vms = self.live_vms.clone();
+                suspect.unacked_vms.remove(&self.own_id);
+                held.push(*fingerprint);
+            }
+        }
+        self.explained = explained;
+        for fingerprint in held {
+            self.announce_anew(now, fingerprint, output);
+        }
+        for fingerprint in excused {
+            self.clear(now, fingerprint, output);
+        }
+    }
+
     /// Forgets a request that an upstream has survived. Its crashes do not count for a while.
     pub(crate) fn clear_survived(
         &mut self,
--- a/crates/ebonystand-core/tests/crash_evidence/main.rs
+++ b/crates/ebonystand-core/tests/crash_evidence/main.rs
@@ -95,6 +95,57 @@
     assert_eq!(trio.refusals(), [true; 3]);
 }
 
+/// Guards against the quarantine of a sound request that is sent again and lost with upstreams which a part of prompts ends,
+/// found before or after the request's third loss or its quarantine.
+#[rstest]
+#[case::before(0)]
+#[case::while_held(1)]
+#[case::after(2)]
+fn crashes_that_something_else_explains_are_no_evidence_against_a_request(#[case] found: usize) {
+    let mut trio = Trio::default();
+    let explain = |trio: &mut Trio, at| {
+        if found == at {
+            trio.explain(&["i-0", "i-1", "i-2"], &[]);
+        }
+    };
+    explain(&mut trio, 0);
+    for vm in 0..3 {
+        trio.crash(vm, &format!("i-{vm}"));
+    }
+    explain(&mut trio, 1);
+    trio.pass(2 * Quarantine::SURVIVAL_TIMEOUT);
+    explain(&mut trio, 2);
+    trio.pass(Quarantine::SURVIVAL_TIMEOUT);
+    assert_eq!(trio.refusals(), [false; 3]);
+}
+
+/// Guards against a crashing request that is never quarantined, since its crashes count as those of a part that it has.
+#[test]
+fn crashes_of_a_request_that_has_the_part_stay_evidence_against_it() {
+    let mut trio = Trio::default();
+    trio.explain(&["i-0", "i-1", "i-2"], &[trio::FINGERPRINT]);
+    for vm in 0..3 {
+        trio.crash(vm, &format!("i-{vm}"));
+    }
+    trio.pass(2 * Quarantine::SURVIVAL_TIMEOUT);
+    assert_eq!(trio.refusals(), [true; 3]);
+}
+
+/// Guards against a crashing request that is never quarantined, since a part was wrongly blamed for its crashes.
+#[test]
+fn crashes_count_again_when_nothing_else_explains_them() {
+    let mut trio = Trio::default();
+    trio.explain(&["i-0"], &[]);
+    for vm in 0..3 {
+        trio.crash(vm, &format!("i-{vm}"));
+    }
+    trio.pass(2 * Quarantine::SURVIVAL_TIMEOUT);
+    assert_eq!(trio.refusals(), [false; 3]);
+    trio.explain(&[], &[]);
+    trio.pass(2 * Quarantine::SURVIVAL_TIMEOUT);
+    assert_eq!(trio.refusals(), [true; 3]);
+}
+
 /// Guards against a quarantine before the crashes that callers are allowed: reports of one upstream's end count once.
 #[test]
 fn one_upstream_that_ends_under_several_runs_counts_once() {
--- a/crates/ebonystand-core/tests/crash_evidence/trio.rs
+++ b/crates/ebonystand-core/tests/crash_evidence/trio.rs
@@ -36,6 +36,19 @@
         self.deliver(vm, output);
     }
 
+    /// Tells all VMs which upstreams a part of prompts has ended that these requests had.
+    pub(crate) fn explain(&mut self, upstreams: &[&str], requests: &[Fingerprint]) {
+        let upstreams = upstreams.iter().map(|upstream| UpstreamId::from(*upstream));
+        let ends = ExplainedEnds {
+            requests: requests.iter().copied().collect(),
+            upstreams: upstreams.collect(),
+        };
+        for vm in self.live.clone() {
+            let output = self.vms[vm].set_explained_ends(self.now, ends.clone());
+            self.deliver(vm, output);
+        }
+    }
+
     pub(crate) fn survive(&mut self, vm: usize) {
         let output = self.vms[vm].record_survival(self.now, FINGERPRINT);
         self.deliver(vm, output);
--- a/crates/ebonystand-core/tests/part_evidence/fleet.rs
+++ b/crates/ebonystand-core/tests/part_evidence/fleet.rs
@@ -415,6 +415,10 @@
                 let parts = &mut self.vms[vm].parts;
                 let output = parts.set_crashing_requests(self.now, crashing);
                 self.send(vm, output);
+                let explained = self.vms[vm].parts.explained_ends(self.now);
+                let requests = &mut self.vms[vm].requests;
+                let output = requests.set_explained_ends(self.now, explained);
+                self.send_about_requests(vm, output);
                 self.after(ms(100), Event::Tick(vm));
             }
         }
--- a/crates/ebonystand-core/tests/part_evidence/main.rs
+++ b/crates/ebonystand-core/tests/part_evidence/main.rs
@@ -226,6 +226,29 @@
     }
 }
 
+/// Guards against sound requests blamed for ends that a quarantined part explains, on VMs that do not count these, and against
+/// a crashing request excused by them.
+#[test]
+fn all_vms_know_which_ends_a_quarantined_part_explains() {
+    let mut vms = Vms::new(3);
+    lose_three(&mut vms, [&[CAUSE]; 3]);
+    // A run that was in progress as the part was quarantined.
+    vms.lose(0, "i-3", &[&[CAUSE]]);
+    vms.lose(1, "i-4", &[&[OTHER]]);
+    vms.pass(500 * MS);
+    for vm in 0..3 {
+        let upstreams = ["i-0", "i-1", "i-2", "i-3"].map(UpstreamId::from);
+        let ends = vms.explained_ends(vm);
+        assert_eq!(ends.upstreams, upstreams.into());
+        assert_eq!(ends.requests.len(), 4);
+    }
+    vms.clear(0, CAUSE);
+    vms.pass(500 * MS);
+    for vm in 0..3 {
+        assert_eq!(vms.explained_ends(vm), ExplainedEnds::default());
+    }
+}
+
 /// Two crashing requests with a sound part in common, which is quarantined for their ends.
 fn quarantine_for_two_requests(vms: &mut Vms) {
     vms.survive_elsewhere();
--- a/crates/ebonystand/src/part_controller.rs
+++ b/crates/ebonystand/src/part_controller.rs
@@ -222,6 +222,8 @@
             let output = this.quarantine.borrow_mut().tick(now);
             this.take(&node, output);
             let quarantine = this.quarantine.borrow();
+            let explained = quarantine.explained_ends(now);
+            node.quarantine.set_explained_ends(&node, explained);
             let (suspected, quarantined) = quarantine.count(now);
             node.metrics.suspected_parts.set(suspected as i64);
             node.metrics.quarantined_parts.set(quarantined as i64);
--- a/crates/ebonystand/src/quarantine_controller.rs
+++ b/crates/ebonystand/src/quarantine_controller.rs
@@ -1,8 +1,8 @@
 use super::*;
 use {
     ebonystand_core::{
-        Fingerprint, Quarantine, QuarantineDecision, QuarantineMessage, QuarantineOutput, RunEnd,
-        RunId, RunPermit, SuspectStatus,
+        ExplainedEnds, Fingerprint, Quarantine, QuarantineDecision, QuarantineMessage,
+        QuarantineOutput, RunEnd, RunId, RunPermit, SuspectStatus,
     },
     node::Node,
     std::collections::BTreeSet,
@@ -184,6 +184,15 @@
         self.wake();
     }
 
+    /// Sets the ends of upstreams that are no evidence against requests.
+    pub(crate) fn set_explained_ends(&self, node: &Node, ends: ExplainedEnds) {
+        let now = node.clock.now();
+        let mut quarantine = self.quarantine.borrow_mut();
+        let step = quarantine.set_explained_ends(now, ends);
+        drop(quarantine);
+        self.take(node, step);
+    }
+
     fn begun(verdict: QuarantineDecision, run: RunId) -> Result<RunId, Refusal> {
         match verdict {
             QuarantineDecision::PermitRequired => {
