Cut upstreams' answers at each byte of head and body

Another operator's report: a server stopped within its answer's head, and clients got a 200 with an empty or short body, framed as whole.

--- a/crates/ebonystand/tests/integration/main.rs
+++ b/crates/ebonystand/tests/integration/main.rs
@@ -7,6 +7,7 @@
 mod bad_input;
 mod callers;
 mod crashes;
+mod cut_heads;
 mod cut_vms;
 mod endless;
 mod failures;
