Log how long a VM has been leaving when it takes a request and sends it on

The lines of a planned stop could not tell a request that was taken late from one that was taken in time and sent late: none says how old the stop was. "sent", "sent away" and "forwarded request sent" now say so, for the admission too, and "stopped" says how many bytes of answers are still held. No decision changes.

--- a/crates/ebonystand/src/gateway/admitted.rs
+++ b/crates/ebonystand/src/gateway/admitted.rs
@@ -140,7 +140,9 @@
                         predicted_ms = predicted.as_millis() as u64,
                         report_age_ms:? = report_age.map(|age| age.as_millis() as u64),
                         left_ms = left.as_millis() as u64, tried = self.tried,
-                        since_grant_ms:? = self.since_grant(node);
+                        since_grant_ms:? = self.since_grant(node),
+                        admitted_leaving_for_ms:? = node.leaving_for_ms(self.call.admitted),
+                        leaving_for_ms:? = node.leaving_for_ms(node.clock.now());
                         "sent"
                     );
                     self.consume_reservation();
@@ -172,7 +174,9 @@
                         here_ms:? = here.map(|here| here.as_millis() as u64),
                         predicted_ms = predicted.as_millis() as u64,
                         left_ms = left.as_millis() as u64, tried = self.tried,
-                        since_grant_ms:? = self.since_grant(node);
+                        since_grant_ms:? = self.since_grant(node),
+                        admitted_leaving_for_ms:? = node.leaving_for_ms(self.call.admitted),
+                        leaving_for_ms:? = node.leaving_for_ms(node.clock.now());
                         "sent away"
                     );
                     match region == node.settings.region {
--- a/crates/ebonystand/src/gateway/receive_forward.rs
+++ b/crates/ebonystand/src/gateway/receive_forward.rs
@@ -222,7 +222,8 @@
                 request:% = call.request, upstream:% = instance, software:% = software, unread = unread,
                 import_from:? = import.as_ref().map(|source| &source.instance),
                 import_tokens = import.as_ref().map_or(0, |source| source.tokens),
-                predicted_ms = predicted.as_millis() as u64; "forwarded request sent"
+                predicted_ms = predicted.as_millis() as u64, leaving_for_ms:? = node.leaving_for_ms(node.clock.now());
+                "forwarded request sent"
             );
             let wait = call.remaining_time(node);
             let to = Destination {
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -40,7 +40,7 @@
     pub(crate) group: GroupController,
     pub(crate) in_flight: Rc<Cell<usize>>,
     pub(crate) incarnation: Incarnation,
-    leaving: Cell<bool>,
+    leaving_since: Cell<Option<Duration>>,
     lingered: Cell<bool>,
     pub(crate) membership: MembershipController,
     pub(crate) metrics: Metrics,
@@ -99,10 +99,10 @@
     /// new and ends what runs.
     pub(crate) async fn drain(self: &Rc<Self>) {
         let limits = self.settings.limits;
-        self.leaving.set(true);
+        let asked = self.clock.now();
+        self.leaving_since.set(Some(asked));
         MembershipController::leave(self);
         log::info!(running = self.in_flight.get(); "leaving");
-        let asked = self.clock.now();
         actix_rt::time::sleep(limits.linger).await;
         self.lingered.set(true);
         log::info!(running = self.in_flight.get(), others = self.region_has_other_taker(); "lingered");
@@ -119,7 +119,7 @@
         AllowanceController::drain(self);
         // The last answers and messages are still in the sockets' hands.
         actix_rt::time::sleep(5 * Self::DRAIN_LOOK).await;
-        log::info!(running = self.in_flight.get(); "stopped");
+        log::info!(running = self.in_flight.get(), held_bytes = self.readers.held_bytes(); "stopped");
     }
 
     /// Whether new requests are refused.
@@ -172,7 +172,13 @@
 
     /// Whether this VM is about to stop.
     pub(crate) fn leaving(&self) -> bool {
-        self.leaving.get()
+        self.leaving_since.get().is_some()
+    }
+
+    /// Milliseconds from the order to stop to `time`, for log lines; `None` while this VM is not about to stop.
+    pub(crate) fn leaving_for_ms(&self, time: Duration) -> Option<u64> {
+        let since = self.leaving_since.get()?;
+        Some(time.saturating_sub(since).as_millis() as u64)
     }
 
     pub(crate) fn new(
@@ -217,7 +223,7 @@
             group: GroupController::new(thread, random_u64()?),
             in_flight: Rc::default(),
             incarnation,
-            leaving: Cell::new(false),
+            leaving_since: Cell::new(None),
             lingered: Cell::new(false),
             membership: MembershipController::new(own, settings.seeds.clone(), now, seed, socket),
             metrics,
--- a/crates/ebonystand/src/slow_readers.rs
+++ b/crates/ebonystand/src/slow_readers.rs
@@ -70,6 +70,11 @@
         self.break_off(&expired, "its caller has stopped reading");
     }
 
+    /// Bytes of answers that are held for their callers.
+    pub(crate) fn held_bytes(&self) -> u64 {
+        self.answers.borrow().total()
+    }
+
     pub(crate) fn used_permille(&self) -> u64 {
         self.answers.borrow().used_permille()
     }
