Have a leaving VM send on only what it can answer before it ends

Callers saw orders closed without a status at the end of a planned stop; the registry had run them, and they must not be repeated.

Cause: the last VM of a region took requests until 60% of its grace, whatever time their route gave them, and ended at 95%, whatever still ran. The bound on long answers looked only at the size of a prompt's answer.

Evidence: on processes with a grace of 8 s, routes of 4 s and silent registries 11 orders were cut in each of three shapes, all sent 3.7 to 4.8 s after the signal; their "sent" lines have leaving_for_ms of 3,700 and more.

The core now decides by the VM's end and the latest time of the answer: the bound of the route or the caller for what must not run twice, twice the expected time, but at most that bound, for the rest. It is asked before a request is placed and again once its connection is open, over a hop too, where the forwarding VM can go elsewhere. What is refused has not run. What runs at the end all the same is answered: 503 if nothing was sent, 504 otherwise; streams break off, each with a line. The process ends once these answers are written or 3% of the grace are over.

--- /dev/null
+++ b/crates/ebonystand-core/src/departure.rs
@@ -0,0 +1,87 @@
+use super::*;
+
+/// Plan of a VM that has been asked to stop: until when it takes requests, and which ones it still passes on.
+///
+/// A request whose answer can't come before the VM ends is refused as not run, while its caller can still go to
+/// another VM. Sent on, it would be cut off, and one that must not run twice could not be sent again.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Departure {
+    asked: Duration,
+    ends: Duration,
+    lingers_until: Duration,
+}
+
+/// Longest time that the answer to a request may take.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AnswerTime {
+    /// Time by which the whole answer is due or refused.
+    pub due: Duration,
+    /// Expected time from now to the end of the answer; `None` if nothing is known of it, or if a wrong expectation
+    /// would cut off a request that must not run twice.
+    pub expected: Option<Duration>,
+}
+
+impl AnswerTime {
+    /// Multiple of the expected time within which almost all answers end.
+    const EXPECTED_FACTOR: u32 = 2;
+
+    /// Returns the time by which the answer has come or is refused.
+    #[must_use]
+    pub fn latest(&self, now: Duration) -> Duration {
+        let expected = self.expected.map(|time| now + time * Self::EXPECTED_FACTOR);
+        expected.map_or(self.due, |expected| expected.min(self.due))
+    }
+}
+
+impl Departure {
+    /// Part of the time for ending what runs, as a divisor, for which the last VM of a region that takes callers
+    /// goes on taking requests. Where all VMs are stopped in turn, the region's callers would be sent to other
+    /// regions, which may be no home of theirs, until the first one is back.
+    const LAST_VM_PART: u32 = 2;
+
+    /// Creates the plan of a VM that is asked to stop at `now`, serves on for `linger` and then ends what runs within
+    /// `drain`.
+    #[must_use]
+    pub fn new(now: Duration, linger: Duration, drain: Duration) -> Self {
+        Self {
+            asked: now,
+            ends: now + linger + drain,
+            lingers_until: now + linger,
+        }
+    }
+
+    /// Returns whether the answer to a request that is sent on now comes before the VM ends.
+    #[must_use]
+    pub fn admits(&self, now: Duration, answer: &AnswerTime) -> bool {
+        answer.latest(now) <= self.ends
+    }
+
+    /// Returns the time at which the VM was asked to stop.
+    #[must_use]
+    pub fn asked(&self) -> Duration {
+        self.asked
+    }
+
+    /// Returns the time at which the VM ends what still runs.
+    #[must_use]
+    pub fn ends(&self) -> Duration {
+        self.ends
+    }
+
+    /// Returns the time until which callers may be told of the VM, so that it takes their requests.
+    #[must_use]
+    pub fn lingers_until(&self) -> Duration {
+        self.lingers_until
+    }
+
+    /// Returns whether the VM takes new requests. `has_others` states that another VM of the region does.
+    #[must_use]
+    pub fn takes_requests(&self, now: Duration, has_others: bool) -> bool {
+        let drain = self.ends - self.lingers_until;
+        let until = match has_others {
+            true => self.lingers_until,
+            false => self.lingers_until + drain / Self::LAST_VM_PART,
+        };
+        now < until
+    }
+}
--- a/crates/ebonystand-core/src/gateway/attempt_end.rs
+++ b/crates/ebonystand-core/src/gateway/attempt_end.rs
@@ -9,6 +9,8 @@
     Cancelled,
     /// The answer ended with its connection, and nothing in it tells whether it is whole.
     Closed,
+    /// This VM would end before the answer, so nothing was sent to an upstream.
+    Departing,
     /// The upstream ran the request and answered that it failed.
     Failed,
     /// The connection broke or the answer was malformed; the request may have run.
@@ -32,7 +34,11 @@
     pub fn is_known_not_run(self) -> bool {
         matches!(
             self,
-            Self::Shed | Self::AddressReused | Self::Quarantined | Self::Unreachable
+            Self::AddressReused
+                | Self::Departing
+                | Self::Quarantined
+                | Self::Shed
+                | Self::Unreachable
         )
     }
 
@@ -42,14 +48,17 @@
     pub fn is_counted_attempt(self) -> bool {
         !matches!(
             self,
-            Self::AddressReused | Self::Quarantined | Self::Unreachable
+            Self::AddressReused | Self::Departing | Self::Quarantined | Self::Unreachable
         )
     }
 
     /// Returns whether any byte of the request can have reached an upstream.
     #[must_use]
     pub fn can_have_reached_upstream(self) -> bool {
-        !matches!(self, Self::Quarantined | Self::Unreachable)
+        !matches!(
+            self,
+            Self::Departing | Self::Quarantined | Self::Unreachable
+        )
     }
 
     /// Returns whether the listed upstream was reached; `None` if the end does not tell.
@@ -59,9 +68,12 @@
             // The upstreams of a zone that lost power come back as new ones at the same addresses.
             Self::AddressReused | Self::Unreachable => Some(false),
             // A busy upstream may leave a request unanswered as well.
-            Self::Cancelled | Self::Closed | Self::Lost | Self::Quarantined | Self::TimedOut => {
-                None
-            }
+            Self::Cancelled
+            | Self::Closed
+            | Self::Departing
+            | Self::Lost
+            | Self::Quarantined
+            | Self::TimedOut => None,
         }
     }
 }
--- a/crates/ebonystand-core/src/gateway/next_step.rs
+++ b/crates/ebonystand-core/src/gateway/next_step.rs
@@ -35,7 +35,10 @@
         // An upstream that could not be connected to received nothing and does not count as an
         // attempt, nor does another server that answered at its address.
         let has_tries = !end.is_counted_attempt() || tried < route.attempts;
-        let is_final = matches!(end, AttemptEnd::Cancelled | AttemptEnd::Quarantined);
+        let is_final = matches!(
+            end,
+            AttemptEnd::Cancelled | AttemptEnd::Departing | AttemptEnd::Quarantined
+        );
         if is_final || !may_repeat || !has_tries || !budget() {
             return Self::GiveUp { run };
         }
--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -174,7 +174,10 @@
                 known.measure_call(waited);
             }
             AttemptEnd::Closed => known.reset_backoff(),
-            AttemptEnd::Cancelled | AttemptEnd::Quarantined | AttemptEnd::Shed => {}
+            AttemptEnd::Cancelled
+            | AttemptEnd::Departing
+            | AttemptEnd::Quarantined
+            | AttemptEnd::Shed => {}
             AttemptEnd::Failed | AttemptEnd::Lost => known.update_failure_rate(true),
             AttemptEnd::AddressReused => known.is_address_reused = true,
             AttemptEnd::TimedOut => known.start_backoff(now),
--- a/crates/ebonystand-core/src/gateway/upstream_slots.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_slots.rs
@@ -103,6 +103,31 @@
         reading + gap * engine.event_count(prompt.output)
     }
 
+    /// Returns the time from now to the end of the answer to a request; `None` if no upstream of this region tells.
+    #[must_use]
+    pub fn expected_answer_time(&self, now: Duration, query: &ChoiceQuery) -> Option<Duration> {
+        /// Time that an engine takes for a token before the first measurement.
+        const ASSUMED_TOKEN_TIME: Duration = Duration::from_millis(7);
+        let Some(prompt) = query.prompt else {
+            let local = self.upstreams.values().filter(|known| {
+                let is_answering = known.consecutive_failures == 0 && !known.is_leaving();
+                *known.listed.service == *query.service && self.is_local(known) && is_answering
+            });
+            let times = local.map(|known| known.predict_call_duration(now, self.peer_load(known)));
+            return times.max();
+        };
+        let reading = prompt.input as f64 / self.mean_reading_speed(query.service) / 1_000.0;
+        let gap = self.event_gap(now, query.service);
+        let writing = match query.engine.filter(|_| !gap.is_zero()) {
+            Some(engine) => gap * engine.event_count(prompt.output),
+            None => {
+                let tokens = u32::try_from(prompt.output).unwrap_or(u32::MAX);
+                ASSUMED_TOKEN_TIME.saturating_mul(tokens)
+            }
+        };
+        Some(Duration::from_secs_f64(reading) + writing)
+    }
+
     /// Returns the engines that may get a request at once, whatever their load.
     fn open_engines<'a>(&'a self, now: Duration, query: &ChoiceQuery) -> Vec<&'a KnownUpstream> {
         let lost_zones = self.zone_health.lost_zones(now);
--- a/crates/ebonystand-core/src/lib.rs
+++ b/crates/ebonystand-core/src/lib.rs
@@ -83,6 +83,7 @@
     command_outcome::CommandOutcome,
     connection_action::ConnectionAction,
     deadline::Deadline,
+    departure::{AnswerTime, Departure},
     dispatch_end::DispatchEnd,
     document::*,
     drain_status::DrainStatus,
@@ -232,6 +233,7 @@
 mod deadline;
 mod deferred_message;
 mod demand_meter;
+mod departure;
 mod dispatch_end;
 mod document;
 mod drain_status;
--- /dev/null
+++ b/crates/ebonystand-core/tests/departure.rs
@@ -0,0 +1,76 @@
+//! Which requests a VM that has been asked to stop still passes on.
+
+use {
+    ebonystand_core::{AnswerTime, Departure},
+    rstest::rstest,
+    std::time::Duration,
+};
+
+const ASKED: Duration = Duration::from_secs(100);
+const LINGER: Duration = Duration::from_secs(2);
+const DRAIN: Duration = Duration::from_millis(5_600);
+
+fn after(ms: u64) -> Duration {
+    ASKED + Duration::from_millis(ms)
+}
+
+/// Guards against orders that a leaving VM sends on and ends before their answers are due.
+#[rstest]
+#[case::answer_in_time(3_600, true)]
+#[case::answer_too_late(3_601, false)]
+#[case::answer_long_after_the_end(4_800, false)]
+fn a_request_with_a_bound_alone_is_sent_on_only_if_it_is_due_in_time(
+    #[case] at_ms: u64,
+    #[case] is_admitted: bool,
+) {
+    let departure = Departure::new(ASKED, LINGER, DRAIN);
+    let now = after(at_ms);
+    let answer = AnswerTime {
+        due: now + Duration::from_secs(4),
+        expected: None,
+    };
+    assert_eq!(departure.admits(now, &answer), is_admitted);
+}
+
+#[rstest]
+#[case::quick(7_000, 100, true)]
+#[case::slow(7_000, 400, false)]
+#[case::slower_than_its_bound(7_000, 60_000, false)]
+#[case::early(0, 3_000, true)]
+fn a_request_with_a_known_time_is_sent_on_if_almost_all_answers_come_in_time(
+    #[case] at_ms: u64,
+    #[case] expected_ms: u64,
+    #[case] is_admitted: bool,
+) {
+    let departure = Departure::new(ASKED, LINGER, DRAIN);
+    let now = after(at_ms);
+    let answer = AnswerTime {
+        due: now + Duration::from_secs(12),
+        expected: Some(Duration::from_millis(expected_ms)),
+    };
+    assert_eq!(departure.admits(now, &answer), is_admitted);
+}
+
+#[test]
+fn a_request_that_is_refused_in_time_anyway_is_sent_on() {
+    let departure = Departure::new(ASKED, LINGER, DRAIN);
+    let answer = AnswerTime {
+        due: departure.ends(),
+        expected: Some(Duration::from_secs(60)),
+    };
+    assert!(departure.admits(after(7_000), &answer));
+}
+
+#[rstest]
+#[case::others_while_named(1_999, true, true)]
+#[case::others_afterwards(2_000, true, false)]
+#[case::last_vm(4_799, false, true)]
+#[case::last_vm_at_the_end(4_800, false, false)]
+fn the_last_vm_of_a_region_takes_requests_for_longer(
+    #[case] at_ms: u64,
+    #[case] has_others: bool,
+    #[case] takes: bool,
+) {
+    let departure = Departure::new(ASKED, LINGER, DRAIN);
+    assert_eq!(departure.takes_requests(after(at_ms), has_others), takes);
+}
--- a/crates/ebonystand/src/gateway/admitted.rs
+++ b/crates/ebonystand/src/gateway/admitted.rs
@@ -48,6 +48,9 @@
             if left.is_zero() {
                 return Err(self.refusal(RefusalCode::Deadline, "its time is over"));
             }
+            if self.call.would_be_cut_off(node) {
+                return Err(self.departing_refusal());
+            }
             self.revalidate_key(node)?;
             let mut reachable = node.gateway.reachable(node, &self.call.excluded_vms);
             reachable.retain(|region| !self.call.full_regions.contains(region));
@@ -339,6 +342,7 @@
     ) -> Result<Option<Response<BoxBody>>, Refusal> {
         self.tried += u32::from(end.is_counted_attempt());
         self.not_run &= end.is_known_not_run();
+        self.call.may_have_run.set(!self.not_run);
         if self.not_run
             && let Some(reserved) = &mut self.reserved
         {
@@ -380,6 +384,7 @@
                 let message = "another region refuses it, because upstreams went down under it";
                 return Err(self.refusal(RefusalCode::Quarantined, message));
             }
+            AttemptEnd::Departing => return Err(self.departing_refusal()),
             AttemptEnd::TimedOut => self.refusal(RefusalCode::Deadline, "no answer came in time"),
             _ if self.not_run => self.refusal(RefusalCode::Overloaded, "the upstream is full"),
             _ => self.refusal(RefusalCode::UpstreamFailed, "the upstream broke off"),
@@ -394,6 +399,13 @@
         self.with_run_state(Refusal::not_run(code, message))
     }
 
+    /// Builds the refusal of a request whose answer would be cut off when this VM ends.
+    fn departing_refusal(&self) -> Refusal {
+        let message = "this VM is leaving; the answer would be cut off";
+        self.refusal(RefusalCode::Draining, message)
+            .with_retry_after(UNCONFIRMED_RETRY)
+    }
+
     /// Adjusts the code and run state of a refusal if an upstream may have run the request.
     fn with_run_state(&self, mut refusal: Refusal) -> Refusal {
         if !self.not_run {
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -2,8 +2,8 @@
 use {
     attempt::Attempt,
     ebonystand_core::{
-        AnswerPause, AttemptEnd, CacheSource, ChoiceQuery, ColdTerms, Prompt, SoftwareRule,
-        SoftwareVersion, TargetChoice, UpstreamKey, Version,
+        AnswerPause, AnswerTime, AttemptEnd, CacheSource, CallKind, ChoiceQuery, ColdTerms, Prompt,
+        SoftwareRule, SoftwareVersion, TargetChoice, UpstreamKey, Version,
     },
     node::Node,
     part_controller::PartQuery,
@@ -35,6 +35,9 @@
     pub(crate) headers: HeaderMap,
     /// Regions that may serve the request; `None` if all may.
     pub(crate) homes: Option<BTreeSet<RegionId>>,
+    pub(crate) kind: CallKind,
+    /// Whether an upstream may have run the request, or may be running it.
+    pub(crate) may_have_run: MayHaveRun,
     pub(crate) method: Method,
     /// Path and query of the request, unchanged.
     pub(crate) path: Box<str>,
@@ -50,6 +53,20 @@
     pub(crate) workspace: Option<WorkspaceId>,
 }
 
+/// Whether an upstream may have run a request, shared with what answers the caller when this VM ends.
+#[derive(Clone, Default)]
+pub(crate) struct MayHaveRun(Rc<Cell<bool>>);
+
+impl MayHaveRun {
+    pub(crate) fn get(&self) -> bool {
+        self.0.get()
+    }
+
+    pub(crate) fn set(&self, may_have_run: bool) {
+        self.0.set(may_have_run);
+    }
+}
+
 /// Software versions of the service that may get a call.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum CallSoftware {
@@ -192,6 +209,28 @@
         }
     }
 
+    /// Whether this VM, if it is about to stop, ends before the answer can have come.
+    pub(crate) fn would_be_cut_off(&self, node: &Node) -> bool {
+        let Some(departure) = node.departure() else {
+            return false;
+        };
+        let now = node.clock.now();
+        let expected = || {
+            let document = node.document();
+            let none = BTreeSet::new();
+            let book = node.gateway.book.borrow();
+            book.expected_answer_time(now, &self.query(node, &document, &none))
+        };
+        let answer = AnswerTime {
+            due: self.end,
+            expected: match self.kind {
+                CallKind::Once => None,
+                CallKind::Idempotent | CallKind::Stream => expected(),
+            },
+        };
+        !departure.admits(now, &answer)
+    }
+
     /// Returns the time left until the whole answer is due.
     pub(crate) fn remaining_time(&self, node: &Node) -> Duration {
         self.end.saturating_sub(node.clock.now())
@@ -396,6 +435,10 @@
         {
             return Err(AttemptEnd::Quarantined);
         }
+        if self.would_be_cut_off(node) {
+            return Err(AttemptEnd::Departing);
+        }
+        self.may_have_run.set(true);
         let head = connection::head(self.method.clone(), &self.path, headers());
         let response = connection.request(head, self.body.clone());
         match actix_rt::time::timeout(wait, response).await {
--- a/crates/ebonystand/src/gateway/forward.rs
+++ b/crates/ebonystand/src/gateway/forward.rs
@@ -42,7 +42,7 @@
 pub(crate) fn attempt_end_name(end: AttemptEnd) -> &'static str {
     match end {
         AttemptEnd::Shed | AttemptEnd::AddressReused => SHED,
-        AttemptEnd::Unreachable => NOT_SENT,
+        AttemptEnd::Departing | AttemptEnd::Unreachable => NOT_SENT,
         AttemptEnd::TimedOut => TIMED_OUT,
         AttemptEnd::Failed => FAILED,
         AttemptEnd::Quarantined => QUARANTINED,
--- a/crates/ebonystand/src/gateway/receive_forward.rs
+++ b/crates/ebonystand/src/gateway/receive_forward.rs
@@ -2,8 +2,8 @@
 
 use super::*;
 use {
-    call::{Call, CallSoftware, Destination, Outcome},
-    ebonystand_core::{AttemptEnd, Mechanism, TargetChoice},
+    call::{Call, CallSoftware, Destination, MayHaveRun, Outcome},
+    ebonystand_core::{AttemptEnd, CallKind, Mechanism, TargetChoice},
     ebonystand_wire::{BoundForwarded, Forwarded},
     in_flight::InFlight,
     node::Node,
@@ -20,7 +20,12 @@
 /// Answers a request that another VM forwards.
 pub(crate) async fn handle(node: Rc<Node>, mut req: Request) -> Response<BoxBody> {
     let mut payload = req.take_payload();
-    let outcome = serve(&node, &req, &mut payload).await;
+    let may_have_run = MayHaveRun::default();
+    let outcome = tokio::select! {
+        biased;
+        outcome = serve(&node, &req, &mut payload, &may_have_run) => outcome,
+        () = node.ended() => ended_outcome(&may_have_run),
+    };
     let accepts_unframed = req.headers().contains_key(forward::ACCEPTS_UNFRAMED);
     let mut software = None;
     let (mut response, end, retry_after) = match outcome {
@@ -61,7 +66,20 @@
     response
 }
 
-async fn serve(node: &Rc<Node>, req: &Request, payload: &mut Payload) -> Outcome {
+/// Tells the forwarding VM that this one ends before the answer.
+fn ended_outcome(may_have_run: &MayHaveRun) -> Outcome {
+    Outcome::ended(match may_have_run.get() {
+        true => AttemptEnd::TimedOut,
+        false => AttemptEnd::Departing,
+    })
+}
+
+async fn serve(
+    node: &Rc<Node>,
+    req: &Request,
+    payload: &mut Payload,
+    may_have_run: &MayHaveRun,
+) -> Outcome {
     let now = node.clock.now();
     let (forwarded, software) = match read_metadata(node, req.headers()) {
         Ok(metadata) => metadata,
@@ -79,14 +97,11 @@
         let mut book = node.gateway.book.borrow_mut();
         book.record_arrival_from(now, &forwarded.region, &forwarded.service);
     }
-    // A VM that has been asked to stop but has no replacement in its region still serves. A long
-    // answer would be cut off when it stops, and the forwarding VM can still choose another region.
-    let is_too_long = serve_call::would_be_cut_off(node, forwarded.prompt.as_ref());
     let is_cut = node.gateway.book.borrow().is_path_cut(&forwarded.service);
     if is_cut {
         log::info!(request:% = forwarded.request, service:% = forwarded.service; "forwarded request refused: no path to the upstreams");
     }
-    if is_too_long || is_cut || !node.gateway.serves(node) {
+    if is_cut || !node.gateway.serves(node) {
         return Outcome::ended(AttemptEnd::Unreachable);
     }
     let body = match body::read(node, req.headers(), payload).await {
@@ -115,6 +130,12 @@
             ],
         ),
         homes: forwarded.homes,
+        // The forwarding VM does not tell whether a call without a prompt may run twice.
+        kind: match forwarded.prompt {
+            Some(_) => CallKind::Stream,
+            None => CallKind::Once,
+        },
+        may_have_run: may_have_run.clone(),
         method: req.method().clone(),
         path: serve_call::path_and_query(req),
         prompt: forwarded.prompt,
@@ -126,6 +147,10 @@
         unscheduled: false,
         workspace: forwarded.workspace,
     };
+    if call.would_be_cut_off(node) {
+        log::info!(request:% = call.request, leaving_for_ms:? = node.leaving_for_ms(now); "forwarded request refused: this VM ends before its answer");
+        return Outcome::ended(AttemptEnd::Departing);
+    }
     // The request has not run, so another upstream of this region is tried before it travels between
     // regions again.
     let mut permit = None;
@@ -137,6 +162,7 @@
             return with_in_flight(outcome, in_flight);
         };
         RetryPermit::end_attempt(&mut permit, end.can_have_reached_upstream());
+        may_have_run.set(!end.is_known_not_run());
         let is_gone = matches!(end, AttemptEnd::AddressReused | AttemptEnd::Unreachable);
         let gone = tried.filter(|_| is_gone && call.excluded.len() < MAX_GONE);
         is_turned_away |= end == AttemptEnd::AddressReused;
--- a/crates/ebonystand/src/gateway/relay.rs
+++ b/crates/ebonystand/src/gateway/relay.rs
@@ -60,6 +60,8 @@
 pub(crate) enum RelayFault {
     #[snafu(display("the deadline of the request has passed"))]
     Deadline,
+    #[snafu(display("this VM has ended"))]
+    Departure,
     #[snafu(display("the upstream closed the answer before its end"))]
     Upstream,
     #[snafu(display("the answer has ended with its connection and may be incomplete"))]
@@ -186,7 +188,9 @@
                 }
                 Err(RelayFault::Upstream | RelayFault::Unframed) => return Err(AttemptEnd::Lost),
                 Ok(None) => return Ok(whole.finish()),
-                Err(RelayFault::Deadline) => return Err(AttemptEnd::TimedOut),
+                Err(RelayFault::Deadline | RelayFault::Departure) => {
+                    return Err(AttemptEnd::TimedOut);
+                }
             }
         }
     }
@@ -209,9 +213,13 @@
         let left = self.end.saturating_sub(self.node.clock.now());
         // A timeout alone would let bytes through that are there already, and with an upstream that
         // sends them without end there always are some.
-        let next = match left.is_zero() {
+        let next = match left.is_zero() || self.node.has_ended() {
             true => None,
-            false => actix_rt::time::timeout(left, reader.next()).await.ok(),
+            false => tokio::select! {
+                biased;
+                next = actix_rt::time::timeout(left, reader.next()) => next.ok(),
+                () = self.node.ended() => None,
+            },
         };
         match next {
             Some(Ok(Some(bytes))) => {
@@ -240,6 +248,11 @@
                 self.abandon(AttemptEnd::Lost);
                 Err(RelayFault::Upstream)
             }
+            None if self.node.has_ended() => {
+                log::warn!(request:% = self.request, upstream:% = self.instance, bytes = self.bytes; "cut off: this VM ends");
+                self.abandon(AttemptEnd::Cancelled);
+                Err(RelayFault::Departure)
+            }
             None => {
                 log::warn!(request:% = self.request, upstream:% = self.instance, bytes = self.bytes; "cut off: its time is over");
                 self.abandon(AttemptEnd::TimedOut);
--- a/crates/ebonystand/src/gateway/serve_call.rs
+++ b/crates/ebonystand/src/gateway/serve_call.rs
@@ -4,7 +4,7 @@
 use {
     admitted::Admitted,
     allowance_controller::{AllowanceController, Reserved},
-    call::{Call, CallSoftware},
+    call::{Call, CallSoftware, MayHaveRun},
     ebonystand_core::{
         GatewayRoute, GatewayWorkspace, KnownOrigin, Prompt, RouteTable, StreamKey, StreamOrigin,
         StreamResumption,
@@ -26,9 +26,6 @@
 pub(crate) const UNCONFIRMED_RETRY: Duration = Duration::from_millis(500);
 /// Time between two checks of whether a starting VM can serve.
 const START_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Longest answer, in tokens, that a VM still begins when it is about to stop: less than two
-/// seconds of generation at 7 ms per token.
-const MAX_ANSWER_WHEN_LEAVING: Tokens = 256;
 /// Longest retry delay for a caller whose workspace is over its quota.
 const MAX_QUOTA_RETRY: Duration = Duration::from_secs(5);
 
@@ -51,11 +48,6 @@
     response
 }
 
-/// Whether this VM would stop before the end of the answer to a request that arrives now.
-pub(crate) fn would_be_cut_off(node: &Node, prompt: Option<&Prompt>) -> bool {
-    node.lingered() && prompt.is_some_and(|prompt| prompt.output > MAX_ANSWER_WHEN_LEAVING)
-}
-
 /// Returns the path and query of a request, unchanged.
 pub(crate) fn path_and_query(req: &Request) -> Box<str> {
     let whole = req.uri().path_and_query();
@@ -76,17 +68,11 @@
         request: &request,
         since: Some(node.clock.now()),
     };
-    let served = match admit(node, req, payload, head).await {
-        Ok(admitted) => {
-            let service = admitted.call.service.clone();
-            let served = admitted.run(node).await;
-            served.inspect_err(|refusal| {
-                if refusal.run == RunState::NotRun {
-                    node.parts.return_trial(node, &service, &request);
-                }
-            })
-        }
-        Err(refusal) => Err(refusal),
+    let may_have_run = MayHaveRun::default();
+    let served = tokio::select! {
+        biased;
+        served = admit_and_run(node, req, payload, head, &may_have_run) => served,
+        () = node.ended() => Err(ended_refusal(&may_have_run)),
     };
     disconnect_logger.since = None;
     served.inspect_err(|refusal| {
@@ -102,6 +88,33 @@
     })
 }
 
+async fn admit_and_run(
+    node: &Rc<Node>,
+    req: &Request,
+    payload: &mut Payload,
+    head: CallHead,
+    may_have_run: &MayHaveRun,
+) -> Result<Response<BoxBody>, Refusal> {
+    let admitted = admit(node, req, payload, head, may_have_run).await?;
+    let service = admitted.call.service.clone();
+    let request = admitted.call.request.clone();
+    let served = admitted.run(node).await;
+    served.inspect_err(|refusal| {
+        if refusal.run == RunState::NotRun {
+            node.parts.return_trial(node, &service, &request);
+        }
+    })
+}
+
+/// Builds the refusal of a request that still runs when this VM ends.
+fn ended_refusal(may_have_run: &MayHaveRun) -> Refusal {
+    let message = "this VM has ended before the answer came";
+    match may_have_run.get() {
+        true => Refusal::possibly_run(RefusalCode::Deadline, message),
+        false => not_ready_refusal(RefusalCode::Draining, message),
+    }
+}
+
 /// Logs that the caller disconnected if it is dropped before the request is answered; the request's
 /// future is then dropped without a result.
 struct DisconnectLogger<'a> {
@@ -125,6 +138,7 @@
     req: &Request,
     payload: &mut Payload,
     head: CallHead,
+    may_have_run: &MayHaveRun,
 ) -> Result<Admitted, Refusal> {
     let arrived = node.clock.now();
     if node.draining() {
@@ -143,12 +157,6 @@
         let soon = expected_start_end(node).saturating_sub(node.clock.now());
         return Err(refusal.with_retry_after(soon.max(UNCONFIRMED_RETRY)));
     }
-    if would_be_cut_off(node, head.prompt.as_ref()) {
-        return Err(not_ready_refusal(
-            RefusalCode::Draining,
-            "this VM is leaving; the answer would be cut off",
-        ));
-    }
     let table = node.gateway.table();
     let (route, workspace) = find_route_and_workspace(node, &table, &head, req.path())?;
     let body = match body {
@@ -217,6 +225,8 @@
         full_regions: BTreeSet::new(),
         headers: head.headers,
         homes: allowed_regions(&route, workspace.as_ref()),
+        kind: route.kind,
+        may_have_run: may_have_run.clone(),
         method: req.method().clone(),
         path: path_and_query(req),
         prompt: head.prompt,
--- a/crates/ebonystand/src/limits.rs
+++ b/crates/ebonystand/src/limits.rs
@@ -8,6 +8,8 @@
     pub body_bytes: usize,
     /// Longest time for a caller to send its body.
     pub body_timeout: Duration,
+    /// Longest time for callers to take the last answers when the VM stops.
+    pub close: Duration,
     /// Most connections of callers at once.
     pub connections: usize,
     /// Longest time that requests which run may take to end when the VM stops.
@@ -27,6 +29,10 @@
     const LINGER_PERMILLE: u32 = 250;
     /// Part of it in which what runs may then end.
     const DRAIN_PERMILLE: u32 = 700;
+    /// Part of it in which callers may then take the last answers.
+    const CLOSE_PERMILLE: u32 = 30;
+    /// Longest time for callers to take the last answers, where `grace_ms` does not say how soon the kill comes.
+    const DEFAULT_CLOSE: Duration = Duration::from_millis(500);
 
     pub(crate) fn read(reader: &mut SettingsReader) -> Self {
         let millis = Duration::from_millis;
@@ -36,9 +42,11 @@
         let parts = (!grace.is_zero()).then_some(grace);
         let linger = parts.map(|grace| grace * Self::LINGER_PERMILLE / 1_000);
         let drain = parts.map(|grace| grace * Self::DRAIN_PERMILLE / 1_000);
+        let close = parts.map(|grace| grace * Self::CLOSE_PERMILLE / 1_000);
         Self {
             body_bytes: reader.ranged("body_bytes", 4 << 20, 1 << 10, 64 << 20) as usize,
             body_timeout: millis(reader.ranged("body_timeout_ms", 30_000, 100, 600_000)),
+            close: close.unwrap_or(Self::DEFAULT_CLOSE),
             connections: reader.ranged("connections", 16_384, 16, 1 << 20) as usize,
             drain: drain.unwrap_or(millis(drain_ms)),
             head_timeout: millis(reader.ranged("head_timeout_ms", 5_000, 100, 60_000)),
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -6,7 +6,7 @@
     capacity_controller::CapacityController,
     client_pool::ClientPool,
     clock::Clock,
-    ebonystand_core::{EntryList, EntryVm, Place, VmRecord},
+    ebonystand_core::{Departure, EntryList, EntryVm, Place, VmRecord},
     gateway::{GatewayController, SlotController},
     group_controller::GroupController,
     group_thread::GroupThread,
@@ -24,7 +24,10 @@
     stall_controller::StallController,
     state_controller::StateController,
     std::collections::BTreeSet,
-    tokio::{net::UdpSocket, sync::Notify},
+    tokio::{
+        net::UdpSocket,
+        sync::{Notify, watch},
+    },
 };
 
 /// State of the process, shared by its tasks, which all run on one thread.
@@ -35,13 +38,14 @@
     pub(crate) capacity: CapacityController,
     pub(crate) clients: ClientPool,
     pub(crate) clock: Rc<dyn Clock>,
+    departure: Cell<Option<Departure>>,
     draining: Cell<bool>,
+    /// Whether what still runs is to be ended, because this VM stops.
+    ends: watch::Sender<bool>,
     pub(crate) gateway: GatewayController,
     pub(crate) group: GroupController,
     pub(crate) in_flight: Rc<Cell<usize>>,
     pub(crate) incarnation: Incarnation,
-    leaving_since: Cell<Option<Duration>>,
-    lingered: Cell<bool>,
     pub(crate) membership: MembershipController,
     pub(crate) metrics: Metrics,
     next_id: Cell<u64>,
@@ -64,10 +68,8 @@
 
 impl Node {
     const DRAIN_LOOK: Duration = Duration::from_millis(20);
-    /// Part of the time for ending what runs, as a divisor, for which the last VM of a region that
-    /// takes callers serves on. Where all VMs are stopped in turn, the region's callers would be sent
-    /// to other regions, which may be no home of theirs, until the first one is back.
-    const LAST_VM_PART: u32 = 2;
+    /// Time for the last messages to other VMs to leave the process.
+    const LAST_MESSAGES: Duration = Duration::from_millis(100);
 
     /// Who holds the key with this hash, if it is valid now.
     pub(crate) fn caller(&self, hash: &KeyHash) -> Option<Caller> {
@@ -96,30 +98,57 @@
 
     /// Leaves without cutting a request: first the other VMs stop naming this one to callers,
     /// and it serves on for as long as the lists that name it are valid; then it takes nothing
-    /// new and ends what runs.
+    /// new and lets what runs end. What still runs when its time is over is refused.
     pub(crate) async fn drain(self: &Rc<Self>) {
         let limits = self.settings.limits;
-        let asked = self.clock.now();
-        self.leaving_since.set(Some(asked));
+        let departure = Departure::new(self.clock.now(), limits.linger, limits.drain);
+        self.departure.set(Some(departure));
         MembershipController::leave(self);
         log::info!(running = self.in_flight.get(); "leaving");
-        actix_rt::time::sleep(limits.linger).await;
-        self.lingered.set(true);
+        self.sleep_until(departure.lingers_until()).await;
         log::info!(running = self.in_flight.get(), others = self.region_has_other_taker(); "lingered");
-        let longest = asked + limits.linger + limits.drain / Self::LAST_VM_PART;
-        while !self.region_has_other_taker() && self.clock.now() < longest {
+        while departure.takes_requests(self.clock.now(), self.region_has_other_taker()) {
             actix_rt::time::sleep(Self::DRAIN_LOOK).await;
         }
         self.draining.set(true);
         self.gateway.origins.hand_over(self);
-        let end = asked + limits.linger + limits.drain;
-        while self.in_flight.get() > 0 && self.clock.now() < end {
+        while self.in_flight.get() > 0 && self.clock.now() < departure.ends() {
             actix_rt::time::sleep(Self::DRAIN_LOOK).await;
         }
+        let cut_off = self.in_flight.get();
+        self.ends.send_replace(true);
         AllowanceController::drain(self);
-        // The last answers and messages are still in the sockets' hands.
-        actix_rt::time::sleep(5 * Self::DRAIN_LOOK).await;
-        log::info!(running = self.in_flight.get(), held_bytes = self.readers.held_bytes(); "stopped");
+        let until = self.clock.now() + limits.close;
+        actix_rt::time::sleep(Self::LAST_MESSAGES).await;
+        while self.has_unsent_answers() && self.clock.now() < until {
+            actix_rt::time::sleep(Self::DRAIN_LOOK).await;
+        }
+        log::info!(running = self.in_flight.get(), cut_off = cut_off, held_bytes = self.readers.held_bytes(); "stopped");
+    }
+
+    /// Waits until what still runs is to be ended, because this VM stops.
+    pub(crate) async fn ended(&self) {
+        let mut ends = self.ends.subscribe();
+        // The sender lives as long as the node.
+        let _ = ends.wait_for(|ends| *ends).await;
+    }
+
+    /// Whether what still runs is to be ended, because this VM stops.
+    pub(crate) fn has_ended(&self) -> bool {
+        *self.ends.borrow()
+    }
+
+    fn has_unsent_answers(&self) -> bool {
+        self.in_flight.get() > 0 || self.readers.held_bytes() > 0
+    }
+
+    async fn sleep_until(&self, time: Duration) {
+        actix_rt::time::sleep(time.saturating_sub(self.clock.now())).await;
+    }
+
+    /// How this VM stops; `None` while it is not about to.
+    pub(crate) fn departure(&self) -> Option<Departure> {
+        self.departure.get()
     }
 
     /// Whether new requests are refused.
@@ -152,12 +181,6 @@
         self.state.key_valid(id)
     }
 
-    /// Whether this VM is about to stop and serves on only for want of another one: what takes long
-    /// would be cut off.
-    pub(crate) fn lingered(&self) -> bool {
-        self.lingered.get()
-    }
-
     /// Whether another VM of the region takes callers.
     fn region_has_other_taker(&self) -> bool {
         let live = self.membership.live(self.clock.now());
@@ -172,13 +195,13 @@
 
     /// Whether this VM is about to stop.
     pub(crate) fn leaving(&self) -> bool {
-        self.leaving_since.get().is_some()
+        self.departure.get().is_some()
     }
 
     /// Milliseconds from the order to stop to `time`, for log lines; `None` while this VM is not about to stop.
     pub(crate) fn leaving_for_ms(&self, time: Duration) -> Option<u64> {
-        let since = self.leaving_since.get()?;
-        Some(time.saturating_sub(since).as_millis() as u64)
+        let asked = self.departure.get()?.asked();
+        Some(time.saturating_sub(asked).as_millis() as u64)
     }
 
     pub(crate) fn new(
@@ -218,13 +241,13 @@
             capacity: CapacityController::default(),
             clients: ClientPool::new(),
             clock,
+            departure: Cell::new(None),
             draining: Cell::new(false),
+            ends: watch::Sender::new(false),
             gateway,
             group: GroupController::new(thread, random_u64()?),
             in_flight: Rc::default(),
             incarnation,
-            leaving_since: Cell::new(None),
-            lingered: Cell::new(false),
             membership: MembershipController::new(own, settings.seeds.clone(), now, seed, socket),
             metrics,
             next_id: Cell::new(0),
--- a/crates/ebonystand/tests/integration/fleet.rs
+++ b/crates/ebonystand/tests/integration/fleet.rs
@@ -28,6 +28,7 @@
 /// Chained description of a small fleet.
 pub(crate) struct FleetBuilder {
     document: Document,
+    drain_ms: Option<u64>,
     engines: Vec<StandIn>,
     gateway: serde_json::Value,
     group: serde_json::Value,
@@ -50,6 +51,7 @@
     pub(crate) fn new() -> Self {
         Self {
             document: Document::default(),
+            drain_ms: None,
             engines: Vec::new(),
             gateway: json!({}),
             group: json!({}),
@@ -107,6 +109,12 @@
         self
     }
 
+    /// Longest time that requests which run may take to end when a VM stops.
+    pub(crate) fn drain_ms(mut self, drain_ms: Option<u64>) -> Self {
+        self.drain_ms = drain_ms;
+        self
+    }
+
     /// Settings of serving by routes, equal on all VMs.
     pub(crate) fn settings(mut self, gateway: serde_json::Value) -> Self {
         self.gateway = gateway;
@@ -146,6 +154,9 @@
                 settings["data_folder"] = json!(dir.path().join(format!("{name}.data")));
             }
             settings["gateway"] = self.gateway.clone();
+            if let Some(drain_ms) = self.drain_ms {
+                settings["limits"]["drain_ms"] = json!(drain_ms);
+            }
             settings["group"] = self.group.clone();
             settings["resources"] = self.resources.clone();
             settings["members"] = (0..self.members).map(|n| format!("vm{n}")).collect();
--- a/crates/ebonystand/tests/integration/routes.rs
+++ b/crates/ebonystand/tests/integration/routes.rs
@@ -25,6 +25,8 @@
 
 /// Regions with their upstreams, and the VMs of each.
 pub(crate) struct Setting {
+    /// Longest time that requests which run may take to end when a VM stops; `None` for the default.
+    pub(crate) drain_ms: Option<u64>,
     list_every_ms: u64,
     regions: Vec<(&'static str, Vec<Scripted>)>,
     pub(crate) resources: serde_json::Value,
@@ -51,6 +53,7 @@
 impl Setting {
     pub(crate) fn new(regions: Vec<(&'static str, Vec<Scripted>)>) -> Self {
         Self {
+            drain_ms: None,
             list_every_ms: 50,
             regions,
             resources: json!({}),
@@ -75,6 +78,7 @@
             builder = builder.region(region, self.vms);
         }
         let regions = self.regions;
+        let builder = builder.drain_ms(self.drain_ms);
         let builder = builder.resources(self.resources).document(|document| {
             let call = |method: &str, path: &str| Call {
                 method: method.into(),
@@ -485,7 +489,11 @@
 async fn a_vm_that_is_about_to_stop_takes_no_long_forwarded_request() {
     let scripted = Scripted::start(echo);
     let regions = vec![("a", Vec::new()), ("b", vec![scripted.clone()])];
-    let fleet = Setting::new(regions).start().await;
+    let setting = Setting {
+        drain_ms: Some(20_000),
+        ..Setting::new(regions)
+    };
+    let fleet = setting.start().await;
     put(&fleet, routing(1)).await;
     served(&fleet.vms[0], "/look/first").await;
     fleet.vms[1].signal("TERM");
