Judge what a leaving VM can still answer by measured times, over a hop too

Callers of a fleet whose VMs are all stopped at once were refused long streams from the signal on, and quick look-ups whose upstreams are in another region for the whole stop, though both end in time.

Cause: the expected time was twice that of the longest answer that the prompt allows, a hop was judged as a call that must not run twice, and a VM without upstreams of its own knew no time at all.

The VM now measures how long whole answers take, by service and length, its own and those of other VMs, and takes the average and four deviations; the kind of the route goes over the hop. Upstreams that have all stopped answering tell nothing. A step that the end of the VM cuts gives back its trial, and a stream keeps one watch of the end.

--- a/crates/ebonystand-core/src/departure.rs
+++ b/crates/ebonystand-core/src/departure.rs
@@ -15,20 +15,24 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct AnswerTime {
     /// Time by which the whole answer is due or refused.
-    pub due: Duration,
-    /// Expected time from now to the end of the answer; `None` if nothing is known of it, or if a wrong expectation
-    /// would cut off a request that must not run twice.
-    pub expected: Option<Duration>,
+    due: Duration,
+    /// Time from now within which almost all such answers end; `None` if only the bound counts.
+    expected: Option<Duration>,
 }
 
 impl AnswerTime {
-    /// Multiple of the expected time within which almost all answers end.
-    const EXPECTED_FACTOR: u32 = 2;
+    /// Creates the time of an answer to a call of this kind that is due at `due`, and of which almost all end within
+    /// `expected`. A wrong expectation would cut off a call that must not run twice, so that only its bound counts.
+    #[must_use]
+    pub fn new(kind: CallKind, due: Duration, expected: Option<Duration>) -> Self {
+        let expected = expected.filter(|_| kind != CallKind::Once);
+        Self { due, expected }
+    }
 
     /// Returns the time by which the answer has come or is refused.
     #[must_use]
     pub fn latest(&self, now: Duration) -> Duration {
-        let expected = self.expected.map(|time| now + time * Self::EXPECTED_FACTOR);
+        let expected = self.expected.map(|time| now.saturating_add(time));
         expected.map_or(self.due, |expected| expected.min(self.due))
     }
 }
--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -54,18 +54,19 @@
 pub(crate) use work_window::WorkWindow;
 
 use {
-    arrival_meter::ArrivalMeter, capacity_sample::CapacitySample,
-    cold_start_limiter::ColdStartLimiter, event_gap_meter::EventGapMeter,
-    ineligibility::Ineligibility, known_upstream::KnownUpstream, learned_speed::LearnedSpeed,
-    limit_share::LimitShare, momentary_speed::MomentarySpeed, named_limit::NamedLimit,
-    path_health::PathHealth, region_budget::RegionBudget, send_pacer::SendPacer,
-    sent_prefixes::SentPrefixes, sent_read::SentRead, upstream_pause::UpstreamPause,
-    zone_health::ZoneHealth,
+    answer_time_meter::AnswerTimeMeter, arrival_meter::ArrivalMeter,
+    capacity_sample::CapacitySample, cold_start_limiter::ColdStartLimiter,
+    event_gap_meter::EventGapMeter, ineligibility::Ineligibility, known_upstream::KnownUpstream,
+    learned_speed::LearnedSpeed, limit_share::LimitShare, momentary_speed::MomentarySpeed,
+    named_limit::NamedLimit, path_health::PathHealth, region_budget::RegionBudget,
+    send_pacer::SendPacer, sent_prefixes::SentPrefixes, sent_read::SentRead,
+    upstream_pause::UpstreamPause, zone_health::ZoneHealth,
 };
 
 mod answer_limit;
 mod answer_pause;
 mod answer_pause_error;
+mod answer_time_meter;
 mod answer_work_time;
 mod arrival_meter;
 mod attempt_end;
--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -11,6 +11,8 @@
     pub(super) own_region: RegionId,
     /// Prompt prefixes known to be cached by engines.
     pub(super) caches: CacheDirectory,
+    /// Times that whole answers take, by service and class of length.
+    pub(super) answer_times: FxHashMap<(ServiceId, u32), AnswerTimeMeter>,
     /// Exchange of load messages with the other VMs of the region.
     pub(super) exchange: LoadExchange,
     /// Live VMs of the region.
@@ -81,6 +83,7 @@
     pub fn new(own: VmId, place: Place, zones: BTreeMap<ZoneId, RegionId>) -> Self {
         Self {
             own_region: place.region,
+            answer_times: FxHashMap::default(),
             caches: CacheDirectory::default(),
             exchange: LoadExchange::new(own.clone(), place.zone),
             vms: LiveVms::new(own.clone()),
--- a/crates/ebonystand-core/src/gateway/upstream_slots.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_slots.rs
@@ -103,29 +103,49 @@
         reading + gap * engine.event_count(prompt.output)
     }
 
-    /// Returns the time from now to the end of the answer to a request; `None` if no upstream of this region tells.
+    /// Records the time that a whole answer of a service took, by the longest answer that the prompt allowed.
+    pub fn record_answer_time(&mut self, service: &str, output: Option<Tokens>, took: Duration) {
+        let key = (service.into(), Self::answer_length(output));
+        self.answer_times
+            .entry(key)
+            .and_modify(|meter| meter.record(took))
+            .or_insert_with(|| AnswerTimeMeter::new(took));
+    }
+
+    /// Returns the time from now within which almost all answers to such a request end, as those of similar length have;
+    /// `None` if nothing is known of it.
     #[must_use]
-    pub fn expected_answer_time(&self, now: Duration, query: &ChoiceQuery) -> Option<Duration> {
+    pub fn expected_answer_time(&self, query: &ChoiceQuery) -> Option<Duration> {
         /// Time that an engine takes for a token before the first measurement.
         const ASSUMED_TOKEN_TIME: Duration = Duration::from_millis(7);
+        let output = query.prompt.map(|prompt| prompt.output);
+        let key = (query.service.into(), Self::answer_length(output));
+        let measured = self.answer_times.get(&key);
+        let measured = measured.map(AnswerTimeMeter::upper_bound);
         let Some(prompt) = query.prompt else {
-            let local = self.upstreams.values().filter(|known| {
-                let is_answering = known.consecutive_failures == 0 && !known.is_leaving();
-                *known.listed.service == *query.service && self.is_local(known) && is_answering
-            });
-            let times = local.map(|known| known.predict_call_duration(now, self.peer_load(known)));
-            return times.max();
-        };
-        let reading = prompt.input as f64 / self.mean_reading_speed(query.service) / 1_000.0;
-        let gap = self.event_gap(now, query.service);
-        let writing = match query.engine.filter(|_| !gap.is_zero()) {
-            Some(engine) => gap * engine.event_count(prompt.output),
-            None => {
-                let tokens = u32::try_from(prompt.output).unwrap_or(u32::MAX);
-                ASSUMED_TOKEN_TIME.saturating_mul(tokens)
-            }
+            return measured.filter(|_| !self.has_gone_silent(query.service));
         };
-        Some(Duration::from_secs_f64(reading) + writing)
+        let time = measured.unwrap_or_else(|| {
+            let tokens = u32::try_from(prompt.output).unwrap_or(u32::MAX);
+            let reading = prompt.input as f64 / self.mean_reading_speed(query.service) / 1_000.0;
+            Duration::from_secs_f64(reading) + ASSUMED_TOKEN_TIME.saturating_mul(tokens)
+        });
+        Some(time)
+    }
+
+    /// Returns the class of answers with at most twice the least length in it.
+    fn answer_length(output: Option<Tokens>) -> u32 {
+        output.map_or(0, |output| output.checked_ilog2().unwrap_or(0) + 1)
+    }
+
+    /// Returns whether all upstreams of a service in this region have stopped answering.
+    fn has_gone_silent(&self, service: &str) -> bool {
+        let mut local = self
+            .upstreams
+            .values()
+            .filter(|known| *known.listed.service == *service && self.is_local(known))
+            .peekable();
+        local.peek().is_some() && local.all(|known| known.consecutive_failures > 0)
     }
 
     /// Returns the engines that may get a request at once, whatever their load.
--- a/crates/ebonystand-core/tests/gateway/main.rs
+++ b/crates/ebonystand-core/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Request routing of the gateway: which configuration is accepted, where a request goes and what
 //! its caller is told.
 
+mod answer_times;
 mod caches;
 mod configuration;
 mod cut_path;
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -8,7 +8,7 @@
     node::Node,
     part_controller::PartQuery,
     path_watch::PathWatch,
-    relay::Relay,
+    relay::{AnswerSource, Relay},
     request_content::RequestContent,
     room_queues::{RoomQueues, RoomTurn},
     slot_hold::SlotHold,
@@ -215,20 +215,13 @@
             return false;
         };
         let now = node.clock.now();
-        let expected = || {
+        let expected = {
             let document = node.document();
             let none = BTreeSet::new();
             let book = node.gateway.book.borrow();
-            book.expected_answer_time(now, &self.query(node, &document, &none))
+            book.expected_answer_time(&self.query(node, &document, &none))
         };
-        let answer = AnswerTime {
-            due: self.end,
-            expected: match self.kind {
-                CallKind::Once => None,
-                CallKind::Idempotent | CallKind::Stream => expected(),
-            },
-        };
-        !departure.admits(now, &answer)
+        !departure.admits(now, &AnswerTime::new(self.kind, self.end, expected))
     }
 
     /// Returns the time left until the whole answer is due.
@@ -346,12 +339,13 @@
             node.gateway.dialect.write(&outgoing, &mut headers);
             headers
         };
-        let until = node.clock.now() + wait;
+        let sent = node.clock.now();
+        let until = sent + wait;
         let connect_time = self.upstream_connect_time();
-        let sent = self
+        let exchanged = self
             .exchange(node, address, instance, headers, connect_time, wait)
             .await;
-        let reader = match sent {
+        let reader = match exchanged {
             Ok(reader) => reader,
             Err(end) => {
                 PathWatch::suspect(node, &self.service);
@@ -385,8 +379,13 @@
                 .await;
         }
         let wait = until.saturating_sub(node.clock.now());
-        let is_unframed = reader.is_unframed();
-        let relay = Relay::start(node, self, reader, address, instance, is_unframed, wait);
+        let source = AnswerSource {
+            address,
+            instance,
+            is_unframed: reader.is_unframed(),
+            sent,
+        };
+        let relay = Relay::start(node, self, reader, source, wait);
         let relay = match relay.await {
             Ok(relay) => relay,
             Err(end) => {
--- a/crates/ebonystand/src/gateway/forward.rs
+++ b/crates/ebonystand/src/gateway/forward.rs
@@ -4,10 +4,10 @@
 use super::*;
 use {
     call::{Call, CallSoftware, Outcome},
-    ebonystand_core::AttemptEnd,
+    ebonystand_core::{AttemptEnd, CallKind},
     ebonystand_wire::{BoundForwarded, Forwarded},
     node::Node,
-    relay::Relay,
+    relay::{AnswerSource, Relay},
 };
 
 /// Header of a forwarded request that carries its [`Forwarded`] metadata.
@@ -18,6 +18,8 @@
 /// Header of a forwarded request for a stream that may be taken up again, with the value [`KNOWN`], and of its answer,
 /// with the software version of the upstream.
 pub(crate) const SOFTWARE: &str = "x-ebonystand-software";
+/// Header of a forwarded request with the [`CallKind`] of its route.
+pub(crate) const KIND: &str = "x-ebonystand-kind";
 /// Value of [`SOFTWARE`] that admits the software versions that all VMs know.
 pub(crate) const KNOWN: &str = "known";
 /// Header of a forwarded request that tells that its VM understands [`UNFRAMED`]. Other VMs would
@@ -65,6 +67,14 @@
     }
 }
 
+/// Parses the value of [`KIND`]. A call of a VM that does not tell must not run twice.
+pub(crate) fn parse_kind(headers: &HeaderMap) -> CallKind {
+    let kinds = [CallKind::Idempotent, CallKind::Stream];
+    let name = headers::text(headers, KIND).unwrap_or_default();
+    let mut told = kinds.into_iter().filter(|kind| kind.to_string() == name);
+    told.next().unwrap_or(CallKind::Once)
+}
+
 /// Whether the answer that a VM passes on has no framing of its upstream's.
 fn is_unframed(reader: &ResponseReader) -> bool {
     reader.is_unframed() || reader.head().headers.contains_key(UNFRAMED)
@@ -119,12 +129,13 @@
     wait: Duration,
 ) -> (Outcome, bool) {
     let headers = || forwarded_headers(node, call);
-    let until = node.clock.now() + wait;
+    let sent = node.clock.now();
+    let until = sent + wait;
     let connect_time = Connection::MAX_CONNECT_TIME;
-    let sent = call
+    let exchanged = call
         .exchange(node, address, vm, headers, connect_time, wait)
         .await;
-    let reader = match sent {
+    let reader = match exchanged {
         Ok(reader) => reader,
         Err(end) => {
             if matches!(end, AttemptEnd::Unreachable | AttemptEnd::TimedOut) {
@@ -142,8 +153,13 @@
         );
     }
     let wait = until.saturating_sub(node.clock.now());
-    let is_unframed = is_unframed(&reader);
-    let relay = Relay::start(node, call, reader, address, vm, is_unframed, wait).await;
+    let source = AnswerSource {
+        address,
+        instance: vm,
+        is_unframed: is_unframed(&reader),
+        sent,
+    };
+    let relay = Relay::start(node, call, reader, source, wait).await;
     let outcome = match relay {
         Ok(relay) => {
             let mut answered = relay.into_answered(None);
@@ -175,6 +191,7 @@
     // A caller may have sent headers of these names.
     headers.remove(BOUND);
     headers.remove(SOFTWARE);
+    headers::set(&mut headers, KIND, &call.kind.to_string());
     let secret = &node.peers.secret;
     let (name, text) = match &call.software {
         CallSoftware::Any => (FORWARDED, forwarded.to_header(secret)),
--- a/crates/ebonystand/src/gateway/receive_forward.rs
+++ b/crates/ebonystand/src/gateway/receive_forward.rs
@@ -3,7 +3,7 @@
 use super::*;
 use {
     call::{Call, CallSoftware, Destination, MayHaveRun, Outcome},
-    ebonystand_core::{AttemptEnd, CallKind, Mechanism, TargetChoice},
+    ebonystand_core::{AttemptEnd, Mechanism, TargetChoice},
     ebonystand_wire::{BoundForwarded, Forwarded},
     in_flight::InFlight,
     node::Node,
@@ -126,15 +126,12 @@
                 forward::ACCEPTS_UNFRAMED,
                 forward::BOUND,
                 forward::FORWARDED,
+                forward::KIND,
                 forward::SOFTWARE,
             ],
         ),
         homes: forwarded.homes,
-        // The forwarding VM does not tell whether a call without a prompt may run twice.
-        kind: match forwarded.prompt {
-            Some(_) => CallKind::Stream,
-            None => CallKind::Once,
-        },
+        kind: forward::parse_kind(req.headers()),
         may_have_run: may_have_run.clone(),
         method: req.method().clone(),
         path: serve_call::path_and_query(req),
@@ -274,7 +271,7 @@
 fn with_earlier_attempts(mut outcome: Outcome, is_turned_away: bool) -> Outcome {
     if let Outcome::Ended { end, .. } = &mut outcome
         && is_turned_away
-        && *end == AttemptEnd::Unreachable
+        && matches!(end, AttemptEnd::Departing | AttemptEnd::Unreachable)
     {
         *end = AttemptEnd::AddressReused;
     }
--- a/crates/ebonystand/src/gateway/relay.rs
+++ b/crates/ebonystand/src/gateway/relay.rs
@@ -8,6 +8,7 @@
     ebonystand_core::{AttemptEnd, EventBoundary},
     in_flight::InFlight,
     node::Node,
+    tokio::sync::watch,
 };
 
 /// Passes an upstream's answer on to a caller, and holds the request's resources until the answer
@@ -28,9 +29,16 @@
     is_stream: bool,
     /// Whether the upstream has framed the body neither by a length nor by chunks.
     is_unframed: bool,
+    /// Tells when this VM ends what still runs.
+    ends: watch::Receiver<bool>,
     node: Rc<Node>,
+    /// Longest answer that the prompt allows; `None` without a prompt.
+    output: Option<Tokens>,
     request: Box<str>,
     requires_framing: bool,
+    /// Time at which the request was sent.
+    sent: Duration,
+    service: ServiceId,
     started: Duration,
     /// Workspace whose latency metrics include this answer. `None` on public routes, and on a VM
     /// that serves the request for another region.
@@ -38,6 +46,16 @@
     bytes: u64,
 }
 
+/// Where an answer comes from.
+pub(crate) struct AnswerSource<'a> {
+    pub(crate) address: SocketAddr,
+    pub(crate) instance: &'a UpstreamId,
+    /// Whether the body is framed neither by a length nor by chunks.
+    pub(crate) is_unframed: bool,
+    /// Time at which the request was sent.
+    pub(crate) sent: Duration,
+}
+
 /// Resources that a request holds until its answer has ended. They are released by dropping this
 /// value.
 #[derive(Default)]
@@ -80,11 +98,15 @@
         node: &Rc<Node>,
         call: &Call,
         mut reader: ResponseReader,
-        address: SocketAddr,
-        instance: &UpstreamId,
-        is_unframed: bool,
+        source: AnswerSource<'_>,
         wait: Duration,
     ) -> Result<Self, AttemptEnd> {
+        let AnswerSource {
+            address,
+            instance,
+            is_unframed,
+            sent,
+        } = source;
         let events = is_event_stream(reader.head()).then(EventBoundary::default);
         let first = match actix_rt::time::timeout(wait, reader.next()).await {
             Ok(Ok(None)) if is_unframed && events.is_some() => {
@@ -108,6 +130,7 @@
             attempt: None,
             bytes: 0,
             end: call.end,
+            ends: node.watch_end(),
             events,
             first,
             _resources: RequestResources::default(),
@@ -115,8 +138,11 @@
             is_stream: call.prompt.is_some(),
             is_unframed,
             node: Rc::clone(node),
+            output: call.prompt.as_ref().map(|prompt| prompt.output),
             request: call.request.clone(),
             requires_framing: false,
+            sent,
+            service: call.service.clone(),
             started: call.arrived,
             workspace: None,
         })
@@ -218,7 +244,7 @@
             false => tokio::select! {
                 biased;
                 next = actix_rt::time::timeout(left, reader.next()) => next.ok(),
-                () = self.node.ended() => None,
+                _ = self.ends.wait_for(|ends| *ends) => None,
             },
         };
         match next {
@@ -290,6 +316,10 @@
     /// Records the end of the answer and returns the connection to the pool.
     fn finish(&mut self) {
         let now = self.node.clock.now();
+        let took = now.saturating_sub(self.sent);
+        let mut book = self.node.gateway.book.borrow_mut();
+        book.record_answer_time(&self.service, self.output, took);
+        drop(book);
         if let Some(id) = &self.workspace {
             let label = self.node.metrics.workspace(id);
             let whole = now.saturating_sub(self.started);
--- a/crates/ebonystand/src/gateway/serve_call.rs
+++ b/crates/ebonystand/src/gateway/serve_call.rs
@@ -68,12 +68,7 @@
         request: &request,
         since: Some(node.clock.now()),
     };
-    let may_have_run = MayHaveRun::default();
-    let served = tokio::select! {
-        biased;
-        served = admit_and_run(node, req, payload, head, &may_have_run) => served,
-        () = node.ended() => Err(ended_refusal(&may_have_run)),
-    };
+    let served = admit_and_run(node, req, payload, head).await;
     disconnect_logger.since = None;
     served.inspect_err(|refusal| {
         let table = node.gateway.table();
@@ -93,12 +88,13 @@
     req: &Request,
     payload: &mut Payload,
     head: CallHead,
-    may_have_run: &MayHaveRun,
 ) -> Result<Response<BoxBody>, Refusal> {
-    let admitted = admit(node, req, payload, head, may_have_run).await?;
+    let may_have_run = MayHaveRun::default();
+    let admitted = admit(node, req, payload, head, &may_have_run);
+    let admitted = until_end(node, &may_have_run, admitted).await?;
     let service = admitted.call.service.clone();
     let request = admitted.call.request.clone();
-    let served = admitted.run(node).await;
+    let served = until_end(node, &may_have_run, admitted.run(node)).await;
     served.inspect_err(|refusal| {
         if refusal.run == RunState::NotRun {
             node.parts.return_trial(node, &service, &request);
@@ -106,12 +102,20 @@
     })
 }
 
-/// Builds the refusal of a request that still runs when this VM ends.
-fn ended_refusal(may_have_run: &MayHaveRun) -> Refusal {
+/// Waits for a step of a request, and refuses the request if this VM ends before.
+async fn until_end<T>(
+    node: &Node,
+    may_have_run: &MayHaveRun,
+    step: impl Future<Output = Result<T, Refusal>>,
+) -> Result<T, Refusal> {
     let message = "this VM has ended before the answer came";
-    match may_have_run.get() {
-        true => Refusal::possibly_run(RefusalCode::Deadline, message),
-        false => not_ready_refusal(RefusalCode::Draining, message),
+    tokio::select! {
+        biased;
+        done = step => done,
+        () = node.ended() => Err(match may_have_run.get() {
+            true => Refusal::possibly_run(RefusalCode::Deadline, message),
+            false => not_ready_refusal(RefusalCode::Draining, message),
+        }),
     }
 }
 
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -128,9 +128,13 @@
 
     /// Waits until what still runs is to be ended, because this VM stops.
     pub(crate) async fn ended(&self) {
-        let mut ends = self.ends.subscribe();
         // The sender lives as long as the node.
-        let _ = ends.wait_for(|ends| *ends).await;
+        let _ = self.watch_end().wait_for(|ends| *ends).await;
+    }
+
+    /// Watches whether what still runs is to be ended.
+    pub(crate) fn watch_end(&self) -> watch::Receiver<bool> {
+        self.ends.subscribe()
     }
 
     /// Whether what still runs is to be ended, because this VM stops.
