Have a leaving VM of the own API send only what it can answer

Callers of /v1/chat/completions and /v1/services saw connections closed without an answer, and streams cut without a sign, at the end of a planned stop. An order by key was granted, sent and closed, although its VM knew that it would end before.

The own API took and sent work until half of the time to drain, whatever its deadline, and nothing answered what still ran.

The route of a request now tells the predicted end of its answer, by the tokens that it may have and the upstream's speed. Right before each send the core decides by it, or by the deadline alone for an order that must not run twice. What runs at the end is refused: 503 if not sent, 504 and unknown otherwise, unknown in any case with an order key; a stream ends in an error event.

--- a/crates/ebonystand-core/src/route.rs
+++ b/crates/ebonystand-core/src/route.rs
@@ -12,6 +12,8 @@
     pub cost: u64,
     /// Predicted time to first token.
     pub predicted: Duration,
+    /// Predicted time to the end of an answer with all tokens that the request allows.
+    pub predicted_end: Duration,
     /// Reason for the choice of the upstream.
     pub reason: RouteReason,
     /// Region of the upstream.
--- a/crates/ebonystand-core/src/router.rs
+++ b/crates/ebonystand-core/src/router.rs
@@ -279,6 +279,8 @@
             .map(|candidate| self.to_route_candidate(candidate))
             .collect();
         let state = self.upstreams.get(chosen.index);
+        let sharing = 1.0 + state.load.occupancy(self.fleet_load_factor.factor());
+        let writing_s = query.max_tokens as f64 / state.speed.max(1) as f64 * sharing;
         if query.prefix_tokens > 0 {
             let key = Self::prefix_key(query);
             self.prefix_hints
@@ -289,6 +291,7 @@
             candidates,
             cost: state.cost,
             predicted: millis(chosen.predicted_ms),
+            predicted_end: millis(chosen.predicted_ms + writing_s * 1_000.0),
             reason: chosen.reason,
             region: self.upstreams.region(state.region).clone(),
             upstream: state.id.clone(),
--- a/crates/ebonystand-core/tests/routing.rs
+++ b/crates/ebonystand-core/tests/routing.rs
@@ -285,3 +285,22 @@
     }
     assert_eq!(router.dispatch_slots(ms(2), &model()), 12);
 }
+
+/// Guards against a leaving VM that takes the time to the first token of an answer for that to its end.
+#[test]
+fn an_answer_ends_later_the_more_tokens_it_may_have() {
+    let mut router = router(&document(&[1, 0, 0]));
+    let (target, residency) = (model(), regions(&["armor"]));
+    let mut query = query(&target, &residency);
+    let mut writing = |tokens| {
+        query.max_tokens = tokens;
+        let route = router.route(ms(1), &query).expect("idle");
+        route.predicted_end - route.predicted
+    };
+    let (short, long) = (writing(100), writing(10_000));
+    assert!(short > Duration::ZERO);
+    assert!(
+        long > short * 99 && long < short * 101,
+        "{short:?}, {long:?}"
+    );
+}
--- a/crates/ebonystand/src/admitted_request.rs
+++ b/crates/ebonystand/src/admitted_request.rs
@@ -3,8 +3,9 @@
     caller::Caller,
     dispatch::DispatchFailure,
     ebonystand_core::{
-        Deadline, Fingerprint, Quarantine, Retryable, Route, RouteQuery, Target, Tokens,
+        AnswerTime, Deadline, Fingerprint, Quarantine, Retryable, Route, RouteQuery, Target, Tokens,
     },
+    gateway::MayHaveRun,
     node::Node,
     retry_permit::RetryPermit,
 };
@@ -22,6 +23,8 @@
     pub(crate) fingerprint: Fingerprint,
     pub(crate) id: Box<str>,
     pub(crate) max_tokens: Tokens,
+    /// Whether an upstream may have run the request, or may be running it.
+    pub(crate) may_have_run: MayHaveRun,
     /// Permit of the retry that is under way.
     pub(crate) permit: Option<RetryPermit>,
     pub(crate) prefix: u64,
@@ -44,6 +47,25 @@
         node.routes.confirm(node.clock.now(), &query, upstream)
     }
 
+    /// The refusal of a request whose answer can't come before this VM ends, if it is about to stop. `expected` is
+    /// the time to the end of the answer; `None` for a request that must not run twice.
+    pub(crate) fn departure_refusal(
+        &self,
+        node: &Node,
+        expected: Option<Duration>,
+    ) -> Option<Refusal> {
+        let departure = node.departure()?;
+        let answer = AnswerTime {
+            due: self.deadline.at(),
+            expected,
+        };
+        if departure.admits(node.clock.now(), &answer) {
+            return None;
+        }
+        let message = "this VM is leaving; the answer would be cut off";
+        Some(Refusal::not_run(RefusalCode::Draining, message))
+    }
+
     /// Fingerprint of a request, by which one that crashes upstreams is known again.
     pub(crate) fn fingerprint(caller: &Caller, target: &Target, body: &[u8]) -> Fingerprint {
         Quarantine::fingerprint(&caller.workspace, &target.to_string(), body)
@@ -106,6 +128,7 @@
         if !not_started {
             self.failure = Some(failure.refusal());
         }
+        self.may_have_run.set(self.failure.is_some());
         let retryable = Retryable::classify(false, !not_started, false);
         RetryPermit::end_attempt(&mut self.permit, !not_started);
         let document = node.document();
--- a/crates/ebonystand/src/attempt.rs
+++ b/crates/ebonystand/src/attempt.rs
@@ -92,6 +92,11 @@
         self.node.quarantine.finished(&self.node, self.run, end);
     }
 
+    /// This VM ends before the answer does.
+    pub(crate) fn cut_off(self) {
+        log::warn!(request:% = self.request_id, upstream:% = self.route.upstream; "cut off: this VM ends");
+    }
+
     /// The first byte of the answer came.
     pub(crate) fn first_byte(&mut self) {
         self.first_byte = Some(self.node.clock.now());
--- a/crates/ebonystand/src/call_service.rs
+++ b/crates/ebonystand/src/call_service.rs
@@ -6,7 +6,8 @@
     allowance_controller::{AllowanceController, Reserved},
     attempt::Attempt,
     dispatch::{Answer, DispatchFailure, Outgoing},
-    ebonystand_core::{Priority, Target},
+    ebonystand_core::{Priority, RunEnd, Target},
+    gateway::MayHaveRun,
     node::Node,
     order_controller::OrderController,
     retry_permit::RetryPermit,
@@ -36,8 +37,9 @@
     payload: &mut Payload,
     id: &str,
     rest: &str,
+    may_have_run: &MayHaveRun,
 ) -> Result<Response<BoxBody>, Refusal> {
-    let prepared = prepare(node, req, payload, id, rest).await;
+    let prepared = prepare(node, req, payload, id, rest, may_have_run).await;
     let prepared = prepared.map_err(|refusal| before_journal(req, refusal))?;
     let Prepared {
         call,
@@ -82,6 +84,7 @@
     payload: &mut Payload,
     id: &str,
     rest: &str,
+    may_have_run: &MayHaveRun,
 ) -> Result<Prepared, Refusal> {
     let arrived = node.clock.now();
     let caller = authenticate::check(node, req)?;
@@ -111,6 +114,7 @@
             failure: None,
             id: id.into(),
             max_tokens: 1,
+            may_have_run: may_have_run.clone(),
             permit: None,
             prefix: 0,
             prefix_tokens: 0,
@@ -173,10 +177,14 @@
             .await
             .map_err(|refusal| call.req.final_refusal(refusal))?;
         if !call.req.confirm(node, &route.upstream) {
-            node.quarantine
-                .finished(node, run, ebonystand_core::RunEnd::Clean);
+            node.quarantine.finished(node, run, RunEnd::Clean);
             continue;
         }
+        let expected = Some(route.predicted_end);
+        if let Some(refusal) = call.req.departure_refusal(node, expected) {
+            node.quarantine.finished(node, run, RunEnd::Clean);
+            return Err(call.req.final_refusal(refusal));
+        }
         let attempt = Attempt::begin(node, &call.req, route, run);
         let upstream = attempt.upstream().clone();
         RetryPermit::begin_attempt(&mut call.req.permit);
@@ -219,6 +227,7 @@
             upstream: attempt.upstream(),
             workspace: &self.req.caller.workspace,
         };
+        self.req.may_have_run.set(true);
         let response = dispatch::send(node, &outgoing).await?;
         dispatch::read_whole(node, response, self.req.left(node)).await
     }
--- a/crates/ebonystand/src/caller_api.rs
+++ b/crates/ebonystand/src/caller_api.rs
@@ -1,7 +1,12 @@
 //! What callers ask for.
 
 use super::*;
-use {ebonystand_core::EntryList, gateway::serve_call, in_flight::InFlight, node::Node};
+use {
+    ebonystand_core::EntryList,
+    gateway::{MayHaveRun, serve_call},
+    in_flight::InFlight,
+    node::Node,
+};
 
 /// What paths of the gateway's own interface begin with; all others are for routes.
 const OWN: &str = "/v1/";
@@ -13,7 +18,13 @@
     }
     let id = node.request_id();
     let mut payload = req.take_payload();
-    let mut response = match route(&node, &req, &mut payload, &id).await {
+    let may_have_run = MayHaveRun::default();
+    let served = tokio::select! {
+        biased;
+        served = route(&node, &req, &mut payload, &id, &may_have_run) => served,
+        () = node.ended() => Err(call_service::before_journal(&req, ended(&may_have_run))),
+    };
+    let mut response = match served {
         Ok(response) => response,
         Err(refusal) => {
             log::info!(request = &*id, code:% = refusal.code, run:% = refusal.run, reason:% = refusal.message; "refused");
@@ -34,11 +45,21 @@
     response
 }
 
+/// Refusal of a request that still runs when this VM ends.
+fn ended(may_have_run: &MayHaveRun) -> Refusal {
+    let message = "this VM has ended before the answer came";
+    match may_have_run.get() {
+        true => Refusal::possibly_run(RefusalCode::Deadline, message),
+        false => Refusal::not_run(RefusalCode::Draining, message),
+    }
+}
+
 async fn route(
     node: &Rc<Node>,
     req: &Request,
     payload: &mut Payload,
     id: &str,
+    may_have_run: &MayHaveRun,
 ) -> Result<Response<BoxBody>, Refusal> {
     loop_guard::check(req)?;
     let path: Box<str> = req.path().into();
@@ -50,11 +71,11 @@
     let in_flight = admit(node).map_err(|refusal| call_service::before_journal(req, refusal))?;
     if let Some(rest) = path.strip_prefix(SERVICES) {
         let _in_flight = in_flight;
-        return call_service::handle(node, req, payload, id, rest).await;
+        return call_service::handle(node, req, payload, id, rest, may_have_run).await;
     }
     match (req.method(), &*path) {
         (&Method::POST, "/v1/chat/completions") => {
-            complete::handle(node, req, payload, id, in_flight).await
+            complete::handle(node, req, payload, id, in_flight, may_have_run).await
         }
         _ => Err(Refusal::not_run(
             RefusalCode::UnknownPath,
--- a/crates/ebonystand/src/complete.rs
+++ b/crates/ebonystand/src/complete.rs
@@ -7,7 +7,8 @@
     attempt::Attempt,
     chat_request::ChatRequest,
     dispatch::{DispatchFailure, Outgoing},
-    ebonystand_core::{StreamFraming, StreamGuard, Target},
+    ebonystand_core::{RunEnd, StreamFraming, StreamGuard, Target},
+    gateway::MayHaveRun,
     in_flight::InFlight,
     node::Node,
     queue_controller::{QueueController, Slot},
@@ -42,6 +43,7 @@
     payload: &mut Payload,
     id: &str,
     in_flight: InFlight,
+    may_have_run: &MayHaveRun,
 ) -> Result<Response<BoxBody>, Refusal> {
     let arrived = node.clock.now();
     let caller = authenticate::check(node, req)?;
@@ -65,6 +67,7 @@
         fingerprint,
         id: id.into(),
         max_tokens: chat.max_tokens,
+        may_have_run: may_have_run.clone(),
         permit: None,
         prefix: chat.prefix,
         prefix_tokens: chat.prefix_tokens,
@@ -105,10 +108,13 @@
         let run = node.quarantine.begin(node, req.fingerprint, limit).await;
         let run = run.map_err(|refusal| req.final_refusal(refusal))?;
         if !req.confirm(node, &route.upstream) {
-            node.quarantine
-                .finished(node, run, ebonystand_core::RunEnd::Clean);
+            node.quarantine.finished(node, run, RunEnd::Clean);
             continue;
         }
+        if let Some(refusal) = req.departure_refusal(node, Some(route.predicted_end)) {
+            node.quarantine.finished(node, run, RunEnd::Clean);
+            return Err(req.final_refusal(refusal));
+        }
         let attempt = Attempt::begin(node, req, route, run);
         let upstream = attempt.upstream().clone();
         RetryPermit::begin_attempt(&mut req.permit);
@@ -141,6 +147,7 @@
         upstream: attempt.upstream(),
         workspace: &req.caller.workspace,
     };
+    req.may_have_run.set(true);
     let answered = dispatch::send(node, &outgoing).await;
     let result = match answered {
         Ok(response) if is_engines_fault(response.status()) => {
--- a/crates/ebonystand/src/order_controller.rs
+++ b/crates/ebonystand/src/order_controller.rs
@@ -6,7 +6,7 @@
     ebonystand_core::{
         BodyHash, Command, CommandOutcome, Deadline, InFlightOrder, OrderAction, OrderAnswer,
         OrderCommand, OrderDispatch, OrderHolderSource, OrderId, OrderLimits, OrderOutcome,
-        OrderPermit, OrderReply, OrderRequest, UnsentOrder, order_region,
+        OrderPermit, OrderReply, OrderRequest, RunEnd, UnsentOrder, order_region,
     },
     group_controller::GroupController,
     in_flight::InFlight,
@@ -236,11 +236,15 @@
             let route = req.route_without(node, excluded)?;
             let limit = req.left(node);
             let run = node.quarantine.begin(node, req.fingerprint, limit).await?;
-            if req.confirm(node, &route.upstream) {
+            let is_confirmed = req.confirm(node, &route.upstream);
+            let refusal = req.departure_refusal(node, None);
+            if is_confirmed && refusal.is_none() {
                 return Ok(Attempt::begin(node, req, route, run));
             }
-            node.quarantine
-                .finished(node, run, ebonystand_core::RunEnd::Clean);
+            node.quarantine.finished(node, run, RunEnd::Clean);
+            if let Some(refusal) = refusal {
+                return Err(refusal);
+            }
         }
     }
 }
--- a/crates/ebonystand/src/relay.rs
+++ b/crates/ebonystand/src/relay.rs
@@ -49,15 +49,21 @@
                 message,
             )));
         }
+        let node = Rc::clone(&self.node);
         loop {
             let response = self.response.as_mut()?;
-            let now = self.node.clock.now();
+            let now = node.clock.now();
             let wait = self.guard.next_tick().saturating_sub(now);
-            let verdict = match actix_rt::time::timeout(wait, response.next()).await {
+            let bytes = tokio::select! {
+                biased;
+                () = node.ended() => return Some(self.cut_off()),
+                bytes = actix_rt::time::timeout(wait, response.next()) => bytes,
+            };
+            let verdict = match bytes {
                 Ok(Some(Ok(bytes))) => return self.pass(bytes),
                 Ok(Some(Err(_))) => self.guard.on_end(false),
                 Ok(None) => self.guard.on_end(true),
-                Err(_) => self.guard.on_tick(self.node.clock.now()),
+                Err(_) => self.guard.on_tick(node.clock.now()),
             };
             if let StreamVerdict::Broken { fault, .. } = verdict {
                 return self.broken(fault);
@@ -93,6 +99,15 @@
         }
     }
 
+    fn cut_off(&mut self) -> Bytes {
+        if let Some(attempt) = self.attempt.take() {
+            attempt.cut_off();
+        }
+        self.response = None;
+        let message = "this VM has ended before the answer was whole";
+        error_event(&Refusal::possibly_run(RefusalCode::Deadline, message))
+    }
+
     fn end_cancelled(&mut self) {
         self.attempt = None;
         self.response = None;
--- a/crates/ebonystand/tests/integration/main.rs
+++ b/crates/ebonystand/tests/integration/main.rs
@@ -19,6 +19,7 @@
 mod links;
 mod orders;
 mod pauses;
+mod planned_stops;
 mod routes;
 mod scripted;
 mod slots;
--- /dev/null
+++ b/crates/ebonystand/tests/integration/planned_stops.rs
@@ -0,0 +1,124 @@
+use {
+    crate::{
+        answer::Answer,
+        fleet::{CERTIFICATES, CHAT, DRAFT, Fleet, FleetBuilder, KEY},
+    },
+    ebonystand_fakes::{EngineOptions, Fault},
+    std::time::{Duration, SystemTime},
+};
+
+const LOOKUP: &str = "/v1/services/registry/certificates/7";
+
+fn order_key() -> String {
+    let now = SystemTime::UNIX_EPOCH.elapsed().unwrap().as_secs();
+    format!("utara/{now}-award")
+}
+
+/// VMs of one region that end a second after they have been asked to.
+async fn fleet(vms: usize, options: EngineOptions) -> Fleet {
+    FleetBuilder::new()
+        .region("utara", vms)
+        .engine(options)
+        .registry()
+        .drain_ms(Some(1_000))
+        .start()
+        .await
+}
+
+/// Sends a request, and asks the VM to stop once the upstream has it.
+async fn stop_under_way(fleet: &Fleet, path: &str, body: &str, key: &str) -> Answer {
+    let headers = [("x-ebonystand-order-key", key)];
+    let stop = async {
+        let upstreams = [&fleet.engines[0], &fleet.registries[0]];
+        loop {
+            for upstream in upstreams {
+                if upstream.seen().await.requests > 0 {
+                    return fleet.vms[0].signal("TERM");
+                }
+            }
+            actix_rt::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let call = fleet.vms[0].call_with(KEY, "POST", path, body, &headers);
+    tokio::join!(call, stop).0
+}
+
+/// Guards against a connection that is closed without an answer when the VM ends before the upstream answers.
+#[actix_rt::test]
+async fn a_chat_that_still_runs_at_the_end_of_a_stop_is_refused_as_possibly_run() {
+    let fleet = fleet(1, EngineOptions::default()).await;
+    fleet.engines[0].set_fault(Fault::Silent).await;
+    let chat = DRAFT.replace("true", "false");
+    let answer = stop_under_way(&fleet, CHAT, &chat, &order_key()).await;
+    let refusal = (answer.status, &*answer.code(), &*answer.run());
+    assert_eq!(refusal, (504, "deadline", "unknown"));
+}
+
+/// Guards against half an answer that its caller takes for a whole one when the VM ends.
+#[actix_rt::test]
+async fn a_stream_that_still_runs_at_the_end_of_a_stop_ends_in_an_error() {
+    let options = EngineOptions {
+        token: Duration::from_millis(900),
+        ..EngineOptions::default()
+    };
+    let fleet = fleet(1, options).await;
+    let answer = stop_under_way(&fleet, CHAT, DRAFT, &order_key()).await;
+    assert!(!answer.whole_stream());
+    assert!(answer.body.contains("event: error"), "{answer:?}");
+}
+
+/// Guards against an order that is cut off without an answer, or run again under its key.
+#[actix_rt::test]
+async fn an_order_that_still_runs_at_the_end_of_a_stop_is_unknown_and_not_run_again() {
+    let mut fleet = fleet(2, EngineOptions::default()).await;
+    fleet.registries[0].set_fault(Fault::Silent).await;
+    let key = order_key();
+    let answer = stop_under_way(&fleet, CERTIFICATES, "{}", &key).await;
+    assert_eq!((answer.status, &*answer.run()), (504, "unknown"));
+    assert!(fleet.vms[0].wait());
+    fleet.registries[0].set_fault(Fault::None).await;
+    let headers = [("x-ebonystand-order-key", &*key)];
+    let again = fleet.vms[1].call_with(KEY, "POST", CERTIFICATES, "{}", &headers);
+    assert_eq!(again.await.run(), "unknown");
+    assert_eq!(fleet.registries[0].seen().await.requests, 1);
+}
+
+/// Guards against an order that a leaving VM sends although it ends before the order's time is over.
+#[actix_rt::test]
+async fn a_leaving_vm_sends_no_order_whose_answer_may_come_too_late() {
+    let fleet = fleet(1, EngineOptions::default()).await;
+    fleet.registries[0].set_fault(Fault::Silent).await;
+    fleet.vms[0].signal("TERM");
+    fleet.vms[0].log_with("lingered").await;
+    let key = order_key();
+    let headers = [("x-ebonystand-order-key", &*key)];
+    let answer = fleet.vms[0].call_with(KEY, "POST", CERTIFICATES, "{}", &headers);
+    assert_eq!(answer.await.run(), "not_run");
+    assert_eq!(fleet.registries[0].seen().await.requests, 0);
+}
+
+/// Guards against a long chat that a leaving VM begins and breaks off.
+#[actix_rt::test]
+async fn a_leaving_vm_sends_no_chat_whose_answer_is_expected_too_late() {
+    let fleet = fleet(1, EngineOptions::default()).await;
+    // Its tokens take half a minute at the speed that is stated for the engine.
+    let chat = DRAFT.replace("\"max_tokens\":6", "\"max_tokens\":30000");
+    fleet.vms[0].signal("TERM");
+    fleet.vms[0].log_with("lingered").await;
+    let answer = fleet.vms[0].call(KEY, "POST", CHAT, &chat).await;
+    let refusal = (answer.status, &*answer.code(), &*answer.run());
+    assert_eq!(refusal, (503, "draining", "not_run"));
+    assert_eq!(fleet.engines[0].seen().await.requests, 0);
+}
+
+/// Guards against a leaving VM without others beside it that refuses what it can answer in time.
+#[actix_rt::test]
+async fn the_last_vm_of_a_region_serves_what_it_can_answer_before_it_ends() {
+    let fleet = fleet(1, EngineOptions::default()).await;
+    fleet.vms[0].signal("TERM");
+    fleet.vms[0].log_with("lingered").await;
+    let answer = fleet.vms[0].call(KEY, "POST", CHAT, DRAFT).await;
+    assert!(answer.whole_stream(), "{answer:?}");
+    let answer = fleet.vms[0].call(KEY, "GET", LOOKUP, "").await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+}
