Answer callers who are still sending when a VM ends

A caller whose body had not come when a VM stopped got no answer: its connection was closed at the end of the process.

Cause: a refusal is written once the rest of the body has been read and thrown away, for up to 30 s, longer than a VM that ends has.

Evidence: a_request_whose_body_has_not_come_at_the_end_of_a_stop_is_refused got an empty answer before.

Reading on now ends when the VM does, for routes and for the own API.

--- a/crates/ebonystand/src/body.rs
+++ b/crates/ebonystand/src/body.rs
@@ -6,7 +6,7 @@
 const DISCARDED: usize = 4;
 
 /// Reads on after a refusal. A caller that is still sending when its connection is closed gets a
-/// reset in place of the answer, and never learns why it was refused.
+/// reset in place of the answer, and never learns why it was refused. When this VM ends, it gets no other chance.
 pub(crate) async fn discard(node: &Node, payload: &mut Payload) {
     let limits = &node.settings.limits;
     let mut left = limits.body_bytes * DISCARDED;
@@ -19,7 +19,10 @@
         }
     };
     // What is not read in time is not read at all; the connection is closed.
-    let _ = actix_rt::time::timeout(limits.body_timeout, rest).await;
+    tokio::select! {
+        _ = actix_rt::time::timeout(limits.body_timeout, rest) => {}
+        () = node.ended() => {}
+    }
 }
 
 pub(crate) async fn read(
--- a/crates/ebonystand/tests/integration/planned_stops.rs
+++ b/crates/ebonystand/tests/integration/planned_stops.rs
@@ -5,6 +5,10 @@
     },
     ebonystand_fakes::{EngineOptions, Fault},
     std::time::{Duration, SystemTime},
+    tokio::{
+        io::{AsyncReadExt as _, AsyncWriteExt as _},
+        net::TcpStream,
+    },
 };
 
 const LOOKUP: &str = "/v1/services/registry/certificates/7";
@@ -122,3 +126,22 @@
     let answer = fleet.vms[0].call(KEY, "GET", LOOKUP, "").await;
     assert_eq!(answer.status, 200, "{answer:?}");
 }
+
+/// Guards against a caller that is still sending its request when the VM ends, and gets no answer.
+#[actix_rt::test]
+async fn a_request_whose_body_has_not_come_at_the_end_of_a_stop_is_refused() {
+    let fleet = fleet(1, EngineOptions::default()).await;
+    let mut io = TcpStream::connect(fleet.vms[0].addresses.callers)
+        .await
+        .unwrap();
+    let head = format!(
+        "POST {CHAT} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\ncontent-length: 100\r\n\r\n{{"
+    );
+    io.write_all(head.as_bytes()).await.unwrap();
+    actix_rt::time::sleep(Duration::from_millis(200)).await;
+    fleet.vms[0].signal("TERM");
+    let mut answer = String::new();
+    io.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+    assert!(answer.contains("not_run"), "{answer}");
+}
