Hold back versions that a VM which has just started can't know

Callers saw streams that had begun at servers of a new version go on at another one: during a release, at a VM that was cut off for some seconds.

Cause: the versions of a VM's first list were exempt from the time for which new versions get no resumable stream. A VM that starts within seconds of a release begins streams at the new version at once, while current lists of others do not show it. A VM that is cut off, or in a fleet of more regions than hold the record, concludes "only one version" and sends the continuation to the old one.

Now no version is known by itself. A VM that sends its whole list to one that has started tells which versions all VMs know; what nobody tells of is held back for 3 s from the first list on, unless it is alone. A VM that starts alone in its region while several versions are listed begins no resumable stream until then.

--- a/crates/ebonystand-core/src/gateway/list_update.rs
+++ b/crates/ebonystand-core/src/gateway/list_update.rs
@@ -21,6 +21,8 @@
     },
     /// The whole list.
     Whole {
+        /// Software versions of services that all VMs know, as the sender's lists have shown them for long enough.
+        known_software: Vec<(ServiceId, SoftwareVersion)>,
         /// Part of all upstreams that the list covers.
         scope: ListScope,
         /// Entries of the list.
--- a/crates/ebonystand-core/src/gateway/software_history.rs
+++ b/crates/ebonystand-core/src/gateway/software_history.rs
@@ -3,7 +3,8 @@
 /// Software versions of each service that this VM's lists have shown, with their times.
 ///
 /// VMs see a new version at different times: by [`Self::hold_back`] after this VM's list first showed it, the
-/// list of each VM that is up to date shows it as well. A VM begins streams that may be taken up again only at
+/// list of each VM that is up to date shows it as well. A VM that has just started cannot tell from its first list
+/// which versions are new, but a VM that has been up for longer can tell it ([`Self::record_known`]). A VM begins streams that may be taken up again only at
 /// versions held back for so long, so that a VM whose lists have shown one version alone for longer than streams
 /// live knows at which version any of them began.
 #[derive(Clone, Debug, Default)]
@@ -19,9 +20,10 @@
 /// A software version of one service.
 #[derive(Clone, Debug)]
 struct SeenSoftware {
-    first_seen: Duration,
     /// Time of the first list without it; `None` while it is listed.
     gone_at: Option<Duration>,
+    /// Time from which on each VM whose list is current knows the version.
+    known_from: Duration,
     software: SoftwareVersion,
 }
 
@@ -44,17 +46,22 @@
         2 * self.read_interval + Self::LIST_LAG
     }
 
-    /// Returns whether a stream that may be taken up again may begin at a version: it was seen early enough, was
-    /// on the first list of this VM, or is the only one on the list.
+    /// Returns whether a stream that may be taken up again may begin at a version: all VMs know it, or it is the
+    /// only one on the list.
     #[must_use]
     pub fn may_begin(&self, now: Duration, service: &str, software: &str) -> bool {
         let seen = self.services.get(service).map_or(&[][..], Vec::as_slice);
         let mut others = seen.iter().filter(|seen| *seen.software != *software);
         let is_alone = others.all(|seen| seen.gone_at.is_some());
+        is_alone || self.is_known(now, service, software)
+    }
+
+    /// Returns whether each VM whose list is current knows a version.
+    #[must_use]
+    pub fn is_known(&self, now: Duration, service: &str, software: &str) -> bool {
+        let seen = self.services.get(service).map_or(&[][..], Vec::as_slice);
         let mut of_version = seen.iter().filter(|seen| *seen.software == *software);
-        is_alone
-            || of_version
-                .any(|seen| seen.first_seen.is_zero() || seen.first_seen + self.hold_back() <= now)
+        of_version.any(|seen| seen.known_from <= now)
     }
 
     /// Returns the only version of a service at which a stream that is at most `max_age` old can have begun;
@@ -87,13 +94,21 @@
         self.confirmed_at = now;
     }
 
+    /// Records that each VM whose list is current knows a version, as another VM has told.
+    pub fn record_known(&mut self, now: Duration, service: &str, software: &str) {
+        let seen = self.services.get_mut(service).into_iter().flatten();
+        for seen in seen.filter(|seen| *seen.software == *software) {
+            seen.known_from = seen.known_from.min(now);
+        }
+    }
+
     /// Records a new list, as pairs of a service and a version.
     pub fn record_list<'a>(
         &mut self,
         now: Duration,
         listed: impl Iterator<Item = (&'a ServiceId, &'a SoftwareVersion)>,
     ) {
-        let is_first = self.current_since.is_none();
+        let known_from = now + self.hold_back();
         let memory = StreamOrigin::MAX_STREAM_AGE + self.hold_back();
         self.record_confirmation(now);
         let listed = listed.collect::<FxHashSet<_>>();
@@ -101,7 +116,7 @@
             for seen in seen.iter_mut() {
                 match listed.contains(&(service, &seen.software)) {
                     // A version that comes back is as new to the other VMs as any.
-                    true if seen.gone_at.take().is_some() => seen.first_seen = now,
+                    true if seen.gone_at.take().is_some() => seen.known_from = known_from,
                     true => {}
                     false => {
                         seen.gone_at.get_or_insert(now);
@@ -118,8 +133,8 @@
             let seen = self.services.entry(service.clone()).or_default();
             if !seen.iter().any(|seen| seen.software == *software) {
                 seen.push(SeenSoftware {
-                    first_seen: if is_first { Duration::ZERO } else { now },
                     gone_at: None,
+                    known_from,
                     software: software.clone(),
                 });
             }
--- a/crates/ebonystand-core/src/gateway/upstream_list.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_list.rs
@@ -61,10 +61,11 @@
         self.entries.values()
     }
 
-    /// Returns the update that replaces any list by this one.
+    /// Returns the update that replaces any list by this one; all VMs know the versions `known_software`.
     #[must_use]
-    pub fn to_whole(&self) -> ListUpdate {
+    pub fn to_whole(&self, known_software: Vec<(ServiceId, SoftwareVersion)>) -> ListUpdate {
         ListUpdate::Whole {
+            known_software,
             scope: self.scope,
             upstreams: self.iter().cloned().collect(),
         }
@@ -102,7 +103,7 @@
                 cold_until,
                 ..Self::new(scope, read)
             };
-            return self.to_whole();
+            return self.to_whole(Vec::new());
         }
         let base = self.digest;
         let mut gone = std::mem::take(&mut self.entries);
--- a/crates/ebonystand-core/src/gateway/upstream_listing.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_listing.rs
@@ -71,6 +71,23 @@
         self.software.record_confirmation(now);
     }
 
+    /// Returns the software versions on the list that all VMs know.
+    #[must_use]
+    pub fn known_software(&self, now: Duration) -> Vec<(ServiceId, SoftwareVersion)> {
+        let listed = self.software.listed();
+        let known =
+            listed.filter(|(service, software)| self.software.is_known(now, service, software));
+        let known = known.map(|(service, software)| (service.clone(), software.clone()));
+        known.collect()
+    }
+
+    /// Records software versions that all VMs know, as another VM has told.
+    pub fn record_known_software(&mut self, now: Duration, known: &[(ServiceId, SoftwareVersion)]) {
+        for (service, software) in known {
+            self.software.record_known(now, service, software);
+        }
+    }
+
     /// Returns whether the list covers the upstreams of other regions.
     #[must_use]
     pub fn lists_other_regions(&self) -> bool {
--- a/crates/ebonystand-core/tests/gateway/list.rs
+++ b/crates/ebonystand-core/tests/gateway/list.rs
@@ -27,7 +27,9 @@
             assert_eq!(digest, list.digest());
             Ok(false)
         }
-        ListUpdate::Whole { scope, upstreams } => {
+        ListUpdate::Whole {
+            scope, upstreams, ..
+        } => {
             *list = UpstreamList::new(scope, upstreams);
             Ok(true)
         }
--- a/crates/ebonystand-core/tests/gateway/software.rs
+++ b/crates/ebonystand-core/tests/gateway/software.rs
@@ -140,6 +140,54 @@
     );
 }
 
+/// Guards against streams at a version that is new to the other VMs and was on the first list of this one.
+#[rstest]
+#[case::nobody_told(&[], 2_900, &[])]
+#[case::nobody_told_later(&[], 3_000, &["v1", "v2"])]
+#[case::told(&["v1"], 0, &["v1"])]
+#[case::told_later(&["v1"], 3_000, &["v1", "v2"])]
+#[case::told_of_one_that_is_gone(&["v0"], 2_900, &[])]
+fn a_vm_that_has_just_started_begins_streams_at_versions_that_all_vms_know(
+    #[case] told: &[&str],
+    #[case] after_ms: u64,
+    #[case] expected: &[&str],
+) {
+    let started_at = ms(60_000);
+    let mut history = SoftwareHistory::new(INTERVAL);
+    let service = ServiceId::from("s");
+    let listed = ["v1", "v2"].map(SoftwareVersion::from);
+    history.record_list(
+        started_at,
+        listed.iter().map(|software| (&service, software)),
+    );
+    for software in told {
+        history.record_known(started_at, "s", software);
+    }
+    let now = started_at + ms(after_ms);
+    let known = listed
+        .iter()
+        .filter(|software| history.may_begin(now, "s", software));
+    assert_eq!(
+        known.map(|software| &**software).collect::<Vec<_>>(),
+        expected
+    );
+}
+
+/// Guards against a VM that tells as known what it has seen for a moment only.
+#[test]
+fn a_vm_tells_which_versions_all_vms_know() {
+    let mut book = book(vec![of_version("u1", "a-1", "v1")]);
+    book.change_list(ms(60_000), vec![of_version("u2", "a-1", "v2")], &[]);
+    let known = |after_ms: u64| {
+        let known = book.known_software(ms(60_000 + after_ms)).into_iter();
+        let mut known = known.map(|(_, software)| software).collect::<Vec<_>>();
+        known.sort_unstable();
+        known
+    };
+    assert_eq!(known(2_900), ["v1".into()]);
+    assert_eq!(known(3_000), ["v1".into(), "v2".into()]);
+}
+
 /// Guards against a server that comes back under its name with other software and keeps what was believed of it.
 #[test]
 fn an_upstream_with_other_software_is_another_one() {
--- a/crates/ebonystand-wire/src/payload.rs
+++ b/crates/ebonystand-wire/src/payload.rs
@@ -12,14 +12,14 @@
 
 impl Payload {
     /// Format byte of a message compressed with LZ4, with its uncompressed length prepended.
-    const COMPRESSED_FORMAT: u8 = 25;
+    const COMPRESSED_FORMAT: u8 = 27;
     /// Minimum length in bytes of a message that is compressed; shorter messages save too little to be
     /// worth the CPU time.
     const MIN_COMPRESSED_LEN: usize = 256;
     /// Length of the format byte at the start of each payload, in bytes.
     pub(crate) const FORMAT_LEN: usize = 1;
     /// Format byte of an uncompressed message.
-    const PLAIN_FORMAT: u8 = 24;
+    const PLAIN_FORMAT: u8 = 26;
 
     pub(crate) fn decode(payload: &[u8]) -> Result<PeerMessage> {
         match payload {
--- a/crates/ebonystand-wire/tests/frames.rs
+++ b/crates/ebonystand-wire/tests/frames.rs
@@ -43,6 +43,7 @@
         zone: "utara-a".into(),
     };
     PeerMessage::Listed(ListUpdate::Whole {
+        known_software: vec![("engines".into(), "v1".into())],
         scope: ListScope::AllRegions,
         upstreams: (0..upstreams).map(upstream).collect(),
     })
--- a/crates/ebonystand/src/gateway/list_controller.rs
+++ b/crates/ebonystand/src/gateway/list_controller.rs
@@ -89,7 +89,10 @@
     /// Sends the whole list in force to a VM that has requested it.
     pub(crate) fn send_whole(&self, node: &Node, to: &VmId) {
         if let Some(listed) = &*self.listed.borrow() {
-            node.send(to, PeerMessage::Listed(listed.to_whole()));
+            let book = node.gateway.book.borrow();
+            let known = book.known_software(node.clock.now());
+            drop(book);
+            node.send(to, PeerMessage::Listed(listed.to_whole(known)));
         }
     }
 
@@ -127,9 +130,17 @@
                 }
                 book.confirm_list(now);
             }
-            ListUpdate::Whole { scope, upstreams } => {
-                log::info!(upstreams = upstreams.len(); "whole list of upstreams received");
+            ListUpdate::Whole {
+                known_software,
+                scope,
+                upstreams,
+            } => {
+                log::info!(
+                    upstreams = upstreams.len(), known_software = known_software.len();
+                    "whole list of upstreams received"
+                );
                 book.update_list(now, *scope, upstreams.clone());
+                book.record_known_software(now, known_software);
                 *listed = Some(UpstreamList::new(*scope, upstreams.clone()));
             }
         }
@@ -159,7 +170,9 @@
                 book.change_list(now, changed.clone(), removed);
             }
             ListUpdate::Unchanged { .. } => book.confirm_list(now),
-            ListUpdate::Whole { scope, upstreams } => {
+            ListUpdate::Whole {
+                scope, upstreams, ..
+            } => {
                 book.update_list(now, *scope, upstreams.clone());
             }
         }
