Date a list of upstreams by its read and not by its arrival

Callers saw streams that had begun at servers of a new version go on at another one, at a VM that was out of step for some seconds.

Cause: a list counted as current for 1.5 s after its last word had arrived. A VM that hears its region's reader later and later, by less than half a second each second, notices no gap, takes lists that are seconds old for current and concludes "only one version" while others begin streams at the new one.

An update of the list now tells when its read began, by the reader's clock. The one that came fastest in the last minutes tells how far the clocks are apart, and the rest is lateness. A list counts as current for two intervals from its read, all that the 3 s for which new versions are held back leave. Updates that queue up while a VM stands still leave no gap if none is missing.

stream_release has VMs that hear late.

--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -21,6 +21,7 @@
     ineligible_upstreams::IneligibleUpstreams,
     list_mismatch::ListMismatch,
     list_reader_election::ListReaderElection,
+    list_reading::ListReading,
     list_scope::ListScope,
     list_update::ListUpdate,
     listed_upstream::ListedUpstream,
@@ -31,6 +32,7 @@
     path_health::ProbeOutcome,
     prompt::{Prompt, PromptPart},
     quota::{Quota, QuotaUnit},
+    reading_dates::ReadingDates,
     reading_speed::ReadingSpeed,
     reported_slots::ReportedSlots,
     room_queue::{RoomQueue, RoomRequest, spread_return},
@@ -88,6 +90,7 @@
 mod limit_share;
 mod list_mismatch;
 mod list_reader_election;
+mod list_reading;
 mod list_scope;
 mod list_update;
 mod listed_upstream;
@@ -101,6 +104,7 @@
 mod prompt;
 mod prompt_placement;
 mod quota;
+mod reading_dates;
 mod reading_speed;
 mod region_budget;
 mod reported_slots;
--- a/crates/ebonystand-core/src/gateway/software_history.rs
+++ b/crates/ebonystand-core/src/gateway/software_history.rs
@@ -9,10 +9,10 @@
 /// live knows at which version any of them began.
 #[derive(Clone, Debug, Default)]
 pub struct SoftwareHistory {
-    /// Time of the last list, or confirmation that it is still in force.
-    confirmed_at: Duration,
     /// Time from which on the list has never been older than [`Self::max_age`].
     current_since: Option<Duration>,
+    /// Time at which the newest list was read that has arrived.
+    read_at: Duration,
     read_interval: Duration,
     services: FxHashMap<ServiceId, Vec<SeenSoftware>>,
 }
@@ -75,7 +75,7 @@
         max_age: Duration,
     ) -> Option<&SoftwareVersion> {
         let from = now.checked_sub(max_age + self.hold_back())?;
-        let is_current = now.saturating_sub(self.confirmed_at) <= self.max_age();
+        let is_current = now.saturating_sub(self.read_at) <= self.max_age();
         if !is_current || self.current_since? > from {
             return None;
         }
@@ -85,13 +85,14 @@
         seen.next().is_none().then_some(&only.software)
     }
 
-    /// Records that the list in force is still the newest.
-    pub fn record_confirmation(&mut self, now: Duration) {
-        let is_gap = now.saturating_sub(self.confirmed_at) > self.max_age();
+    /// Records that a read which began at `read_at` found the list in force. A list that arrives late is as old as
+    /// its read.
+    pub fn record_confirmation(&mut self, now: Duration, read_at: Duration) {
+        let is_gap = read_at.saturating_sub(self.read_at) > self.max_age();
         if is_gap || self.current_since.is_none() {
             self.current_since = Some(now);
         }
-        self.confirmed_at = now;
+        self.read_at = self.read_at.max(read_at);
     }
 
     /// Records that each VM whose list is current knows a version, as another VM has told.
@@ -102,7 +103,7 @@
         }
     }
 
-    /// Records a new list, as pairs of a service and a version.
+    /// Records a new list, as pairs of a service and a version; [`Self::record_confirmation`] tells its age.
     pub fn record_list<'a>(
         &mut self,
         now: Duration,
@@ -110,7 +111,6 @@
     ) {
         let known_from = now + self.hold_back();
         let memory = StreamOrigin::MAX_STREAM_AGE + self.hold_back();
-        self.record_confirmation(now);
         let listed = listed.collect::<FxHashSet<_>>();
         for (service, seen) in &mut self.services {
             for seen in seen.iter_mut() {
@@ -150,8 +150,8 @@
         })
     }
 
-    /// Age up to which a list counts as up to date: reads are up to a fifth of their interval late.
+    /// Age up to which a list counts as up to date: it shows each version that any VM has held back to the end.
     fn max_age(&self) -> Duration {
-        self.read_interval * 3 / 2
+        self.hold_back() - Self::LIST_LAG
     }
 }
--- a/crates/ebonystand-core/src/gateway/upstream_listing.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_listing.rs
@@ -66,9 +66,9 @@
         self.software.record_list(now, listed);
     }
 
-    /// Records that the list in force is still the newest.
-    pub fn confirm_list(&mut self, now: Duration) {
-        self.software.record_confirmation(now);
+    /// Records that a read which began at `read_at` found the list in force.
+    pub fn confirm_list(&mut self, now: Duration, read_at: Duration) {
+        self.software.record_confirmation(now, read_at);
     }
 
     /// Returns the software versions on the list that all VMs know.
--- a/crates/ebonystand-core/tests/gateway/software.rs
+++ b/crates/ebonystand-core/tests/gateway/software.rs
@@ -227,12 +227,10 @@
         let versions = versions.map_or("", |(_, versions)| versions);
         let versions = versions.split(' ').map(SoftwareVersion::from);
         let versions = versions.collect::<Vec<_>>();
-        match shown.as_ref() == Some(&versions) {
-            true => history.record_confirmation(ms(at)),
-            false => {
-                history.record_list(ms(at), versions.iter().map(|version| (&service, version)))
-            }
+        if shown.as_ref() != Some(&versions) {
+            history.record_list(ms(at), versions.iter().map(|version| (&service, version)));
         }
+        history.record_confirmation(ms(at), ms(at));
         shown = Some(versions);
     }
     history
--- a/crates/ebonystand-core/tests/stream_release/main.rs
+++ b/crates/ebonystand-core/tests/stream_release/main.rs
@@ -5,9 +5,9 @@
 
 use {
     ebonystand_core::{
-        InquiryState, KnownOrigin, ListReaderElection, OriginAnswer, OriginHolders, OriginInquiry,
-        OriginTable, ServiceId, SoftwareHistory, SoftwareVersion, StreamKey, StreamOrigin,
-        VmCapacity, VmId, VmRecord,
+        InquiryState, KnownOrigin, ListReaderElection, ListReading, OriginAnswer, OriginHolders,
+        OriginInquiry, OriginTable, ReadingDates, ServiceId, SoftwareHistory, SoftwareVersion,
+        StreamKey, StreamOrigin, VmCapacity, VmId, VmRecord,
     },
     play::{Fault, Fleet, Play, Release},
     rstest::rstest,
@@ -31,6 +31,7 @@
 #[case::stands_still_shortly(&[Fault::Frozen { from: 5_600, to: 7_000 }, Fault::Frozen { from: 7_050, to: 8_500 }, Fault::Frozen { from: 8_550, to: 10_000 }])]
 #[case::stands_still(&[Fault::Frozen { from: 5_900, to: 9_900 }])]
 #[case::stands_still_for_long(&[Fault::Frozen { from: 5_900, to: 25_900 }])]
+#[case::hears_late(&[Fault::Late { by: 3_000, permille: 0, to: 12_000 }])]
 #[case::falls_behind(&[Fault::Late { by: 1_000, permille: 120, to: 12_000 }])]
 fn a_release_beside_a_vm_out_of_step_mixes_no_stream(
     #[case] faults: &'static [Fault],
--- a/crates/ebonystand-core/tests/stream_release/play.rs
+++ b/crates/ebonystand-core/tests/stream_release/play.rs
@@ -12,7 +12,7 @@
     Cut { from: u64, list_too: bool, to: u64 },
     /// It does nothing.
     Frozen { from: u64, to: u64 },
-    /// What is sent to it comes late by this time from long before the play on, and later and later within it.
+    /// What is sent to it comes late by this time, to which it has grown before the play, and later and later within it.
     Late { by: u64, permille: u64, to: u64 },
 }
 
@@ -78,16 +78,16 @@
         key: StreamKey,
         origin: StreamOrigin,
     },
-    Listed(BTreeSet<SoftwareVersion>),
+    Listed(ListReading, BTreeSet<SoftwareVersion>),
     ListWanted {
         from: usize,
     },
-    Read(BTreeSet<SoftwareVersion>),
+    Read(ListReading, BTreeSet<SoftwareVersion>),
     TakenUp {
         stream: usize,
     },
     WantsList,
-    Whole(BTreeSet<SoftwareVersion>, Vec<SoftwareVersion>),
+    Whole(ListReading, BTreeSet<SoftwareVersion>, Vec<SoftwareVersion>),
 }
 
 impl Fleet {
@@ -153,21 +153,23 @@
         };
         for n in 0..fleet.vms {
             let mut vm = play.vm(n, 0);
+            let most_late = faults.iter().map(|fault| match fault {
+                Fault::Late { by, .. } if n == play.odd => *by,
+                _ => 0,
+            });
+            let most_late = most_late.max().unwrap_or(0);
             for at in (0..=START).step_by(1_000) {
-                vm.election.record_list_received(Duration::from_millis(at));
-                vm.install(at, &release.listed(at));
+                let late = most_late.saturating_sub((START - at) * 3 / 10);
+                let reading = play.reading(vm.region, at);
+                let listed = release.listed(at);
+                match at + late <= START {
+                    true => vm.hear(at + late, reading, &listed),
+                    false => play.push(at + late, n, Message::Listed(reading, listed)),
+                }
             }
             vm.next_read = START + play.rng.random_range(0..200);
             play.vms.push(vm);
         }
-        for fault in faults {
-            if let Fault::Late { by, .. } = fault {
-                for after in (1_000..*by).step_by(1_000) {
-                    let listed = Message::Listed(release.listed(START));
-                    play.post(play.odd, after, listed);
-                }
-            }
-        }
         let odd = play.odd;
         let restarted_at = Release::AT + play.rng.random_range(0..3_000);
         while play.now < START + play.length() {
@@ -183,6 +185,24 @@
         play
     }
 
+    /// Returns a read of a VM, whose clock has nothing in common with those of others.
+    fn reading(&self, by: usize, at: u64) -> ListReading {
+        ListReading {
+            began_ms: at + Self::clock_shift(by),
+            incarnation: 1,
+            reader: self.record(by).vm,
+        }
+    }
+
+    fn clock_shift(vm: usize) -> u64 {
+        vm as u64 * 77_000
+    }
+
+    /// Returns when a read of the VM itself began.
+    fn own_time(by: usize, reading: &ListReading) -> u64 {
+        reading.began_ms - Self::clock_shift(by)
+    }
+
     /// Starts a VM anew; it asks the others of its region for the list until it has one.
     fn restart(&mut self, n: usize) {
         self.vms[n] = self.vm(n, self.now);
@@ -316,27 +336,25 @@
                 self.post(to, after, Message::TakenUp { stream });
             }
             Message::Hold { key, origin } => vm.table.hold(time, key, origin, Self::LIFETIME),
-            Message::Listed(versions) => {
-                vm.election.record_list_received(time);
-                vm.install(now, &versions);
-            }
-            Message::Read(versions) => {
+            Message::Listed(reading, versions) => vm.hear(now, reading, &versions),
+            Message::Read(reading, versions) => {
                 vm.is_reading = false;
                 vm.next_read = now + self.rng.random_range(800..1_200);
-                vm.install(now, &versions);
+                vm.install(now, Self::own_time(at, &reading), &versions);
+                vm.reading = Some(reading.clone());
                 let region = vm.region;
                 for to in (0..self.vms.len()).filter(|to| *to != at) {
                     if self.vms[to].region == region {
-                        self.send(at, to, Message::Listed(versions.clone()));
+                        self.send(at, to, Message::Listed(reading.clone(), versions.clone()));
                     }
                 }
             }
             Message::ListWanted { from } => {
-                if let Some(listed) = vm.listed.clone() {
+                if let (Some(listed), Some(reading)) = (vm.listed.clone(), vm.reading.clone()) {
                     let known = listed.iter().cloned();
                     let known = known.filter(|software| vm.history.is_known(time, "s", software));
                     let known = known.collect();
-                    self.send(at, from, Message::Whole(listed, known));
+                    self.send(at, from, Message::Whole(reading, listed, known));
                 }
             }
             Message::TakenUp { stream } => self.take_up(at, stream),
@@ -352,9 +370,8 @@
                 }
                 self.post(at, 250, Message::WantsList);
             }
-            Message::Whole(versions, known) => {
-                vm.election.record_list_received(time);
-                vm.install(now, &versions);
+            Message::Whole(reading, versions, known) => {
+                vm.hear(now, reading, &versions);
                 for software in known {
                     vm.history.record_known(time, "s", &software);
                 }
@@ -457,7 +474,8 @@
             _ if at == self.odd => cut.fold(arrives, |arrives, fault| self.delayed(fault, arrives)),
             _ => arrives,
         };
-        self.push(arrives, at, Message::Read(versions));
+        let reading = self.reading(at, self.now);
+        self.push(arrives, at, Message::Read(reading, versions));
     }
 
     fn tell(&mut self, from: usize, to: &VmId, message: Message) {
--- a/crates/ebonystand-core/tests/stream_release/vm.rs
+++ b/crates/ebonystand-core/tests/stream_release/vm.rs
@@ -11,6 +11,9 @@
     pub(crate) listed: Option<BTreeSet<SoftwareVersion>>,
     pub(crate) name: VmId,
     pub(crate) next_read: u64,
+    /// Read that found the list in force.
+    pub(crate) reading: Option<ListReading>,
+    pub(crate) reading_dates: ReadingDates,
     pub(crate) region: usize,
     pub(crate) table: OriginTable,
 }
@@ -35,22 +38,36 @@
             listed: None,
             name,
             next_read: now,
+            reading: None,
+            reading_dates: ReadingDates::default(),
             region,
             table: OriginTable::default(),
         }
     }
 
+    /// Puts a list in force that another VM has read.
+    pub(crate) fn hear(
+        &mut self,
+        now: u64,
+        reading: ListReading,
+        versions: &BTreeSet<SoftwareVersion>,
+    ) {
+        let time = Duration::from_millis(now);
+        self.election.record_list_received(time);
+        let read_at = self.reading_dates.date(time, &reading);
+        self.install(now, read_at.as_millis() as u64, versions);
+        self.reading = Some(reading);
+    }
+
     /// Puts a list in force.
-    pub(crate) fn install(&mut self, now: u64, versions: &BTreeSet<SoftwareVersion>) {
-        let now = Duration::from_millis(now);
-        match self.listed.as_ref() == Some(versions) {
-            true => self.history.record_confirmation(now),
-            false => {
-                let service = ServiceId::from("s");
-                let listed = versions.iter().map(|version| (&service, version));
-                self.history.record_list(now, listed);
-            }
+    pub(crate) fn install(&mut self, now: u64, read_at: u64, versions: &BTreeSet<SoftwareVersion>) {
+        let (now, read_at) = (Duration::from_millis(now), Duration::from_millis(read_at));
+        if self.listed.as_ref() != Some(versions) {
+            let service = ServiceId::from("s");
+            let listed = versions.iter().map(|version| (&service, version));
+            self.history.record_list(now, listed);
         }
+        self.history.record_confirmation(now, read_at);
         self.listed = Some(versions.clone());
     }
 
--- a/crates/ebonystand-wire/src/lib.rs
+++ b/crates/ebonystand-wire/src/lib.rs
@@ -10,9 +10,9 @@
     bytes::{Buf, BufMut, BytesMut},
     ebonystand_core::{
         AllowanceMessage, CachedPrefix, Command, CommandOutcome, FeedMessage, Incarnation,
-        ListUpdate, LoadMessage, MemberId, OfferedRoom, OriginMessage, PartMessage, Prompt,
-        QuarantineMessage, RegionId, ReplicaMessage, ServiceId, SlotMessage, SoftwareVersion,
-        Version, VmId, WorkspaceId,
+        ListReading, ListUpdate, LoadMessage, MemberId, OfferedRoom, OriginMessage, PartMessage,
+        Prompt, QuarantineMessage, RegionId, ReplicaMessage, ServiceId, SlotMessage,
+        SoftwareVersion, Version, VmId, WorkspaceId,
     },
     hmac::{Hmac, KeyInit, Mac},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
--- a/crates/ebonystand-wire/src/peer_message.rs
+++ b/crates/ebonystand-wire/src/peer_message.rs
@@ -33,7 +33,7 @@
     /// Checks that the connection still delivers messages to the recipient, which answers with one byte.
     Ping,
     /// Update of the list of upstreams, as read by a VM of the same region.
-    Listed(ListUpdate),
+    Listed(ListReading, ListUpdate),
     /// Asks for the whole list of upstreams, because the update in [`Self::Listed`] does not fit the
     /// sender's list.
     ListWanted,
@@ -93,7 +93,7 @@
     /// is therefore sent after the short messages. All updates of the list count, so that none overtakes
     /// the one that it applies to.
     pub(crate) fn is_long(&self) -> bool {
-        matches!(self, Self::Cached(_) | Self::Feed(_) | Self::Listed(_))
+        matches!(self, Self::Cached(_) | Self::Feed(_) | Self::Listed(..))
     }
 
     /// Returns whether this is a load message of the same kind as `load`. A queue then holds one message
--- a/crates/ebonystand-wire/tests/frames.rs
+++ b/crates/ebonystand-wire/tests/frames.rs
@@ -3,7 +3,7 @@
 use {
     bytes::BytesMut,
     ebonystand_core::{
-        ListScope, ListUpdate, ListedUpstream, OriginMessage, StreamKey, StreamOrigin,
+        ListReading, ListScope, ListUpdate, ListedUpstream, OriginMessage, StreamKey, StreamOrigin,
     },
     ebonystand_wire::{Error, FrameReader, FrameWriter, Hello, Nonce, PeerMessage, Secret},
     hmac::{Hmac, KeyInit, Mac},
@@ -42,11 +42,17 @@
         software: "v1".into(),
         zone: "utara-a".into(),
     };
-    PeerMessage::Listed(ListUpdate::Whole {
+    let reading = ListReading {
+        began_ms: 1_000,
+        incarnation: 1,
+        reader: "front-utara-a-1".into(),
+    };
+    let update = ListUpdate::Whole {
         known_software: vec![("engines".into(), "v1".into())],
         scope: ListScope::AllRegions,
         upstreams: (0..upstreams).map(upstream).collect(),
-    })
+    };
+    PeerMessage::Listed(reading, update)
 }
 
 fn encode_frames(messages: &[PeerMessage]) -> BytesMut {
--- a/crates/ebonystand/src/gateway/list_controller.rs
+++ b/crates/ebonystand/src/gateway/list_controller.rs
@@ -1,8 +1,8 @@
 use super::*;
 use {
     ebonystand_core::{
-        ListMismatch, ListReaderElection, ListScope, ListUpdate, ListedUpstream, SoftwareVersion,
-        UpstreamKind, UpstreamList,
+        ListMismatch, ListReaderElection, ListReading, ListScope, ListUpdate, ListedUpstream,
+        ReadingDates, SoftwareVersion, UpstreamKind, UpstreamList,
     },
     futures_util::future::try_join_all,
     node::Node,
@@ -16,6 +16,9 @@
     faults: Cell<ListFaults>,
     /// List in force; `None` until the first list arrives.
     listed: RefCell<Option<UpstreamList>>,
+    /// Read that found the list in force; `None` until the first list arrives.
+    reading: RefCell<Option<ListReading>>,
+    reading_dates: RefCell<ReadingDates>,
     reader: RefCell<ListReaderElection>,
     source: Option<Rc<dyn UpstreamSource>>,
 }
@@ -60,6 +63,8 @@
         Self {
             faults: Cell::default(),
             listed: RefCell::default(),
+            reading: RefCell::default(),
+            reading_dates: RefCell::default(),
             reader: RefCell::new(ListReaderElection::new(every, now)),
             source,
         }
@@ -73,12 +78,22 @@
     /// Handles an update of the list from another VM of the region: puts it in force and passes it
     /// on to the VMs that report to this one. An update that does not fit the list in force is
     /// answered with a request for the whole list.
-    pub(crate) fn receive(&self, node: &Rc<Node>, from: &VmId, update: &ListUpdate) {
+    pub(crate) fn receive(
+        &self,
+        node: &Rc<Node>,
+        from: &VmId,
+        reading: &ListReading,
+        update: &ListUpdate,
+    ) {
         let now = node.clock.now();
         self.reader.borrow_mut().record_list_received(now);
         let reporters = node.gateway.book.borrow().reporters();
         match self.apply(node, update) {
-            Ok(()) => self.share(node, update, &reporters),
+            Ok(()) => {
+                let read_at = self.reading_dates.borrow_mut().date(now, reading);
+                self.confirm(node, read_at, reading);
+                self.share(node, reading, update, &reporters);
+            }
             Err(mismatch) => {
                 log::info!(from:% = from, reason:% = mismatch; "whole list of upstreams requested");
                 node.send(from, PeerMessage::ListWanted);
@@ -88,11 +103,14 @@
 
     /// Sends the whole list in force to a VM that has requested it.
     pub(crate) fn send_whole(&self, node: &Node, to: &VmId) {
-        if let Some(listed) = &*self.listed.borrow() {
+        if let (Some(listed), Some(reading)) = (&*self.listed.borrow(), &*self.reading.borrow()) {
             let book = node.gateway.book.borrow();
             let known = book.known_software(node.clock.now());
             drop(book);
-            node.send(to, PeerMessage::Listed(listed.to_whole(known)));
+            node.send(
+                to,
+                PeerMessage::Listed(reading.clone(), listed.to_whole(known)),
+            );
         }
     }
 
@@ -118,8 +136,6 @@
                 if list.apply_changes(*base, *digest, changed, removed)? {
                     log_changes(list, changed, removed);
                     book.change_list(now, changed.clone(), removed);
-                } else {
-                    book.confirm_list(now);
                 }
             }
             ListUpdate::Unchanged { digest } => {
@@ -128,7 +144,6 @@
                     let base = *digest;
                     return Err(ListMismatch::Base { base, known });
                 }
-                book.confirm_list(now);
             }
             ListUpdate::Whole {
                 known_software,
@@ -169,7 +184,7 @@
                 log_changes(list, changed, removed);
                 book.change_list(now, changed.clone(), removed);
             }
-            ListUpdate::Unchanged { .. } => book.confirm_list(now),
+            ListUpdate::Unchanged { .. } => {}
             ListUpdate::Whole {
                 scope, upstreams, ..
             } => {
@@ -179,10 +194,23 @@
         update
     }
 
+    /// Records that a read which began at `read_at` by this VM's clock found the list in force.
+    fn confirm(&self, node: &Node, read_at: Duration, reading: &ListReading) {
+        let now = node.clock.now();
+        node.gateway.book.borrow_mut().confirm_list(now, read_at);
+        *self.reading.borrow_mut() = Some(reading.clone());
+    }
+
     /// Sends an update of the list to VMs of the region.
-    fn share(&self, node: &Node, update: &ListUpdate, peers: &BTreeSet<VmId>) {
+    fn share(
+        &self,
+        node: &Node,
+        reading: &ListReading,
+        update: &ListUpdate,
+        peers: &BTreeSet<VmId>,
+    ) {
         for vm in peers.iter().filter(|vm| **vm != node.settings.vm) {
-            node.send(vm, PeerMessage::Listed(update.clone()));
+            node.send(vm, PeerMessage::Listed(reading.clone(), update.clone()));
         }
     }
 
@@ -261,9 +289,15 @@
                     failures = 0;
                     this.report_faults(&node, read.faults);
                     let update = this.install(&node, read);
+                    let reading = ListReading {
+                        began_ms: now.as_millis() as u64,
+                        incarnation: node.incarnation,
+                        reader: node.settings.vm.clone(),
+                    };
+                    this.confirm(&node, now, &reading);
                     let mut peers = node.gateway.book.borrow().reporters();
                     peers.extend(node.gateway.book.borrow().relays());
-                    this.share(&node, &update, &peers);
+                    this.share(&node, &reading, &update, &peers);
                 }
                 Some(Err(error)) => {
                     if failures == 0 {
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -296,7 +296,9 @@
                 leading,
                 version,
             } => self.gateway.confirm(self, from, stamp, leading, version),
-            PeerMessage::Listed(update) => self.gateway.list.receive(self, from, &update),
+            PeerMessage::Listed(reading, update) => {
+                self.gateway.list.receive(self, from, &reading, &update)
+            }
             PeerMessage::ListWanted => self.gateway.list.send_whole(self, from),
             PeerMessage::Cached(cached) => {
                 let now = self.clock.now();
