Pass on origins of streams that come to a VM which is about to stop

A VM that stops hands over the origins it holds once, when it stops taking requests. A record that another VM sends it later, not knowing that it leaves, ended with it: if all near holders leave and the VM that began the stream ends, the caller's resumption is refused.

A VM that takes nothing new any more now passes on each record that is new to it, to the holders that it knows. Records of streams that a leaving VM itself begins late went to other VMs before, and still do.

The play of five VMs in stream_origin loses records if they are kept and none if they are passed on. The daemon's part was not played on processes.

--- a/crates/ebonystand-core/src/stream_origin/origin_table.rs
+++ b/crates/ebonystand-core/src/stream_origin/origin_table.rs
@@ -29,18 +29,19 @@
 
     /// Holds an origin for `lifetime`, at most for [`StreamOrigin::MAX_STREAM_AGE`]. An origin that is held
     /// already stays as it is and is held for the longer of the two times: the first event came from one
-    /// upstream only.
+    /// upstream only. Returns whether it was not held before.
     pub fn hold(
         &mut self,
         now: Duration,
         key: StreamKey,
         origin: StreamOrigin,
         lifetime: Duration,
-    ) {
+    ) -> bool {
         self.remove_expired(now);
         let expires_at = now + lifetime.min(StreamOrigin::MAX_STREAM_AGE);
+        let is_new = !self.records.contains_key(&key);
         match self.records.get_mut(&key) {
-            Some(record) if record.expires_at >= expires_at => return,
+            Some(record) if record.expires_at >= expires_at => return false,
             Some(record) => record.expires_at = expires_at,
             None => {
                 if self.records.len() >= Self::MAX_RECORDS {
@@ -54,6 +55,7 @@
             .entry(Self::step_after(expires_at))
             .or_default()
             .push(key);
+        is_new
     }
 
     /// Returns whether no origin is held.
--- a/crates/ebonystand-core/tests/stream_origin.rs
+++ b/crates/ebonystand-core/tests/stream_origin.rs
@@ -124,6 +124,38 @@
     }
 }
 
+/// Guards against a record that comes to VMs which have handed over what they held, and ends with them.
+#[rstest]
+#[case::passed_on(true)]
+#[case::kept(false)]
+fn a_record_that_comes_to_vms_that_leave_outlives_them(#[case] passes_on: bool) {
+    let before = fleet(5, 1);
+    let mut after = before.clone();
+    (after[1].leaving, after[2].leaving) = (true, true);
+    let mut left = after.clone();
+    left.drain(..3);
+    let mut found = 0;
+    for n in 0..STREAMS {
+        // The VM that began the stream does not know yet that others leave, and ends unexpectedly.
+        let mut tables = vec![OriginTable::default(); 5];
+        let index = |vm: &VmId| vm[2..].parse::<usize>().unwrap();
+        for vm in holders(&before, 0).to_tell(key(n)) {
+            let vm = index(&vm);
+            let is_new = tables[vm].hold(SECOND, key(n), origin("v1"), SECOND);
+            if is_new && passes_on && after[vm].leaving {
+                for vm in holders(&after, vm).to_tell(key(n)) {
+                    tables[index(&vm)].hold(SECOND, key(n), origin("v1"), SECOND);
+                }
+            }
+        }
+        let mut asked = holders(&left, 3).to_ask(key(n));
+        asked.push("vm3".into());
+        let held = |vm: &VmId| tables[index(vm)].get(SECOND, key(n)).is_some();
+        found += usize::from(asked.iter().any(held));
+    }
+    assert_eq!(found == STREAMS, passes_on, "{found}");
+}
+
 #[test]
 fn an_origin_is_held_until_its_time_is_over() {
     let mut table = OriginTable::default();
@@ -140,8 +172,8 @@
 #[test]
 fn the_first_origin_of_a_stream_stays() {
     let mut table = OriginTable::default();
-    table.hold(SECOND, key(1), origin("v1"), SECOND);
-    table.hold(SECOND, key(1), origin("v2"), 9 * SECOND);
+    assert!(table.hold(SECOND, key(1), origin("v1"), SECOND));
+    assert!(!table.hold(SECOND, key(1), origin("v2"), 9 * SECOND));
     assert_eq!(table.get(8 * SECOND, key(1)), Some(&origin("v1")));
 }
 
--- a/crates/ebonystand/src/gateway/origin_controller.rs
+++ b/crates/ebonystand/src/gateway/origin_controller.rs
@@ -151,8 +151,14 @@
             } => {
                 let lifetime = Duration::from_millis(lifetime_ms);
                 let mut held = self.held.borrow_mut();
-                held.hold(now, key, origin, lifetime);
+                let is_new = held.hold(now, key, origin.clone(), lifetime);
                 node.metrics.stream_origins.set(held.len() as i64);
+                // What comes after the others were handed over would end with this VM.
+                if is_new && node.draining() {
+                    for vm in self.holders(node).to_tell(key) {
+                        Self::tell(node, &vm, key, origin.clone(), lifetime);
+                    }
+                }
             }
         }
     }
