--- a/crates/ebonystand-core/src/gateway/upstream_listing.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_listing.rs
@@ -66,9 +66,26 @@
         self.software.record_list(now, listed);
     }
 
-    /// Records that the list in force is still the newest.
-    pub fn confirm_list(&mut self, now: Duration) {
-        self.software.record_confirmation(now);
+    /// Records that a read which began at `read_at` found the list in force.
+    pub fn confirm_list(&mut self, now: Duration, read_at: Duration) {
+        self.software.record_confirmation(now, read_at);
+    }
+
+    /// Returns the software versions on the list that all VMs know.
+    #[must_use]
+    pub fn known_software(&self, now: Duration) -> Vec<(ServiceId, SoftwareVersion)> {
+        let listed = self.software.listed();
+        let known =
+            listed.filter(|(service, software)| self.software.is_known(now, service, software));
+        let known = known.map(|(service, software)| (service.clone(), software.clone()));
+        known.collect()
+    }
+
+    /// Records software versions that all VMs know, as another VM has told.
+    pub fn record_known_software(&mut self, now: Duration, known: &[(ServiceId, SoftwareVersion)]) {
+        for (service, software) in known {
+            self.software.record_known(now, service, software);
+        }
     }
 
     /// Returns whether the list covers the upstreams of other regions.
