--- a/crates/ebonystand-core/tests/stream_release/play.rs
+++ b/crates/ebonystand-core/tests/stream_release/play.rs
@@ -335,7 +335,9 @@
                 let after = self.rng.random_range(10..600);
                 self.post(to, after, Message::TakenUp { stream });
             }
-            Message::Hold { key, origin } => vm.table.hold(time, key, origin, Self::LIFETIME),
+            Message::Hold { key, origin } => {
+                vm.table.hold(time, key, origin, Self::LIFETIME);
+            }
             Message::Listed(reading, versions) => vm.hear(now, reading, &versions),
             Message::Read(reading, versions) => {
                 vm.is_reading = false;
--- a/crates/ebonystand/src/admitted_request.rs
+++ b/crates/ebonystand/src/admitted_request.rs
@@ -3,7 +3,8 @@
     caller::Caller,
     dispatch::DispatchFailure,
     ebonystand_core::{
-        AnswerTime, Deadline, Fingerprint, Quarantine, Retryable, Route, RouteQuery, Target, Tokens,
+        AnswerTime, CallKind, Deadline, Fingerprint, Quarantine, Retryable, Route, RouteQuery,
+        Target, Tokens,
     },
     gateway::MayHaveRun,
     node::Node,
@@ -55,10 +56,7 @@
         expected: Option<Duration>,
     ) -> Option<Refusal> {
         let departure = node.departure()?;
-        let answer = AnswerTime {
-            due: self.deadline.at(),
-            expected,
-        };
+        let answer = AnswerTime::new(CallKind::Idempotent, self.deadline.at(), expected);
         if departure.admits(node.clock.now(), &answer) {
             return None;
         }
