Check the time of a completion on each of its bytes

What callers saw: a stream of completions whose engine sends without a pause is relayed without end, past its deadline and past the limit between two tokens, whether it holds tokens, keep-alives or one event that never ends. The VM is busy with it until the caller leaves.

Cause: the guard of a stream looked at its limits only at a tick, and a tick comes only when nothing is there to read.

Change: StreamGuard checks them on bytes too. What ends the stream in those bytes still counts, and so does progress in them.

--- a/crates/ebonystand-core/src/stream_guard.rs
+++ b/crates/ebonystand-core/src/stream_guard.rs
@@ -51,7 +51,8 @@
         self.silence_deadline.min(self.deadline.at())
     }
 
-    /// Processes bytes of the answer's body.
+    /// Processes bytes of the answer's body. Like [`Self::on_tick`], it checks the deadline and the
+    /// time limits: an upstream that sends without a pause leaves no time for a tick.
     pub fn on_bytes(&mut self, now: Duration, bytes: &[u8]) -> StreamVerdict {
         if self.has_ended {
             return StreamVerdict::AlreadyEnded;
@@ -59,14 +60,14 @@
         self.has_bytes |= !bytes.is_empty();
         if self.framing == StreamFraming::Body {
             self.silence_deadline = now + self.max_token_gap;
-            return StreamVerdict::Continue;
+            return self.on_tick(now);
         }
         let scan = self.scanner.scan(bytes);
         if scan.has_progress {
             self.silence_deadline = now + self.max_token_gap;
         }
         if !self.scanner.is_done() {
-            return StreamVerdict::Continue;
+            return self.on_tick(now);
         }
         self.has_ended = true;
         let connection = match scan.has_trailing_bytes {
--- a/crates/ebonystand-core/tests/stream_guard.rs
+++ b/crates/ebonystand-core/tests/stream_guard.rs
@@ -115,6 +115,25 @@
     assert_eq!(guard(StreamFraming::Events, true).on_cancel(), cancelled);
 }
 
+/// Guards against a stream that never pauses and so is relayed past its limits.
+#[rstest]
+#[case::tokens("data: a\n\n", 60_000, Fault::Deadline, Never)]
+#[case::an_event_without_end("data: a", 10_000, Fault::BetweenTokens, AtToken(0))]
+#[case::keep_alives(": ping\n\n", 10_000, Fault::BetweenTokens, AtToken(0))]
+fn a_stream_without_pauses_ends_at_its_limits(
+    #[case] body: &str,
+    #[case] limit: u64,
+    #[case] fault: Fault,
+    #[case] resumption: Resumption,
+) {
+    let mut guard = guard(StreamFraming::Events, true);
+    for now in 0..limit {
+        assert_eq!(guard.on_bytes(ms(now), body.as_bytes()), Continue);
+    }
+    let verdict = guard.on_bytes(ms(limit), body.as_bytes());
+    assert_eq!(verdict, broken(fault, resumption));
+}
+
 /// The answer of a plain service breaks off before its length, which the client library reports. It
 /// may be requested again only if none of it has arrived.
 #[test]
--- a/crates/ebonystand/tests/integration/endless.rs
+++ b/crates/ebonystand/tests/integration/endless.rs
@@ -24,25 +24,25 @@
 };
 
 /// Callers at a time.
-const CALLERS: usize = 40;
+pub(crate) const CALLERS: usize = 40;
 /// Bytes that a VM may read of an answer that gets nowhere, with what the sockets of both ends hold.
 const MAX_IDLE_BYTES: u64 = 16 << 20;
 /// Memory of the VM, in MB.
-const MEMORY_MB: u64 = 100;
+pub(crate) const MEMORY_MB: u64 = 100;
 /// Memory by which the process may grow, in bytes.
-const MAX_GROWTH: u64 = 32 << 20;
+pub(crate) const MAX_GROWTH: u64 = 32 << 20;
 /// Time of the routes and of calls of services, in milliseconds.
 const TIMEOUT_MS: u64 = 1_500;
 
 /// What an upstream sends: a beginning, and then the same bytes again and again.
 #[derive(Clone, Copy)]
-struct Endless {
+pub(crate) struct Endless {
     beginning: &'static str,
     repeated: &'static str,
 }
 
 #[derive(Clone, Copy)]
-enum Pace {
+pub(crate) enum Pace {
     /// As fast as it is read.
     Full,
     /// A little at a time.
@@ -57,11 +57,11 @@
     beginning: "HTTP/1.1 200 OK\r\nserver: ",
     repeated: "s",
 };
-const HEADERS: Endless = Endless {
+pub(crate) const HEADERS: Endless = Endless {
     beginning: "HTTP/1.1 200 OK\r\n",
     repeated: "server: s\r\n",
 };
-const INTERIM: Endless = Endless {
+pub(crate) const INTERIM: Endless = Endless {
     beginning: "",
     repeated: "HTTP/1.1 103 Early Hints\r\n\r\n",
 };
@@ -73,7 +73,7 @@
     beginning: "HTTP/1.1 200 OK\r\nx-ebonystand-request: NAME\r\ntransfer-encoding: chunked\r\n\r\n",
     repeated: "0",
 };
-const CHUNK_EXTENSION: Endless = Endless {
+pub(crate) const CHUNK_EXTENSION: Endless = Endless {
     beginning: "HTTP/1.1 200 OK\r\nx-ebonystand-request: NAME\r\ntransfer-encoding: chunked\r\n\r\n5;a=",
     repeated: "b",
 };
@@ -89,32 +89,50 @@
     beginning: "HTTP/1.1 200 OK\r\nx-ebonystand-request: NAME\r\ncontent-length: 5\r\n\r\nwhole",
     repeated: "more",
 };
-const UNFRAMED: Endless = Endless {
+pub(crate) const UNFRAMED: Endless = Endless {
     beginning: "HTTP/1.1 200 OK\r\nx-ebonystand-request: NAME\r\n\r\n",
     repeated: "more",
 };
-const CHUNKS: Endless = Endless {
+pub(crate) const CHUNKS: Endless = Endless {
     beginning: "HTTP/1.1 200 OK\r\nx-ebonystand-request: NAME\r\ntransfer-encoding: chunked\r\n\r\n",
     repeated: "4\r\nmore\r\n",
 };
-const FAILURE: Endless = Endless {
+pub(crate) const EVENT: Endless = Endless {
+    beginning: "HTTP/1.1 200 OK\r\nx-ebonystand-request: NAME\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n6\r\ndata: \r\n",
+    repeated: "4\r\nmore\r\n",
+};
+pub(crate) const COMMENTS: Endless = Endless {
+    beginning: "HTTP/1.1 200 OK\r\nx-ebonystand-request: NAME\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
+    repeated: "3\r\n:\n\n\r\n",
+};
+pub(crate) const FAILURE: Endless = Endless {
     beginning: "HTTP/1.1 500 Internal Server Error\r\nx-ebonystand-request: NAME\r\n\r\n",
     repeated: "more",
 };
 
-/// An upstream that answers requests for `/endless` without end, and all others soundly.
+/// An upstream that answers requests for `/endless` and completions without end, and all others soundly.
 #[derive(Clone, Default)]
-struct Upstream {
+pub(crate) struct Upstream {
     /// Connections that carry an answer without end now.
-    open: Arc<AtomicUsize>,
+    pub(crate) open: Arc<AtomicUsize>,
     /// Bytes that were accepted of the answer that got furthest.
     most: Arc<AtomicU64>,
     /// Answers without end.
-    begun: Arc<AtomicUsize>,
+    pub(crate) begun: Arc<AtomicUsize>,
+}
+
+impl Endless {
+    /// A stream that repeats these chunks.
+    pub(crate) const fn events(repeated: &'static str) -> Self {
+        Self {
+            beginning: COMMENTS.beginning,
+            repeated,
+        }
+    }
 }
 
 impl Upstream {
-    fn start(endless: Endless, pace: Pace) -> (Self, SocketAddr) {
+    pub(crate) fn start(endless: Endless, pace: Pace) -> (Self, SocketAddr) {
         let upstream = Self::default();
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
@@ -144,7 +162,7 @@
             let name = "x-ebonystand-request: ";
             let name = head.lines().find_map(|line| line.strip_prefix(name));
             let name = name.unwrap_or("none");
-            if head.contains("/endless") {
+            if head.contains("/endless") || head.contains("/completions") {
                 self.begun.fetch_add(1, Ordering::SeqCst);
                 self.open.fetch_add(1, Ordering::SeqCst);
                 let beginning = endless.beginning.replace("NAME", name);
@@ -182,14 +200,14 @@
 
 /// What a caller got, of whose body only the end is kept.
 #[derive(Debug)]
-struct Answer {
-    end: Vec<u8>,
-    head: String,
+pub(crate) struct Answer {
+    pub(crate) end: Vec<u8>,
+    pub(crate) head: String,
     is_reset: bool,
 }
 
 impl Answer {
-    async fn read(vm: &Vm, path: &str, name: &str) -> Self {
+    pub(crate) async fn read(vm: &Vm, path: &str, name: &str) -> Self {
         let address = vm.addresses.callers;
         let mut io = tokio::net::TcpStream::connect(address).await.unwrap();
         let request = format!(
@@ -220,13 +238,13 @@
         }
     }
 
-    fn status(&self) -> u16 {
+    pub(crate) fn status(&self) -> u16 {
         let status = self.head.split(' ').nth(1);
         status.and_then(|status| status.parse().ok()).unwrap_or(0)
     }
 
     /// Whether a caller can take the body for whole.
-    fn looks_whole(&self) -> bool {
+    pub(crate) fn looks_whole(&self) -> bool {
         match self.head.contains("transfer-encoding") {
             true => self.end.ends_with(b"0\r\n\r\n"),
             false => !self.head.is_empty() && !self.is_reset,
@@ -239,6 +257,11 @@
     let upstream = Scripted::start(|received| received.answer("200 OK", ""));
     let mut setting = Setting::new(vec![("a", vec![upstream.at(address)])]);
     setting.resources = json!({"memory_mb": MEMORY_MB});
+    start_with(setting).await
+}
+
+/// A fleet whose routes have a short time.
+pub(crate) async fn start_with(setting: Setting) -> Fleet {
     let fleet = setting.start().await;
     let mut routing = routing(1);
     for route in &mut routing.routes {
@@ -246,29 +269,41 @@
         route.timeout_ms = TIMEOUT_MS;
     }
     put(&fleet, routing).await;
-    served(&fleet.vms[0], "/look/first").await;
+    for vm in &fleet.vms {
+        served(vm, "/look/first").await;
+    }
     fleet
 }
 
 /// Has callers ask for answers without end all at once, and returns what they got and by how many bytes the process grew.
 async fn ask(fleet: &Fleet, path: &str) -> (Vec<Answer>, u64) {
     let vm = &fleet.vms[0];
-    let before = vm.resident_bytes();
     let names = (0..CALLERS).map(|n| format!("endless-{n}"));
     let names = names.collect::<Vec<_>>();
     let answers = join_all(names.iter().map(|name| Answer::read(vm, path, name)));
-    let mut most = before;
-    tokio::pin!(answers);
+    watch(fleet, answers).await
+}
+
+/// Returns the output of a future, and by how many bytes the process grew most meanwhile.
+pub(crate) async fn watch<T>(fleet: &Fleet, future: impl Future<Output = T>) -> (T, u64) {
+    let before = fleet.vms.iter().map(Vm::resident_bytes);
+    let before = before.collect::<Vec<_>>();
+    let mut most = 0;
+    tokio::pin!(future);
     loop {
-        match actix_rt::time::timeout(Duration::from_millis(10), &mut answers).await {
-            Ok(answers) => return (answers, most - before),
-            Err(_) => most = most.max(vm.resident_bytes()),
+        match actix_rt::time::timeout(Duration::from_millis(10), &mut future).await {
+            Ok(output) => return (output, most),
+            Err(_) => {
+                let grown = fleet.vms.iter().zip(&before);
+                let grown = grown.map(|(vm, before)| vm.resident_bytes().saturating_sub(*before));
+                most = most.max(grown.max().unwrap_or(0));
+            }
         }
     }
 }
 
 /// Waits until the VM has closed all connections that carry answers without end.
-async fn wait_until_closed(upstream: &Upstream, fleet: &Fleet) {
+pub(crate) async fn wait_until_closed(upstream: &Upstream, fleet: &Fleet) {
     for _ in 0..1_000 {
         if upstream.open.load(Ordering::SeqCst) == 0 {
             return;
@@ -325,6 +360,10 @@
 #[case::unframed_trickles(UNFRAMED, Pace::Trickle)]
 #[case::chunks(CHUNKS, Pace::Full)]
 #[case::chunks_trickle(CHUNKS, Pace::Trickle)]
+#[case::event(EVENT, Pace::Full)]
+#[case::event_trickles(EVENT, Pace::Trickle)]
+#[case::comments(COMMENTS, Pace::Full)]
+#[case::comments_trickle(COMMENTS, Pace::Trickle)]
 #[actix_rt::test]
 async fn an_answer_that_never_ends_is_broken_off(
     #[values("/look/endless", "/once/endless", "/stream/endless")] path: &str,
