Give up a caller that reads nothing while its upstream waits

What callers saw: nothing; their upstreams waited for up to 30 s, in place of 3 s, for a caller that reads nothing, held a place meanwhile, and cut the answer off as their own failure.

Cause: an answer counted as held back if 64 KiB of its body were held, which is what fills a connection's buffer. Heads and framing fill it too, and as they are accepted they were taken off from the body's bytes, so that a full buffer nearly always counted as less.

Evidence: 150 requests for a body without framing or end, by callers that read nothing: their connections to the upstream were still open 10 s later, with no line of an answer broken off.

Change: the body of an answer tells whether the connection has asked for more than it could pass on (then its upstream is what it waits for) or not (then its buffer is full).

The test failed before: case unframed of relays_without_end_to_callers_that_read_nothing_are_broken_off. Beside it endless_beside.rs plays 150 answers without end at once beside sound requests at a VM of 260 MB, and answers without end over another VM.

--- a/crates/ebonystand-core/src/held_answers.rs
+++ b/crates/ebonystand-core/src/held_answers.rs
@@ -14,6 +14,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct HeldConnection {
     bytes: u64,
+    /// Whether the rest of the answer waits until the caller accepts bytes.
+    is_held_back: bool,
     stalled_since: Option<Duration>,
 }
 
@@ -76,6 +78,14 @@
         }
     }
 
+    /// Records whether the rest of the answer waits until the caller accepts bytes. The bytes held do
+    /// not tell: heads and framing fill a connection's buffer too.
+    pub fn set_held_back(&mut self, connection: u64, is_held_back: bool) {
+        if let Some(held) = self.connections.get_mut(&connection) {
+            held.is_held_back = is_held_back;
+        }
+    }
+
     /// Records that bytes of a connection are no longer held.
     pub fn release(&mut self, connection: u64, bytes: u64) {
         if let Some(held) = self.connections.get_mut(&connection) {
@@ -103,7 +113,8 @@
     /// Returns the connections to break off because they have been stalled for too long.
     pub fn expire(&mut self, now: Duration) -> Vec<u64> {
         let is_expired = |held: &HeldConnection| {
-            let max = match held.bytes >= Self::CONNECTION_BYTES as u64 {
+            let is_full = held.bytes >= Self::CONNECTION_BYTES as u64;
+            let max = match held.is_held_back || is_full {
                 true => Self::MAX_BACK_PRESSURE,
                 false => Self::MAX_STALL,
             };
--- a/crates/ebonystand-core/tests/held_answers.rs
+++ b/crates/ebonystand-core/tests/held_answers.rs
@@ -45,6 +45,21 @@
     assert_eq!(held.total(), 0);
 }
 
+/// Guards against framing that fills a connection's buffer, so that an upstream waits as long as for an answer held here.
+#[test]
+fn an_answer_that_is_held_back_is_given_up_however_little_of_it_is_held() {
+    let mut held = HeldAnswers::new(Some(MEMORY));
+    for caller in 1..=2 {
+        held.add(caller, 1_000);
+        held.set_held_back(caller, true);
+        held.stall(s(10), caller);
+    }
+    held.set_held_back(2, false);
+    assert!(held.expire(s(12)).is_empty());
+    assert_eq!(held.expire(s(13)), [1]);
+    assert_eq!(held.expire(s(40)), [2]);
+}
+
 /// An upstream cuts off an answer that remains unread for some seconds, so a caller whose answer
 /// waits at its upstream is given up before; one whose answer is held here has more time.
 #[test]
--- a/crates/ebonystand/src/slow_readers.rs
+++ b/crates/ebonystand/src/slow_readers.rs
@@ -152,6 +152,11 @@
         })
     }
 
+    fn set_held_back(&self, is_held_back: bool) {
+        let mut answers = self.0.readers.answers.borrow_mut();
+        answers.set_held_back(self.0.id, is_held_back);
+    }
+
     fn release(&self, bytes: usize) {
         let mut answers = self.0.readers.answers.borrow_mut();
         answers.release(self.0.id, bytes as u64);
@@ -202,10 +207,13 @@
         }
         let next = Pin::new(&mut self.body).poll_next(cx);
         let Poll::Ready(Some(Ok(bytes))) = next else {
+            self.account.set_held_back(false);
             return next;
         };
         if bytes.len() <= HeldAnswers::CONNECTION_BYTES {
             self.account.add(bytes.len());
+            // The connection asks for more at once unless its buffer is full.
+            self.account.set_held_back(true);
             return Poll::Ready(Some(Ok(bytes)));
         }
         self.rest_of = bytes.len();
--- a/crates/ebonystand/tests/integration/main.rs
+++ b/crates/ebonystand/tests/integration/main.rs
@@ -10,6 +10,7 @@
 mod cut_heads;
 mod cut_vms;
 mod endless;
+mod endless_beside;
 mod endless_streams;
 mod failures;
 mod faults;
--- a/crates/ebonystand/tests/integration/slow_readers.rs
+++ b/crates/ebonystand/tests/integration/slow_readers.rs
@@ -23,7 +23,7 @@
 const MAX_RESIDENT: u64 = MEMORY_MB * 1_000_000;
 
 /// Sends a request and reads nothing of its answer but the first packet, which stays in the socket.
-async fn read_nothing(vm: &Vm, path: &str, number: usize) -> TcpStream {
+pub(crate) async fn read_nothing(vm: &Vm, path: &str, number: usize) -> TcpStream {
     let socket = TcpSocket::new_v4().unwrap();
     socket.set_recv_buffer_size(4 << 10).unwrap();
     let mut io = socket.connect(vm.addresses.callers).await.unwrap();
