Close a link to a VM on bytes that answer no ping

What callers saw: nothing yet. If another program takes the port of a VM that is gone and sends without end, each VM that links to it reads on for as long as that lasts: a core is busy, and what should be sent over the link isn't.

Cause: any bytes were taken for answers to pings, and reading them comes before everything else on the link.

Change: a VM answers each ping with one byte, so more bytes than open pings mean that something else listens there. The link is closed and opened anew after the usual pause.

The test failed before: 1.1 GB were read on one connection in some 10 s, and it was still open. The other direction held before: a program without the secret that sends without end is closed at its first frame.

--- a/crates/ebonystand/src/peer_link.rs
+++ b/crates/ebonystand/src/peer_link.rs
@@ -34,6 +34,8 @@
     Io { source: io::Error },
     #[snafu(display("no answer to a ping"))]
     Silent,
+    #[snafu(display("bytes that answer no ping"))]
+    Unasked,
     #[snafu(display("{source}"), context(false))]
     Wire { source: ebonystand_wire::Error },
 }
@@ -116,6 +118,7 @@
     let mut pings = actix_rt::time::interval(PeerLink::PING_INTERVAL);
     let mut pong = [0; 64];
     let mut asked: Option<Instant> = None;
+    let mut unanswered_pings = 0;
     let mut heard = Instant::now();
     let mut spoken = Instant::now();
     loop {
@@ -125,9 +128,13 @@
             // looked at.
             biased;
             read = from.read(&mut pong) => {
-                if read? == 0 {
+                let pongs = read?;
+                if pongs == 0 {
                     return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
                 }
+                // Something else listens there. Read on, it could keep this loop from sending.
+                ensure!(pongs <= unanswered_pings, UnaskedSnafu);
+                unanswered_pings -= pongs;
                 heard = Instant::now();
                 asked = None;
             }
@@ -143,6 +150,7 @@
                     continue;
                 }
                 asked.get_or_insert_with(Instant::now);
+                unanswered_pings += 1;
                 writer.write(&PeerMessage::Ping, &mut buf)?;
             }
             message = outbox.next() => {
--- a/crates/ebonystand/tests/integration/main.rs
+++ b/crates/ebonystand/tests/integration/main.rs
@@ -11,6 +11,7 @@
 mod cut_vms;
 mod endless;
 mod endless_beside;
+mod endless_links;
 mod endless_streams;
 mod failures;
 mod faults;
