Close callers' connections in an orderly way once all has been sent

Callers lost the rest of an answer that they had not read yet when the VM closed its connection and they sent their next request on it: a leaving VM closes after each answer, and so do answers to HTTP/1.0 and to callers that ask for the close. A socket that is closed with bytes unread, or gets any later, is reset, and what its send buffer still holds is thrown away.

The connection is now shut down for writing, and what still comes is read and discarded until the caller closes its end, within a bounded time and number of bytes and for a bounded number of connections. These count among the connections of their listener as before, so they hold no more descriptors than idle ones may.

--- a/crates/ebonystand/src/caller_connection.rs
+++ b/crates/ebonystand/src/caller_connection.rs
@@ -1,12 +1,15 @@
 use super::*;
 use {
+    actix_rt::time::Sleep,
     caller_presence::CallerPresence,
+    in_flight::InFlight,
     rustix::net::sockopt::set_socket_linger,
     slow_readers::ConnectionAccount,
     std::{
         io::IoSlice,
+        mem::MaybeUninit,
         pin::Pin,
-        task::{Context, Poll},
+        task::{Context, Poll, ready},
     },
     tokio::io::{AsyncRead, AsyncWrite, ReadBuf},
 };
@@ -19,11 +22,20 @@
     account: ConnectionAccount,
     close_mode: CloseMode,
     io: TcpStream,
+    linger: Option<Linger>,
+    lingering: Rc<Cell<usize>>,
     presence: CallerPresence,
     /// Mode that the socket is set to.
     resets: bool,
 }
 
+/// The rest of a connection's life once all has been sent: the caller may still read, and send.
+struct Linger {
+    bytes: usize,
+    ends: Pin<Box<Sleep>>,
+    _lingering: InFlight,
+}
+
 /// How a connection ends, shared with the bodies that are sent over it.
 #[derive(Clone, Default)]
 pub(crate) struct CloseMode(Rc<Cell<bool>>);
@@ -36,11 +48,25 @@
 }
 
 impl CallerConnection {
-    pub(crate) fn new(io: TcpStream, account: ConnectionAccount) -> Self {
+    const DISCARD_BYTES: usize = 16 << 10;
+    /// Bytes that are read and discarded at most after the last answer.
+    const MAX_LINGER_BYTES: usize = 16 << 20;
+    /// Longest time for a caller to read the last answer and close its end.
+    const MAX_LINGER: Duration = Duration::from_secs(5);
+    /// Most connections of a listener that wait for their callers to close their end.
+    const MAX_LINGERING: usize = 1_024;
+
+    pub(crate) fn new(
+        io: TcpStream,
+        account: ConnectionAccount,
+        lingering: &Rc<Cell<usize>>,
+    ) -> Self {
         Self {
             account,
             close_mode: CloseMode::default(),
             io,
+            linger: None,
+            lingering: Rc::clone(lingering),
             presence: CallerPresence::default(),
             resets: false,
         }
@@ -70,6 +96,26 @@
         }
         Ok(())
     }
+
+    /// Reads and discards what the caller still sends, until it closes its end. Closed with bytes unread, or sent
+    /// any later, the connection would be reset, and the caller would lose what it has not read of its answer.
+    fn poll_linger(&mut self, cx: &mut Context) -> Poll<()> {
+        let Some(linger) = &mut self.linger else {
+            return Poll::Ready(());
+        };
+        let mut discarded = [MaybeUninit::uninit(); Self::DISCARD_BYTES];
+        while linger.bytes < Self::MAX_LINGER_BYTES {
+            let mut buf = ReadBuf::uninit(&mut discarded);
+            match Pin::new(&mut self.io).poll_read(cx, &mut buf) {
+                Poll::Ready(Ok(())) if !buf.filled().is_empty() => {
+                    linger.bytes += buf.filled().len();
+                }
+                Poll::Ready(_) => return Poll::Ready(()),
+                Poll::Pending => return linger.ends.as_mut().poll(cx),
+            }
+        }
+        Poll::Ready(())
+    }
 }
 
 impl AsyncRead for CallerConnection {
@@ -130,7 +176,20 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        self.apply_close_mode()?;
-        Pin::new(&mut self.io).poll_shutdown(cx)
+        if self.linger.is_none() {
+            self.apply_close_mode()?;
+            ready!(Pin::new(&mut self.io).poll_shutdown(cx))?;
+            let lingering = InFlight::enter(&self.lingering, Self::MAX_LINGERING);
+            let Some(lingering) = lingering else {
+                log::warn!(limit = Self::MAX_LINGERING; "connection closed at once: too many wait for their callers");
+                return Poll::Ready(Ok(()));
+            };
+            self.linger = Some(Linger {
+                bytes: 0,
+                ends: Box::pin(actix_rt::time::sleep(Self::MAX_LINGER)),
+                _lingering: lingering,
+            });
+        }
+        self.poll_linger(cx).map(Ok)
     }
 }
--- a/crates/ebonystand/src/http_server.rs
+++ b/crates/ebonystand/src/http_server.rs
@@ -61,6 +61,7 @@
     };
     let service = Rc::new(service);
     let connections = Rc::new(Cell::new(0));
+    let lingering = Rc::new(Cell::new(0));
     loop {
         let io = match listener.accept().await {
             Ok((io, _)) => io,
@@ -79,10 +80,11 @@
         let _ = io.set_nodelay(true);
         let service = Rc::clone(&service);
         let account = ConnectionAccount::open(&readers);
+        let lingering = Rc::clone(&lingering);
         actix_rt::spawn(async move {
             let _connection = connection;
             let address = io.peer_addr().ok();
-            let connection = CallerConnection::new(io, account);
+            let connection = CallerConnection::new(io, account, &lingering);
             if let Err(error) = service.call((connection, address)).await {
                 log::debug!(error:% = error; "connection ended");
             }
--- /dev/null
+++ b/crates/ebonystand/tests/integration/closes.rs
@@ -0,0 +1,144 @@
+//! How a VM closes the connections of its callers, through real processes.
+
+use {
+    crate::{
+        fleet::{Fleet, KEY},
+        routes::{HOST, Setting, put, routing, served},
+        scripted::{Received, Scripted},
+        vm::Vm,
+    },
+    futures_util::future::join_all,
+    rstest::rstest,
+    std::time::Duration,
+    tokio::{
+        io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _},
+        net::{TcpSocket, TcpStream},
+        task::JoinHandle,
+    },
+};
+
+/// Below what the VM's socket holds, and above what the caller's does.
+const ANSWER_BYTES: usize = 600_000;
+/// Above what the VM reads ahead of a connection's next request.
+const EARLY_BYTES: usize = 400_000;
+/// Time between two reads.
+const PACE: Duration = Duration::from_millis(2);
+/// Time after which the VM has passed an answer to its socket.
+const SETTLED: Duration = Duration::from_millis(300);
+
+/// When the caller sends its next request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Next {
+    /// With the first one.
+    Early,
+    /// Once the answer to the first one comes.
+    Late,
+}
+
+async fn start() -> Fleet {
+    let body = "x".repeat(ANSWER_BYTES);
+    let upstream = Scripted::start(move |received: &Received| {
+        let is_big = received.head.contains("/big");
+        received.answer("200 OK", if is_big { &body } else { "served" })
+    });
+    let fleet = Setting::new(vec![("a", vec![upstream])]).start().await;
+    put(&fleet, routing(1)).await;
+    served(&fleet.vms[0], "/look/first").await;
+    fleet
+}
+
+/// A connection whose end holds little of what is sent over it.
+async fn connect(vm: &Vm) -> TcpStream {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4 << 10).unwrap();
+    socket.connect(vm.addresses.callers).await.unwrap()
+}
+
+fn first(request: &str, version: &str, more: &str) -> String {
+    format!(
+        "GET /look/big HTTP/{version}\r\nhost: {HOST}\r\nauthorization: Bearer {KEY}\r\nx-ebonystand-request: {request}\r\n{more}\r\n"
+    )
+}
+
+/// A request that the VM doesn't read whole before it has answered the one before.
+fn next() -> String {
+    let head = format!(
+        "POST /look/next HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer {KEY}\r\nx-ebonystand-request: next\r\ncontent-length: {EARLY_BYTES}\r\n\r\n"
+    );
+    head + &"y".repeat(EARLY_BYTES)
+}
+
+/// Reads an answer at this pace, and returns how many bytes of its body came.
+async fn read(io: &mut (impl AsyncRead + Unpin), pace: Duration) -> usize {
+    let (mut bytes, mut buf) = (Vec::new(), vec![0; 16 << 10]);
+    loop {
+        let head = bytes.windows(4).position(|end| end == b"\r\n\r\n");
+        let body = head.map_or(0, |head| bytes.len() - head - 4);
+        if body >= ANSWER_BYTES {
+            // What follows answers the next request.
+            return ANSWER_BYTES;
+        }
+        actix_rt::time::sleep(pace).await;
+        match io.read(&mut buf).await {
+            Ok(len) if len > 0 => bytes.extend_from_slice(&buf[..len]),
+            _ => return body,
+        }
+    }
+}
+
+/// Sends two requests, and returns how many bytes of the first answer's body came.
+async fn ask(mut io: TcpStream, first: &str, when: Next) -> usize {
+    io.write_all(first.as_bytes()).await.unwrap();
+    let (mut rx, tx) = io.into_split();
+    if when == Next::Late {
+        rx.readable().await.unwrap();
+        actix_rt::time::sleep(SETTLED).await;
+    }
+    let sending = send_next(tx);
+    let read = read(&mut rx, PACE).await;
+    sending.abort();
+    read
+}
+
+fn send_next(mut tx: impl AsyncWrite + Unpin + 'static) -> JoinHandle<()> {
+    actix_rt::spawn(async move {
+        // The VM may close the connection meanwhile.
+        let _ = tx.write_all(next().as_bytes()).await;
+        std::future::pending().await
+    })
+}
+
+/// Guards against a connection that is reset for its caller's next request, which loses the rest of the answer before.
+#[rstest]
+#[actix_rt::test]
+async fn an_answer_that_ends_its_connection_comes_whole_to_a_caller_that_sends_its_next_request(
+    #[values(Next::Early, Next::Late)] when: Next,
+    #[values(("1.1", "connection: close\r\n"), ("1.0", ""))] (version, more): (&str, &str),
+) {
+    let fleet = start().await;
+    let vm = &fleet.vms[0];
+    let calls = (0..10).map(async |n| {
+        let first = first(&format!("first-{n}"), version, more);
+        ask(connect(vm).await, &first, when).await
+    });
+    let got = join_all(calls).await;
+    assert_eq!(got, [ANSWER_BYTES; 10]);
+}
+
+/// Guards against a leaving VM that resets kept connections whose callers send their next request.
+#[rstest]
+#[actix_rt::test]
+async fn an_answer_of_a_leaving_vm_comes_whole_to_a_caller_that_sends_its_next_request(
+    #[values(Next::Early, Next::Late)] when: Next,
+) {
+    let fleet = start().await;
+    let vm = &fleet.vms[0];
+    vm.signal("TERM");
+    vm.log_with("\"leaving\"").await;
+    let calls = (0..10).map(async |n| {
+        let first = first(&format!("first-{n}"), "1.1", "");
+        ask(connect(vm).await, &first, when).await
+    });
+    let got = join_all(calls).await;
+    assert_eq!(got, [ANSWER_BYTES; 10]);
+}
--- a/crates/ebonystand/tests/integration/main.rs
+++ b/crates/ebonystand/tests/integration/main.rs
@@ -6,6 +6,7 @@
 mod answer;
 mod bad_input;
 mod callers;
+mod closes;
 mod crashes;
 mod cut_heads;
 mod cut_vms;
