Reset connections whose last bytes were not written when the process ends

A body without a length or chunks that was cut off by the end of the process looked whole. Its connection was set to an orderly close once the body's last bytes were passed to the HTTP server, which may hold 64 KiB that the caller has not accepted; the operating system then closed the connection of the ended process in that way.

The mode is now taken back only when all has been written, and a shutdown before the end of the body, after the caller has closed its own end, resets the connection too.

--- a/crates/ebonystand/src/caller_connection.rs
+++ b/crates/ebonystand/src/caller_connection.rs
@@ -41,7 +41,7 @@
 pub(crate) struct CloseMode(Rc<Cell<bool>>);
 
 impl CloseMode {
-    /// Has the connection reset, or closed in an orderly way, from the next write on.
+    /// Has the connection reset from the next write on, or closed in an orderly way once all is written.
     pub(crate) fn set_resets(&self, resets: bool) {
         self.0.set(resets);
     }
@@ -84,15 +84,28 @@
         self.presence.clone()
     }
 
-    fn apply_close_mode(&mut self) -> io::Result<()> {
+    /// Has the connection reset if it ends before all of an answer has been written.
+    fn prepare_write(&mut self) -> io::Result<()> {
         if self.account.is_broken_off() {
             set_socket_linger(&self.io, Some(Duration::ZERO))?;
             return Err(ErrorKind::ConnectionAborted.into());
         }
-        let resets = self.close_mode.0.get();
-        if resets != self.resets {
-            set_socket_linger(&self.io, resets.then_some(Duration::ZERO))?;
-            self.resets = resets;
+        if self.close_mode.0.get() && !self.resets {
+            set_socket_linger(&self.io, Some(Duration::ZERO))?;
+            self.resets = true;
+        }
+        Ok(())
+    }
+
+    /// Has the connection closed in an orderly way, unless its answer has broken off. All has been written.
+    fn prepare_shutdown(&mut self) -> io::Result<()> {
+        self.prepare_write()?;
+        if self.close_mode.0.get() {
+            return Err(ErrorKind::ConnectionAborted.into());
+        }
+        if self.resets {
+            set_socket_linger(&self.io, None)?;
+            self.resets = false;
         }
         Ok(())
     }
@@ -150,7 +163,7 @@
         cx: &mut Context,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.apply_close_mode()?;
+        self.prepare_write()?;
         let written = Pin::new(&mut self.io).poll_write(cx, buf);
         self.account.record_write(cx, &written);
         written
@@ -161,7 +174,7 @@
         cx: &mut Context,
         bufs: &[IoSlice],
     ) -> Poll<io::Result<usize>> {
-        self.apply_close_mode()?;
+        self.prepare_write()?;
         let written = Pin::new(&mut self.io).poll_write_vectored(cx, bufs);
         self.account.record_write(cx, &written);
         written
@@ -177,7 +190,7 @@
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
         if self.linger.is_none() {
-            self.apply_close_mode()?;
+            self.prepare_shutdown()?;
             ready!(Pin::new(&mut self.io).poll_shutdown(cx))?;
             let lingering = InFlight::enter(&self.lingering, Self::MAX_LINGERING);
             let Some(lingering) = lingering else {
--- a/crates/ebonystand/tests/integration/closes.rs
+++ b/crates/ebonystand/tests/integration/closes.rs
@@ -4,7 +4,7 @@
     crate::{
         fleet::{Fleet, KEY},
         routes::{HOST, Setting, put, routing, served},
-        scripted::{Received, Scripted},
+        scripted::{Received, Scripted, Then},
         vm::Vm,
     },
     futures_util::future::join_all,
@@ -142,3 +142,53 @@
     let got = join_all(calls).await;
     assert_eq!(got, [ANSWER_BYTES; 10]);
 }
+
+/// Guards against a body that ends with its connection, breaks off as the VM stops, and looks whole.
+#[actix_rt::test]
+async fn a_body_that_ends_with_its_connection_never_looks_whole_when_a_vm_stops_before_its_end() {
+    const STEP: usize = 8_000;
+    const READERS: usize = 64;
+    const SMALLEST: usize = 2_600_000;
+    let upstream = Scripted::start(|received: &Received| {
+        let number = received.request().strip_prefix("cut-");
+        let Some(number) = number.map(|number| number.parse::<usize>().unwrap()) else {
+            return received.answer("200 OK", "served");
+        };
+        let mut reply = received.answer("200 OK", &"x".repeat(SMALLEST + STEP * number));
+        let len = format!("content-length: {}\r\n", SMALLEST + STEP * number);
+        reply.bytes = reply.bytes.replacen(&len, "", 1);
+        reply.then = Then::Close;
+        reply
+    });
+    let mut setting = Setting::new(vec![("a", vec![upstream])]);
+    setting.drain_ms = Some(1_000);
+    let mut fleet = setting.start().await;
+    put(&fleet, routing(1)).await;
+    served(&fleet.vms[0], "/look/first").await;
+    let mut readers = Vec::new();
+    for number in 0..READERS {
+        let mut io = connect(&fleet.vms[0]).await;
+        let request = first(&format!("cut-{number}"), "1.0", "");
+        io.write_all(request.as_bytes()).await.unwrap();
+        io.readable().await.unwrap();
+        readers.push(io);
+    }
+    fleet.vms[0].signal("TERM");
+    assert!(fleet.vms[0].wait());
+    let mut cut = 0;
+    for (number, mut io) in readers.into_iter().enumerate() {
+        let mut bytes = Vec::new();
+        let ended = io.read_to_end(&mut bytes).await;
+        let head = bytes.windows(4).position(|end| end == b"\r\n\r\n").unwrap() + 4;
+        let text = String::from_utf8_lossy(&bytes[..head]).to_ascii_lowercase();
+        assert!(!text.contains("content-length"), "{text}");
+        let is_short = bytes.len() - head < SMALLEST + STEP * number;
+        assert!(
+            !is_short || ended.is_err(),
+            "{number}: {}",
+            bytes.len() - head
+        );
+        cut += usize::from(is_short);
+    }
+    println!("{cut} of {READERS} cut");
+}
