Close all connections in an orderly way before the process ends

Callers that sent their next request on a kept connection as the process ended lost what they had not read of the answer before: the process ended a tenth of a second after the last request, and the operating system resets the connections of an ended process that get more bytes.

Once the last answers are passed on, the VM takes no more connections, closes each one when its answer has been sent, and waits for the callers to close their end within the time for the last answers. The first part of that wait is at most half of it, so that a short grace is kept. The line "stopped" says how many connections are left.

--- a/crates/ebonystand/src/http_server.rs
+++ b/crates/ebonystand/src/http_server.rs
@@ -6,7 +6,9 @@
     caller_connection::{CallerConnection, CloseMode},
     ebonystand_core::HeldAnswers,
     in_flight::InFlight,
+    listeners::Listeners,
     slow_readers::{ConnectionAccount, SlowReaders},
+    std::pin::pin,
 };
 
 /// Idle time after which a caller's connection is closed; longer than callers keep theirs.
@@ -19,22 +21,25 @@
     pub(crate) head_timeout: Duration,
 }
 
-/// Serves HTTP on `listener` until the task is dropped; connections outlive it.
+/// Serves HTTP on `listener` until `listeners` are closed; connections outlive it.
 pub(crate) async fn serve<F, R>(
     listener: TcpListener,
     bounds: HttpBounds,
     readers: Rc<SlowReaders>,
+    listeners: Rc<Listeners>,
     handler: F,
 ) where
     F: Fn(Request) -> R + Clone + 'static,
     R: Future<Output = Response<BoxBody>> + 'static,
 {
+    let signals = Rc::clone(&listeners);
     let factory = HttpService::build()
         .h1_write_buffer_size(HeldAnswers::CONNECTION_BYTES)
         .client_request_timeout(bounds.head_timeout)
         .keep_alive(KEEP_ALIVE)
         // A caller that closes its end has left: what runs for it is ended, upstream too.
         .h1_allow_half_closed(false)
+        .graceful_shutdown_signal(move || signals.closed())
         .on_connect_ext(
             |connection: &CallerConnection, extensions: &mut Extensions| {
                 extensions.insert(connection.account());
@@ -62,8 +67,13 @@
     let service = Rc::new(service);
     let connections = Rc::new(Cell::new(0));
     let lingering = Rc::new(Cell::new(0));
+    let mut closed = pin!(listeners.closed());
     loop {
-        let io = match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = &mut closed => return,
+        };
+        let io = match accepted {
             Ok((io, _)) => io,
             Err(error) => {
                 // Out of file descriptors: accepting again at once would spin.
@@ -81,8 +91,9 @@
         let service = Rc::clone(&service);
         let account = ConnectionAccount::open(&readers);
         let lingering = Rc::clone(&lingering);
+        let open = listeners.enter_connection();
         actix_rt::spawn(async move {
-            let _connection = connection;
+            let (_connection, _open) = (connection, open);
             let address = io.peer_addr().ok();
             let connection = CallerConnection::new(io, account, &lingering);
             if let Err(error) = service.call((connection, address)).await {
--- a/crates/ebonystand/src/lib.rs
+++ b/crates/ebonystand/src/lib.rs
@@ -104,6 +104,7 @@
 mod in_flight;
 mod limits;
 mod listen;
+mod listeners;
 mod log_settings;
 mod log_writer;
 mod logger;
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -10,6 +10,7 @@
     gateway::{GatewayController, SlotController},
     group_controller::GroupController,
     group_thread::GroupThread,
+    listeners::Listeners,
     membership_controller::MembershipController,
     metrics::Metrics,
     order_controller::OrderController,
@@ -46,6 +47,7 @@
     pub(crate) group: GroupController,
     pub(crate) in_flight: Rc<Cell<usize>>,
     pub(crate) incarnation: Incarnation,
+    pub(crate) listeners: Rc<Listeners>,
     pub(crate) membership: MembershipController,
     pub(crate) metrics: Metrics,
     next_id: Cell<u64>,
@@ -119,11 +121,15 @@
         self.ends.send_replace(true);
         AllowanceController::drain(self);
         let until = self.clock.now() + limits.close;
-        actix_rt::time::sleep(Self::LAST_MESSAGES).await;
+        actix_rt::time::sleep(Self::LAST_MESSAGES.min(limits.close / 2)).await;
+        self.listeners.close();
         while self.has_unsent_answers() && self.clock.now() < until {
             actix_rt::time::sleep(Self::DRAIN_LOOK).await;
         }
-        log::info!(running = self.in_flight.get(), cut_off = cut_off, held_bytes = self.readers.held_bytes(); "stopped");
+        log::info!(
+            running = self.in_flight.get(), cut_off = cut_off, held_bytes = self.readers.held_bytes(),
+            connections = self.listeners.connections(); "stopped"
+        );
     }
 
     /// Waits until what still runs is to be ended, because this VM stops.
@@ -142,8 +148,11 @@
         *self.ends.borrow()
     }
 
+    /// Whether callers may still have to be sent answers, or to read them.
     fn has_unsent_answers(&self) -> bool {
-        self.in_flight.get() > 0 || self.readers.held_bytes() > 0
+        self.in_flight.get() > 0
+            || self.readers.held_bytes() > 0
+            || self.listeners.connections() > 0
     }
 
     async fn sleep_until(&self, time: Duration) {
@@ -251,6 +260,7 @@
             gateway,
             group: GroupController::new(thread, random_u64()?),
             in_flight: Rc::default(),
+            listeners: Listeners::new(),
             incarnation,
             membership: MembershipController::new(own, settings.seeds.clone(), now, seed, socket),
             metrics,
--- a/crates/ebonystand/src/serve.rs
+++ b/crates/ebonystand/src/serve.rs
@@ -149,6 +149,7 @@
             callers,
             bounds,
             Rc::clone(&node.readers),
+            Rc::clone(&node.listeners),
             move |req| serve_call::handle(Rc::clone(&for_callers), req),
         ));
     } else {
@@ -156,6 +157,7 @@
             callers,
             bounds,
             Rc::clone(&node.readers),
+            Rc::clone(&node.listeners),
             move |req| caller_api::handle(Rc::clone(&for_callers), req),
         ));
     }
@@ -164,6 +166,7 @@
         operators,
         bounds,
         Rc::clone(&node.readers),
+        Rc::clone(&node.listeners),
         move |req| operator_api::handle(Rc::clone(&for_operators), req),
     ));
 }
@@ -180,10 +183,13 @@
     };
     if let Some(listener) = forwards {
         let node = Rc::clone(node);
-        let readers = Rc::clone(&node.readers);
-        actix_rt::spawn(http_server::serve(listener, bounds, readers, move |req| {
-            receive_forward::handle(Rc::clone(&node), req)
-        }));
+        actix_rt::spawn(http_server::serve(
+            listener,
+            bounds,
+            Rc::clone(&node.readers),
+            Rc::clone(&node.listeners),
+            move |req| receive_forward::handle(Rc::clone(&node), req),
+        ));
     }
     for (listener, handler) in surfaces {
         let gateway = Gateway {
@@ -193,6 +199,7 @@
             listener,
             bounds,
             Rc::clone(&node.readers),
+            Rc::clone(&node.listeners),
             move |req| handler(gateway.clone(), req),
         ));
     }
--- a/crates/ebonystand/tests/integration/closes.rs
+++ b/crates/ebonystand/tests/integration/closes.rs
@@ -35,13 +35,15 @@
     Late,
 }
 
-async fn start() -> Fleet {
+async fn start(drain_ms: Option<u64>) -> Fleet {
     let body = "x".repeat(ANSWER_BYTES);
     let upstream = Scripted::start(move |received: &Received| {
         let is_big = received.head.contains("/big");
         received.answer("200 OK", if is_big { &body } else { "served" })
     });
-    let fleet = Setting::new(vec![("a", vec![upstream])]).start().await;
+    let mut setting = Setting::new(vec![("a", vec![upstream])]);
+    setting.drain_ms = drain_ms;
+    let fleet = setting.start().await;
     put(&fleet, routing(1)).await;
     served(&fleet.vms[0], "/look/first").await;
     fleet
@@ -115,7 +117,7 @@
     #[values(Next::Early, Next::Late)] when: Next,
     #[values(("1.1", "connection: close\r\n"), ("1.0", ""))] (version, more): (&str, &str),
 ) {
-    let fleet = start().await;
+    let fleet = start(None).await;
     let vm = &fleet.vms[0];
     let calls = (0..10).map(async |n| {
         let first = first(&format!("first-{n}"), version, more);
@@ -131,7 +133,7 @@
 async fn an_answer_of_a_leaving_vm_comes_whole_to_a_caller_that_sends_its_next_request(
     #[values(Next::Early, Next::Late)] when: Next,
 ) {
-    let fleet = start().await;
+    let fleet = start(None).await;
     let vm = &fleet.vms[0];
     vm.signal("TERM");
     vm.log_with("\"leaving\"").await;
@@ -143,6 +145,37 @@
     assert_eq!(got, [ANSWER_BYTES; 10]);
 }
 
+/// Guards against a process that ends before its callers have read their answers, and resets their connections.
+#[actix_rt::test]
+async fn answers_come_whole_from_a_process_that_ends_to_callers_that_send_their_next_request() {
+    let mut fleet = start(Some(100)).await;
+    let address = fleet.vms[0].addresses.callers;
+    let mut readers = Vec::new();
+    for n in 0..10 {
+        let mut io = connect(&fleet.vms[0]).await;
+        let first = first(&format!("first-{n}"), "1.1", "");
+        io.write_all(first.as_bytes()).await.unwrap();
+        io.readable().await.unwrap();
+        readers.push(io);
+    }
+    actix_rt::time::sleep(SETTLED).await;
+    fleet.vms[0].signal("TERM");
+    while TcpStream::connect(address).await.is_ok() {
+        actix_rt::time::sleep(PACE).await;
+    }
+    let reads = readers.into_iter().map(async |io| {
+        let (mut rx, tx) = io.into_split();
+        let sending = send_next(tx);
+        actix_rt::time::sleep(PACE).await;
+        let read = read(&mut rx, Duration::ZERO).await;
+        sending.abort();
+        read
+    });
+    let got = join_all(reads).await;
+    assert_eq!(got, [ANSWER_BYTES; 10]);
+    assert!(fleet.vms[0].wait());
+}
+
 /// Guards against a body that ends with its connection, breaks off as the VM stops, and looks whole.
 #[actix_rt::test]
 async fn a_body_that_ends_with_its_connection_never_looks_whole_when_a_vm_stops_before_its_end() {
