Answer operators' requests that run before the process ends

A VM that holds the log closed operators' connections without an answer when it was stopped: their requests were not counted among those that run, so it ended a tenth of a second after the order to stop, whatever an operator waited for.

Requests of operators, also over the listeners of the embedding program, are now counted and waited for like those of callers. Those that still run when the time is over are refused with a line, as possibly done.

The test failed before where no leader comes: the connection ended without a byte. Where one comes it passed from the start.

--- a/crates/ebonystand/src/listeners.rs
+++ b/crates/ebonystand/src/listeners.rs
@@ -5,6 +5,7 @@
 pub(crate) struct Listeners {
     closes: watch::Sender<bool>,
     connections: Rc<Cell<usize>>,
+    operations: Rc<Cell<usize>>,
 }
 
 impl Listeners {
@@ -32,10 +33,21 @@
         InFlight::enter(&self.connections, usize::MAX)
     }
 
+    /// Counts a request of an operator until the guard is dropped.
+    pub(crate) fn enter_operation(&self) -> Option<InFlight> {
+        InFlight::enter(&self.operations, usize::MAX)
+    }
+
     pub(crate) fn new() -> Rc<Self> {
         Rc::new(Self {
             closes: watch::Sender::new(false),
             connections: Rc::default(),
+            operations: Rc::default(),
         })
     }
+
+    /// Number of operators' requests that run.
+    pub(crate) fn operations(&self) -> usize {
+        self.operations.get()
+    }
 }
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -114,10 +114,10 @@
         }
         self.draining.set(true);
         self.gateway.origins.hand_over(self);
-        while self.in_flight.get() > 0 && self.clock.now() < departure.ends() {
+        while self.has_running() && self.clock.now() < departure.ends() {
             actix_rt::time::sleep(Self::DRAIN_LOOK).await;
         }
-        let cut_off = self.in_flight.get();
+        let cut_off = self.in_flight.get() + self.listeners.operations();
         self.ends.send_replace(true);
         AllowanceController::drain(self);
         let until = self.clock.now() + limits.close;
@@ -148,11 +148,13 @@
         *self.ends.borrow()
     }
 
+    fn has_running(&self) -> bool {
+        self.in_flight.get() > 0 || self.listeners.operations() > 0
+    }
+
     /// Whether callers may still have to be sent answers, or to read them.
     fn has_unsent_answers(&self) -> bool {
-        self.in_flight.get() > 0
-            || self.readers.held_bytes() > 0
-            || self.listeners.connections() > 0
+        self.has_running() || self.readers.held_bytes() > 0 || self.listeners.connections() > 0
     }
 
     async fn sleep_until(&self, time: Duration) {
--- a/crates/ebonystand/src/serve.rs
+++ b/crates/ebonystand/src/serve.rs
@@ -167,10 +167,30 @@
         bounds,
         Rc::clone(&node.readers),
         Rc::clone(&node.listeners),
-        move |req| operator_api::handle(Rc::clone(&for_operators), req),
+        move |req| {
+            let answer = operator_api::handle(Rc::clone(&for_operators), req);
+            answer_operator(Rc::clone(&for_operators), answer)
+        },
     ));
 }
 
+/// Has a request of an operator answered before this VM ends, which waits for it.
+async fn answer_operator(
+    node: Rc<Node>,
+    answer: impl Future<Output = Response<BoxBody>>,
+) -> Response<BoxBody> {
+    let _operation = node.listeners.enter_operation();
+    tokio::select! {
+        biased;
+        response = answer => response,
+        () = node.ended() => {
+            log::warn!("operator refused: this VM stops before the answer is known");
+            let text = "this VM stops before the answer is known; what was asked for may have been done";
+            respond::whole(StatusCode::SERVICE_UNAVAILABLE, "text/plain", text.into())
+        }
+    }
+}
+
 /// Serves what VMs of other regions forward, and what the embedding program listens for.
 fn serve_gateway(
     node: &Rc<Node>,
@@ -200,7 +220,7 @@
             bounds,
             Rc::clone(&node.readers),
             Rc::clone(&node.listeners),
-            move |req| handler(gateway.clone(), req),
+            move |req| answer_operator(Rc::clone(&gateway.node), handler(gateway.clone(), req)),
         ));
     }
 }
--- a/crates/ebonystand/tests/integration/closes.rs
+++ b/crates/ebonystand/tests/integration/closes.rs
@@ -2,10 +2,10 @@
 
 use {
     crate::{
-        fleet::{Fleet, KEY},
+        fleet::{Fleet, FleetBuilder, KEY},
         routes::{HOST, Setting, put, routing, served},
         scripted::{Received, Scripted, Then},
-        vm::Vm,
+        vm::{OPERATOR, Vm},
     },
     futures_util::future::join_all,
     rstest::rstest,
@@ -225,3 +225,47 @@
     }
     println!("{cut} of {READERS} cut");
 }
+
+/// Guards against operators' requests that a VM closes without an answer when it stops.
+#[rstest]
+#[case::a_leader_comes(true)]
+#[case::no_leader_comes(false)]
+#[actix_rt::test]
+async fn an_operators_request_that_runs_is_answered_before_a_vm_ends(#[case] comes: bool) {
+    let mut fleet = FleetBuilder::new()
+        .region("a", 3)
+        .registry()
+        .members(3)
+        .drain_ms(Some(if comes { 20_000 } else { 1_000 }))
+        .start()
+        .await;
+    for vm in &fleet.vms[1..] {
+        vm.signal("STOP");
+    }
+    let body = r#"{"request_id":"late","expected_version":1,"change":{"switch_preset":{"name":"maintenance"}}}"#;
+    let address = fleet.vms[0].addresses.operators;
+    let mut io = TcpStream::connect(address).await.unwrap();
+    let request = format!(
+        "POST /v1/operator/changes HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {OPERATOR}\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    io.write_all(request.as_bytes()).await.unwrap();
+    actix_rt::time::sleep(SETTLED).await;
+    fleet.vms[0].signal("TERM");
+    fleet.vms[0].log_with("\"lingered\"").await;
+    if comes {
+        for vm in &fleet.vms[1..] {
+            vm.signal("CONT");
+        }
+    }
+    let mut answer = vec![0; 4_096];
+    let len = io.read(&mut answer).await.unwrap_or(0);
+    let answer = String::from_utf8_lossy(&answer[..len]).into_owned();
+    let expected = if comes {
+        "HTTP/1.1 200"
+    } else {
+        "HTTP/1.1 503"
+    };
+    assert!(answer.starts_with(expected), "{answer:?}");
+    assert!(fleet.vms[0].wait());
+}
