--- a/crates/ebonystand/src/serve.rs
+++ b/crates/ebonystand/src/serve.rs
@@ -149,6 +149,7 @@
             callers,
             bounds,
             Rc::clone(&node.readers),
+            Rc::clone(&node.listeners),
             move |req| serve_call::handle(Rc::clone(&for_callers), req),
         ));
     } else {
@@ -156,6 +157,7 @@
             callers,
             bounds,
             Rc::clone(&node.readers),
+            Rc::clone(&node.listeners),
             move |req| caller_api::handle(Rc::clone(&for_callers), req),
         ));
     }
@@ -164,10 +166,31 @@
         operators,
         bounds,
         Rc::clone(&node.readers),
-        move |req| operator_api::handle(Rc::clone(&for_operators), req),
+        Rc::clone(&node.listeners),
+        move |req| {
+            let answer = operator_api::handle(Rc::clone(&for_operators), req);
+            answer_operator(Rc::clone(&for_operators), answer)
+        },
     ));
 }
 
+/// Has a request of an operator answered before this VM ends, which waits for it.
+async fn answer_operator(
+    node: Rc<Node>,
+    answer: impl Future<Output = Response<BoxBody>>,
+) -> Response<BoxBody> {
+    let _operation = node.listeners.enter_operation();
+    tokio::select! {
+        biased;
+        response = answer => response,
+        () = node.ended() => {
+            log::warn!("operator refused: this VM stops before the answer is known");
+            let text = "this VM stops before the answer is known; what was asked for may have been done";
+            respond::whole(StatusCode::SERVICE_UNAVAILABLE, "text/plain", text.into())
+        }
+    }
+}
+
 /// Serves what VMs of other regions forward, and what the embedding program listens for.
 fn serve_gateway(
     node: &Rc<Node>,
@@ -180,10 +203,13 @@
     };
     if let Some(listener) = forwards {
         let node = Rc::clone(node);
-        let readers = Rc::clone(&node.readers);
-        actix_rt::spawn(http_server::serve(listener, bounds, readers, move |req| {
-            receive_forward::handle(Rc::clone(&node), req)
-        }));
+        actix_rt::spawn(http_server::serve(
+            listener,
+            bounds,
+            Rc::clone(&node.readers),
+            Rc::clone(&node.listeners),
+            move |req| receive_forward::handle(Rc::clone(&node), req),
+        ));
     }
     for (listener, handler) in surfaces {
         let gateway = Gateway {
@@ -193,7 +219,8 @@
             listener,
             bounds,
             Rc::clone(&node.readers),
-            move |req| handler(gateway.clone(), req),
+            Rc::clone(&node.listeners),
+            move |req| answer_operator(Rc::clone(&gateway.node), handler(gateway.clone(), req)),
         ));
     }
 }
