Let requests end before a VM whose disk has failed stops

Callers' requests were cut off when the disk of a VM failed that holds the log: the failed task ended the process at once, beside the drain or in place of it.

The failure is logged, and the VM leaves as it does when it is told to; the process still ends with the error. It serves on meanwhile with the configuration that it has, as a VM does that reaches no leader.

The test failed before: a stream ended after its first event, without an error to the client of the test.

--- a/crates/ebonystand/src/serve.rs
+++ b/crates/ebonystand/src/serve.rs
@@ -89,15 +89,25 @@
         operators:% = addresses.operators, peers:% = addresses.peers;
         "listening"
     );
+    let failure = Cell::new(None);
+    let group = async {
+        if let Err(error) = run_group(&node, events).await {
+            log::error!(error:% = error; "the log of the configuration has failed: this VM leaves");
+            failure.set(Some(error));
+        }
+        node.stop.notify_one();
+        std::future::pending::<()>().await;
+    };
     let drain = async {
         stop_asked(&node).await?;
         node.drain().await;
         Ok(())
     };
     tokio::select! {
-        drained = drain => drained,
-        failed = run_group(&node, events) => failed,
+        drained = drain => drained?,
+        () = group => {}
     }
+    failure.take().map_or(Ok(()), Err)
 }
 
 impl Sockets {
--- a/crates/ebonystand/tests/integration/closes.rs
+++ b/crates/ebonystand/tests/integration/closes.rs
@@ -2,13 +2,15 @@
 
 use {
     crate::{
-        fleet::{Fleet, FleetBuilder, KEY},
+        fleet::{CHAT, DRAFT, Fleet, FleetBuilder, KEY},
         routes::{HOST, Setting, put, routing, served},
         scripted::{Received, Scripted, Then},
         vm::{OPERATOR, Vm},
     },
+    ebonystand_fakes::EngineOptions,
     futures_util::future::join_all,
     rstest::rstest,
+    serde_json::json,
     std::time::Duration,
     tokio::{
         io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _},
@@ -269,3 +271,50 @@
     assert!(answer.starts_with(expected), "{answer:?}");
     assert!(fleet.vms[0].wait());
 }
+
+/// Guards against a disk's failure that cuts off the requests which run.
+#[actix_rt::test]
+async fn requests_that_run_are_answered_when_the_disk_fails() {
+    const SNAPSHOT_ENTRIES: u64 = 8;
+    let options = EngineOptions {
+        token: Duration::from_millis(200),
+        ..EngineOptions::default()
+    };
+    let mut fleet = FleetBuilder::new()
+        .region("a", 1)
+        .engine(options)
+        .members(1)
+        .group(json!({"snapshot_entries": SNAPSHOT_ENTRIES}))
+        .drain_ms(Some(20_000))
+        .start()
+        .await;
+    let address = fleet.vms[0].addresses.callers;
+    let stream = actix_rt::spawn(async move {
+        let req = awc::Client::new().post(format!("http://{address}{CHAT}"));
+        let mut response = req.bearer_auth(KEY).send_body(DRAFT).await.unwrap();
+        response.body().await
+    });
+    while fleet.engines[0].seen().await.requests == 0 {
+        actix_rt::time::sleep(Duration::from_millis(5)).await;
+    }
+    fleet.vms[0].fail_disk();
+    for version in 1..=2 * SNAPSHOT_ENTRIES {
+        let name = if version % 2 == 0 {
+            "peak"
+        } else {
+            "maintenance"
+        };
+        let body = format!(
+            r#"{{"request_id":"{version}","expected_version":{version},"change":{{"switch_preset":{{"name":"{name}"}}}}}}"#
+        );
+        let operators = fleet.vms[0].addresses.operators;
+        let req = awc::Client::new().post(format!("http://{operators}/v1/operator/changes"));
+        let answer = req.bearer_auth(OPERATOR).send_body(body).await;
+        if !answer.is_ok_and(|answer| answer.status().is_success()) {
+            break;
+        }
+    }
+    let body = stream.await.unwrap().unwrap();
+    assert!(body.ends_with(b"data: [DONE]\n\n"), "{body:?}");
+    assert!(!fleet.vms[0].wait());
+}
--- a/crates/ebonystand/tests/integration/vm.rs
+++ b/crates/ebonystand/tests/integration/vm.rs
@@ -107,6 +107,13 @@
         }
     }
 
+    /// Has the disk fail at the next snapshot of the log.
+    pub(crate) fn fail_disk(&self) {
+        for name in ["log.tmp", "snapshot.tmp"] {
+            fs::create_dir(self.file("data").join(name)).unwrap();
+        }
+    }
+
     /// Starts the process again with the settings it had.
     pub(crate) fn restart(&mut self) {
         let addresses = self.file("addresses");
