--- a/crates/ebonystand-core/src/gateway/software_history.rs
+++ b/crates/ebonystand-core/src/gateway/software_history.rs
@@ -4,9 +4,9 @@
 ///
 /// VMs see a new version at different times: by [`Self::hold_back`] after this VM's list first showed it, the
 /// list of each VM that is up to date shows it as well. A VM that has just started cannot tell from its first list
-/// which versions are new, but a VM that has been up for longer can tell it ([`Self::record_known`]). A VM begins streams that may be taken up again only at
-/// versions held back for so long, so that a VM whose lists have shown one version alone for longer than streams
-/// live knows at which version any of them began.
+/// which versions are new, but a VM that has been up for longer can tell it ([`Self::record_known`]). A VM begins
+/// streams that may be taken up again only at versions held back for so long, so that a VM whose lists have shown
+/// one version alone for longer than streams live knows at which version any of them began.
 #[derive(Clone, Debug, Default)]
 pub struct SoftwareHistory {
     /// Time from which on the list has never been older than [`Self::max_age`].
--- a/crates/ebonystand-core/src/lib.rs
+++ b/crates/ebonystand-core/src/lib.rs
@@ -67,6 +67,7 @@
     accepted_change::AcceptedChange,
     admission::Admission,
     allowance::*,
+    answer_time::AnswerTime,
     append_outcome::AppendOutcome,
     ask_id::AskId,
     body_hash::BodyHash,
@@ -83,7 +84,7 @@
     command_outcome::CommandOutcome,
     connection_action::ConnectionAction,
     deadline::Deadline,
-    departure::{AnswerTime, Departure},
+    departure::Departure,
     dispatch_end::DispatchEnd,
     document::*,
     drain_status::DrainStatus,
@@ -210,6 +211,7 @@
 mod accepted_change;
 mod admission;
 mod allowance;
+mod answer_time;
 mod append_outcome;
 mod ask_id;
 mod backlog;
--- a/crates/ebonystand/src/admitted_request.rs
+++ b/crates/ebonystand/src/admitted_request.rs
@@ -6,7 +6,7 @@
         AnswerTime, CallKind, Deadline, Fingerprint, Quarantine, Retryable, Route, RouteQuery,
         Target, Tokens,
     },
-    gateway::MayHaveRun,
+    may_have_run::MayHaveRun,
     node::Node,
     retry_permit::RetryPermit,
 };
--- a/crates/ebonystand/src/call_service.rs
+++ b/crates/ebonystand/src/call_service.rs
@@ -7,7 +7,7 @@
     attempt::Attempt,
     dispatch::{Answer, DispatchFailure, Outgoing},
     ebonystand_core::{Priority, RunEnd, Target},
-    gateway::MayHaveRun,
+    may_have_run::MayHaveRun,
     node::Node,
     order_controller::OrderController,
     retry_permit::RetryPermit,
--- a/crates/ebonystand/src/caller_api.rs
+++ b/crates/ebonystand/src/caller_api.rs
@@ -2,9 +2,7 @@
 
 use super::*;
 use {
-    ebonystand_core::EntryList,
-    gateway::{MayHaveRun, serve_call},
-    in_flight::InFlight,
+    ebonystand_core::EntryList, gateway::serve_call, in_flight::InFlight, may_have_run::MayHaveRun,
     node::Node,
 };
 
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -5,6 +5,7 @@
         AnswerPause, AnswerTime, AttemptEnd, CacheSource, CallKind, ChoiceQuery, ColdTerms, Prompt,
         SoftwareRule, SoftwareVersion, TargetChoice, UpstreamKey, Version,
     },
+    may_have_run::MayHaveRun,
     node::Node,
     part_controller::PartQuery,
     path_watch::PathWatch,
@@ -53,20 +54,6 @@
     pub(crate) workspace: Option<WorkspaceId>,
 }
 
-/// Whether an upstream may have run a request, shared with what answers the caller when this VM ends.
-#[derive(Clone, Default)]
-pub(crate) struct MayHaveRun(Rc<Cell<bool>>);
-
-impl MayHaveRun {
-    pub(crate) fn get(&self) -> bool {
-        self.0.get()
-    }
-
-    pub(crate) fn set(&self, may_have_run: bool) {
-        self.0.set(may_have_run);
-    }
-}
-
 /// Software versions of the service that may get a call.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum CallSoftware {
--- a/crates/ebonystand/src/gateway/mod.rs
+++ b/crates/ebonystand/src/gateway/mod.rs
@@ -19,7 +19,7 @@
 };
 
 pub(crate) use {
-    call::MayHaveRun, controller::GatewayController, list_controller::ListController,
+    controller::GatewayController, list_controller::ListController,
     request_content::RequestContent, slot_controller::SlotController,
 };
 
--- a/crates/ebonystand/src/gateway/receive_forward.rs
+++ b/crates/ebonystand/src/gateway/receive_forward.rs
@@ -2,10 +2,11 @@
 
 use super::*;
 use {
-    call::{Call, CallSoftware, Destination, MayHaveRun, Outcome},
+    call::{Call, CallSoftware, Destination, Outcome},
     ebonystand_core::{AttemptEnd, Mechanism, TargetChoice},
     ebonystand_wire::{BoundForwarded, Forwarded},
     in_flight::InFlight,
+    may_have_run::MayHaveRun,
     node::Node,
     relay::RequestResources,
     retry_permit::RetryPermit,
--- a/crates/ebonystand/src/gateway/serve_call.rs
+++ b/crates/ebonystand/src/gateway/serve_call.rs
@@ -4,12 +4,13 @@
 use {
     admitted::Admitted,
     allowance_controller::{AllowanceController, Reserved},
-    call::{Call, CallSoftware, MayHaveRun},
+    call::{Call, CallSoftware},
     ebonystand_core::{
         GatewayRoute, GatewayWorkspace, KnownOrigin, Prompt, RouteTable, StreamKey, StreamOrigin,
         StreamResumption,
     },
     in_flight::InFlight,
+    may_have_run::MayHaveRun,
     metrics::ResumptionLabel,
     node::Node,
     origin_controller::OriginController,
--- a/crates/ebonystand/src/lib.rs
+++ b/crates/ebonystand/src/lib.rs
@@ -109,6 +109,7 @@
 mod log_writer;
 mod logger;
 mod loop_guard;
+mod may_have_run;
 mod membership_controller;
 mod metrics;
 mod node;
