Release answers that are given up at once

With answers held in segments a VM of 100 MB that reads 40 answers without end whole still grew by up to 21.7 MB, where 15% of its memory and the buffers of the connections make 21.0.

Cause: an answer that is given up no longer counted, but its bytes were kept until its own task ran. A task whose upstream always has more bytes ready reads up to the limit of an answer in one turn, so that others were given up meanwhile and none was released.

The bytes are now dropped where the answer is given up.

--- a/crates/ebonystand/src/answer_buffers.rs
+++ b/crates/ebonystand/src/answer_buffers.rs
@@ -1,5 +1,5 @@
 use {
-    super::*, ebonystand_core::BufferedAnswers, segmented_buffer::SegmentedBuffer, std::mem,
+    super::*, ebonystand_core::BufferedAnswers, segmented_buffer::SegmentedBuffer,
     tokio::sync::Notify,
 };
 
@@ -7,17 +7,23 @@
 pub(crate) struct AnswerBuffers {
     answers: RefCell<BufferedAnswers>,
     next_id: Cell<u64>,
-    stops: RefCell<FxHashMap<u64, Rc<Notify>>>,
+    open: RefCell<FxHashMap<u64, Rc<OpenAnswer>>>,
 }
 
 /// An answer that is being read whole.
 pub(crate) struct AnswerBuffer {
-    buf: SegmentedBuffer,
+    answer: Rc<OpenAnswer>,
     buffers: Rc<AnswerBuffers>,
     id: u64,
     limit: usize,
+}
+
+/// What is held of an answer.
+#[derive(Default)]
+struct OpenAnswer {
+    buf: RefCell<SegmentedBuffer>,
     /// Notified if the answer must be given up.
-    stop: Rc<Notify>,
+    stop: Notify,
 }
 
 /// Reason why an answer is not read whole.
@@ -25,8 +31,8 @@
 pub(crate) enum AnswerTooLarge {
     #[snafu(display("the answer is larger than {limit} bytes"))]
     Limit { limit: usize },
-    #[snafu(display("the answer is given up after {len} bytes: too much is read whole at once"))]
-    Stopped { len: usize },
+    #[snafu(display("the answer is given up: too much is read whole at once"))]
+    Stopped,
 }
 
 impl AnswerBuffers {
@@ -34,7 +40,7 @@
         Rc::new(Self {
             answers: RefCell::new(BufferedAnswers::new(memory)),
             next_id: Cell::new(0),
-            stops: RefCell::default(),
+            open: RefCell::default(),
         })
     }
 
@@ -42,14 +48,13 @@
     pub(crate) fn open(self: &Rc<Self>, limit: usize) -> AnswerBuffer {
         self.next_id.set(self.next_id.get() + 1);
         let id = self.next_id.get();
-        let stop = Rc::<Notify>::default();
-        self.stops.borrow_mut().insert(id, Rc::clone(&stop));
+        let answer = Rc::<OpenAnswer>::default();
+        self.open.borrow_mut().insert(id, Rc::clone(&answer));
         AnswerBuffer {
-            buf: SegmentedBuffer::default(),
+            answer,
             buffers: Rc::clone(self),
             id,
             limit,
-            stop,
         }
     }
 
@@ -58,13 +63,23 @@
         if stopped.is_empty() {
             return;
         }
+        let open = self.open.borrow();
+        let stopped = stopped.iter().filter_map(|id| open.get(id));
+        let lens = stopped.map(|answer| answer.give_up()).collect::<Vec<_>>();
         log::warn!(
-            answers = stopped.len(), held_bytes = self.answers.borrow().total();
+            answers = lens.len(), given_up_bytes = lens.iter().sum::<usize>(),
+            held_bytes = self.answers.borrow().total();
             "answers given up: too much is read whole at once"
         );
-        let stops = self.stops.borrow();
-        let stops = stopped.iter().filter_map(|id| stops.get(id));
-        stops.for_each(|stop| stop.notify_one());
+    }
+}
+
+impl OpenAnswer {
+    /// Has the answer's task give it up, and returns how many bytes were read of it. Its memory is released at once,
+    /// because the task may run only after others have read more.
+    fn give_up(&self) -> usize {
+        self.stop.notify_one();
+        self.buf.take().len()
     }
 }
 
@@ -74,10 +89,9 @@
     /// # Errors
     /// [`AnswerTooLarge::Stopped`] if the answer must be given up meanwhile.
     pub(crate) async fn wait<T>(&self, next: impl Future<Output = T>) -> Result<T, AnswerTooLarge> {
-        let len = self.buf.len();
         tokio::select! {
             biased;
-            () = self.stop.notified() => StoppedSnafu { len }.fail(),
+            () = self.answer.stop.notified() => StoppedSnafu.fail(),
             next = next => Ok(next),
         }
     }
@@ -88,21 +102,24 @@
     /// [`AnswerTooLarge::Limit`] if the answer is too large.
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<(), AnswerTooLarge> {
         let limit = self.limit;
-        ensure!(self.buf.len() + bytes.len() <= limit, LimitSnafu { limit });
-        self.buf.extend_from_slice(bytes);
-        self.buffers.set(self.id, self.buf.capacity());
+        let mut buf = self.answer.buf.borrow_mut();
+        ensure!(buf.len() + bytes.len() <= limit, LimitSnafu { limit });
+        buf.extend_from_slice(bytes);
+        let capacity = buf.capacity();
+        drop(buf);
+        self.buffers.set(self.id, capacity);
         Ok(())
     }
 
     /// Returns the whole answer.
-    pub(crate) fn finish(mut self) -> Bytes {
-        mem::take(&mut self.buf).into_bytes()
+    pub(crate) fn finish(self) -> Bytes {
+        self.answer.buf.take().into_bytes()
     }
 }
 
 impl Drop for AnswerBuffer {
     fn drop(&mut self) {
-        self.buffers.stops.borrow_mut().remove(&self.id);
+        self.buffers.open.borrow_mut().remove(&self.id);
         self.buffers.answers.borrow_mut().remove(self.id);
     }
 }
--- a/crates/ebonystand/tests/integration/endless.rs
+++ b/crates/ebonystand/tests/integration/endless.rs
@@ -31,6 +31,8 @@
 pub(crate) const MEMORY_MB: u64 = 100;
 /// Memory by which the process may grow, in bytes.
 pub(crate) const MAX_GROWTH: u64 = 32 << 20;
+/// Memory of answers that are read whole, 15% of the VM's, and twice what a connection buffers for each caller, in bytes.
+const MAX_WHOLE: u64 = (MEMORY_MB * 150 << 20) / 1_000 + CALLERS as u64 * (128 << 10);
 /// Time of the routes and of calls of services, in milliseconds.
 const TIMEOUT_MS: u64 = 1_500;
 
@@ -384,6 +386,21 @@
     served(&fleet.vms[0], "/look/after").await;
 }
 
+/// Guards against answers that are read whole and take more memory than they are counted with.
+#[rstest]
+#[actix_rt::test]
+async fn answers_that_are_read_whole_keep_to_their_share_of_the_memory(
+    #[values("/look/endless", "/once/endless")] path: &str,
+    #[values(UNFRAMED, CHUNKS)] endless: Endless,
+) {
+    let (upstream, address) = Upstream::start(endless, Pace::Full);
+    let fleet = start(address).await;
+    let (_, grown) = ask(&fleet, path).await;
+    wait_until_closed(&upstream, &fleet).await;
+    assert!(upstream.begun.load(Ordering::SeqCst) > 0);
+    assert!(grown < MAX_WHOLE, "grown by {grown} bytes");
+}
+
 /// Guards against bytes behind a whole answer that cost the caller its answer, or the VM its memory.
 #[rstest]
 #[actix_rt::test]
