Expect of a stream what streams of its length have taken

Streams that were sent on by the last VM of a region late in its grace broke off when it ended: beside quick answers of the same service 18 of 18 that came 3.0 to 4.8 s after SIGTERM, with a grace of 8 s. Their callers got 3 to 5 s of a stream of 12 s, where a refusal at once would have sent them to another region.

Cause: what an answer is expected to take was measured by service and length alone. Calls without a prompt all have one length, so that a stream was expected to take as long as a quick look-up; failures, which come at once, were measured too, answers that were cut at their time were not, and a prompt was expected to take what it took before its engines stopped answering.

Times are now measured for each kind of call, of successes and of answers that run until their time is over, and nothing is expected of upstreams that have gone silent, with a prompt or without.

--- a/crates/ebonystand-core/src/gateway/call_kind.rs
+++ b/crates/ebonystand-core/src/gateway/call_kind.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// Execution guarantee of a route's calls and the form of their answers.
-#[derive(Clone, Copy, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Display, Eq, Hash, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum CallKind {
     /// The call may run more than once.
--- a/crates/ebonystand-core/src/gateway/upstream_book.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_book.rs
@@ -12,7 +12,7 @@
     /// Prompt prefixes known to be cached by engines.
     pub(super) caches: CacheDirectory,
     /// Times that whole answers take, by service and class of length.
-    pub(super) answer_times: FxHashMap<(ServiceId, u32), AnswerTimeMeter>,
+    pub(super) answer_times: FxHashMap<(ServiceId, CallKind, u32), AnswerTimeMeter>,
     /// Exchange of load messages with the other VMs of the region.
     pub(super) exchange: LoadExchange,
     /// Live VMs of the region.
--- a/crates/ebonystand-core/src/gateway/upstream_slots.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_slots.rs
@@ -103,27 +103,37 @@
         reading + gap * engine.event_count(prompt.output)
     }
 
-    /// Records the time that a whole answer of a service took, by the longest answer that the prompt allowed.
-    pub fn record_answer_time(&mut self, service: &str, output: Option<Tokens>, took: Duration) {
-        let key = (service.into(), Self::answer_length(output));
+    /// Records the time that an answer of a service took, by the kind of its call and the longest answer that the prompt
+    /// allowed.
+    pub fn record_answer_time(
+        &mut self,
+        service: &str,
+        kind: CallKind,
+        output: Option<Tokens>,
+        took: Duration,
+    ) {
+        let key = (service.into(), kind, Self::answer_length(output));
         self.answer_times
             .entry(key)
             .and_modify(|meter| meter.record(took))
             .or_insert_with(|| AnswerTimeMeter::new(took));
     }
 
-    /// Returns the time from now within which almost all answers to such a request end, as those of similar length have;
-    /// `None` if nothing is known of it.
+    /// Returns the time from now within which almost all answers to such a request end, as those of this kind and similar
+    /// length have; `None` if nothing is known of it.
     #[must_use]
-    pub fn expected_answer_time(&self, query: &ChoiceQuery) -> Option<Duration> {
+    pub fn expected_answer_time(&self, query: &ChoiceQuery, kind: CallKind) -> Option<Duration> {
         /// Time that an engine takes for a token before the first measurement.
         const ASSUMED_TOKEN_TIME: Duration = Duration::from_millis(7);
+        if self.has_gone_silent(query.service) {
+            return None;
+        }
         let output = query.prompt.map(|prompt| prompt.output);
-        let key = (query.service.into(), Self::answer_length(output));
+        let key = (query.service.into(), kind, Self::answer_length(output));
         let measured = self.answer_times.get(&key);
         let measured = measured.map(AnswerTimeMeter::upper_bound);
         let Some(prompt) = query.prompt else {
-            return measured.filter(|_| !self.has_gone_silent(query.service));
+            return measured;
         };
         let time = measured.unwrap_or_else(|| {
             let tokens = u32::try_from(prompt.output).unwrap_or(u32::MAX);
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -206,7 +206,7 @@
             let document = node.document();
             let none = BTreeSet::new();
             let book = node.gateway.book.borrow();
-            book.expected_answer_time(&self.query(node, &document, &none))
+            book.expected_answer_time(&self.query(node, &document, &none), self.kind)
         };
         !departure.admits(now, &AnswerTime::new(self.kind, self.end, expected))
     }
--- a/crates/ebonystand/src/gateway/relay.rs
+++ b/crates/ebonystand/src/gateway/relay.rs
@@ -5,7 +5,7 @@
     answer_buffers::AnswerTooLarge,
     attempt::Attempt,
     call::{Answered, Call},
-    ebonystand_core::{AttemptEnd, EventBoundary},
+    ebonystand_core::{AttemptEnd, CallKind, EventBoundary},
     in_flight::InFlight,
     node::Node,
     tokio::sync::watch,
@@ -29,6 +29,7 @@
     is_stream: bool,
     /// Whether the upstream has framed the body neither by a length nor by chunks.
     is_unframed: bool,
+    kind: CallKind,
     /// Tells when this VM ends what still runs.
     ends: watch::Receiver<bool>,
     node: Rc<Node>,
@@ -137,6 +138,7 @@
             instance: instance.clone(),
             is_stream: call.prompt.is_some(),
             is_unframed,
+            kind: call.kind,
             node: Rc::clone(node),
             output: call.prompt.as_ref().map(|prompt| prompt.output),
             request: call.request.clone(),
@@ -305,8 +307,22 @@
         }
     }
 
+    /// Records how long the answer took. A failure tells nothing of how long answers take.
+    fn record_answer_time(&self) {
+        let head = self.reader.as_ref().map(ResponseReader::head);
+        if head.is_some_and(|head| head.status.is_success()) {
+            let took = self.node.clock.now().saturating_sub(self.sent);
+            let mut book = self.node.gateway.book.borrow_mut();
+            book.record_answer_time(&self.service, self.kind, self.output, took);
+        }
+    }
+
     /// Ends the attempt without a whole answer and closes the connection.
     fn abandon(&mut self, end: AttemptEnd) {
+        // The answer would have taken at least as long.
+        if end == AttemptEnd::TimedOut {
+            self.record_answer_time();
+        }
         self.reader = None;
         if let Some(attempt) = self.attempt.take() {
             attempt.end(end);
@@ -316,10 +332,7 @@
     /// Records the end of the answer and returns the connection to the pool.
     fn finish(&mut self) {
         let now = self.node.clock.now();
-        let took = now.saturating_sub(self.sent);
-        let mut book = self.node.gateway.book.borrow_mut();
-        book.record_answer_time(&self.service, self.output, took);
-        drop(book);
+        self.record_answer_time();
         if let Some(id) = &self.workspace {
             let label = self.node.metrics.workspace(id);
             let whole = now.saturating_sub(self.started);
