Take signals from the beginning of a start

What operators saw: SIGHUP to a process that was just starting ended it, and SIGTERM or SIGINT ended it by the signal instead of with exit status 0.

Cause: the handlers were installed by the tasks that wait for the signals, after the sockets were bound, the settings' files and the disk were read and the first tasks ran. Until then the system's default applied, which ends the process.

Change: `serve` installs all three handlers first and passes them on. A signal that comes before it is waited for is kept: SIGHUP reads the settings once the VM runs, SIGTERM and SIGINT have it leave.

Evidence: the tests hold a start up with a pipe in the place of the operator's credential, which is read after the new place and before the old one, and send the signal meanwhile.

What is left: a signal that comes before `serve`, while the program is loaded and its settings file is read, still ends the process.

--- a/crates/ebonystand/src/lib.rs
+++ b/crates/ebonystand/src/lib.rs
@@ -135,6 +135,7 @@
 mod settings;
 mod settings_fault;
 mod settings_reader;
+mod signals;
 mod slow_readers;
 mod snapshot_file;
 mod stall_controller;
--- a/crates/ebonystand/src/reload.rs
+++ b/crates/ebonystand/src/reload.rs
@@ -1,11 +1,7 @@
 //! Takes over settings that change while the process runs.
 
 use super::*;
-use {
-    membership_controller::MembershipController,
-    node::Node,
-    tokio::signal::unix::{SignalKind, signal},
-};
+use {membership_controller::MembershipController, node::Node, tokio::signal::unix::Signal};
 
 /// Reads the settings again; `None` if that fails.
 pub(crate) type Reload = Rc<dyn Fn() -> Option<Settings>>;
@@ -14,16 +10,8 @@
 /// which a running VM knows enough for longer than this.
 const EVERY: Duration = Duration::from_secs(5);
 
-/// Reads the settings again after a SIGHUP, which would otherwise end the process, and from time to
-/// time, until the task is dropped. Seeds are taken over; anything else needs a restart.
-pub(crate) async fn run(node: Rc<Node>, reload: Option<Reload>) {
-    let mut hangup = match signal(SignalKind::hangup()) {
-        Ok(hangup) => hangup,
-        Err(error) => {
-            log::error!(error:% = error; "cannot wait for SIGHUP");
-            return;
-        }
-    };
+/// Reads the settings again after a SIGHUP, and from time to time, until the task is dropped. Seeds are taken over; anything else needs a restart.
+pub(crate) async fn run(node: Rc<Node>, reload: Option<Reload>, mut hangup: Signal) {
     let mut seeds = node.settings.seeds.clone();
     loop {
         let asked = tokio::select! {
--- a/crates/ebonystand/src/serve.rs
+++ b/crates/ebonystand/src/serve.rs
@@ -15,6 +15,7 @@
     quarantine_controller::QuarantineController,
     queue_controller::QueueController,
     route_controller::RouteController,
+    signals::Signals,
     stall_controller::StallController,
     state_controller::StateController,
     system_clock::SystemClock,
@@ -49,6 +50,7 @@
     addresses_file: Option<PathBuf>,
     extension: Extension,
 ) -> Result {
+    let signals = Signals::install().context(error::Signal)?;
     let started = SystemClock::start();
     let clock: Rc<dyn Clock> = Rc::new(started);
     let (sockets, addresses) = Sockets::bind(&settings.listen).await?;
@@ -76,7 +78,11 @@
     let node = Rc::new(node);
     serve_http(&node, sockets.callers, sockets.operators);
     serve_gateway(&node, forwards, surfaces);
-    actix_rt::spawn(reload::run(Rc::clone(&node), extension.reload));
+    actix_rt::spawn(reload::run(
+        Rc::clone(&node),
+        extension.reload,
+        signals.hangup,
+    ));
     actix_rt::spawn(peer_server::serve(sockets.peers, Rc::clone(&node)));
     start_controllers(&node);
     if let Some(path) = addresses_file {
@@ -99,12 +105,14 @@
         std::future::pending::<()>().await;
     };
     let drain = async {
-        stop_asked(&node).await?;
+        tokio::select! {
+            () = node.stop.notified() => {}
+            () = signals.stop.asked() => {}
+        }
         node.drain().await;
-        Ok(())
     };
     tokio::select! {
-        drained = drain => drained?,
+        () = drain => {}
         () = group => {}
     }
     failure.take().map_or(Ok(()), Err)
@@ -292,15 +300,3 @@
     let group = Group::open(folder, cfg, started.now(), seed).context(error::Storage)?;
     GroupThread::start(group, started).map(Some)
 }
-
-async fn stop_asked(node: &Node) -> Result {
-    use tokio::signal::unix::{SignalKind, signal};
-    let mut interrupt = signal(SignalKind::interrupt()).context(error::Signal)?;
-    let mut terminate = signal(SignalKind::terminate()).context(error::Signal)?;
-    tokio::select! {
-        _ = interrupt.recv() => {}
-        () = node.stop.notified() => {}
-        _ = terminate.recv() => {}
-    }
-    Ok(())
-}
--- a/crates/ebonystand/tests/integration/main.rs
+++ b/crates/ebonystand/tests/integration/main.rs
@@ -30,5 +30,6 @@
 mod slow_readers;
 mod socket_owner;
 mod stand_in;
+mod start_signals;
 mod unframed;
 mod vm;
--- a/crates/ebonystand/tests/integration/vm.rs
+++ b/crates/ebonystand/tests/integration/vm.rs
@@ -116,6 +116,23 @@
 
     /// Starts the process again with the settings it had.
     pub(crate) fn restart(&mut self) {
+        self.spawn();
+        self.wait_until_listening();
+    }
+
+    /// Starts the process again while a file that it reads during its start is a pipe, and returns the pipe once the process waits
+    /// for its content.
+    pub(crate) fn restart_held(&mut self) -> File {
+        let pipe = self.dir.join("operator");
+        fs::remove_file(&pipe).unwrap();
+        let made = Command::new("mkfifo").arg(&pipe).status().unwrap();
+        assert!(made.success());
+        self.spawn();
+        // Opening waits until the process has opened the other end.
+        File::options().write(true).open(pipe).unwrap()
+    }
+
+    fn spawn(&mut self) {
         let addresses = self.file("addresses");
         let _ = fs::remove_file(&addresses);
         let log = File::options()
@@ -134,6 +151,10 @@
             .unwrap();
         self.child = Some(child);
         self.starts += 1;
+    }
+
+    pub(crate) fn wait_until_listening(&mut self) {
+        let addresses = self.file("addresses");
         for _ in 0..2_000 {
             let text = fs::read_to_string(&addresses).unwrap_or_default();
             if let Ok(found) = serde_json::from_str(&text) {
