--- a/crates/ebonystand/src/reload.rs
+++ b/crates/ebonystand/src/reload.rs
@@ -10,7 +10,8 @@
 /// which a running VM knows enough for longer than this.
 const EVERY: Duration = Duration::from_secs(5);
 
-/// Reads the settings again after a SIGHUP, and from time to time, until the task is dropped. Seeds are taken over; anything else needs a restart.
+/// Reads the settings again after a SIGHUP, and from time to time, until the task is dropped. Seeds are
+/// taken over; anything else needs a restart.
 pub(crate) async fn run(node: Rc<Node>, reload: Option<Reload>, mut hangup: Signal) {
     let mut seeds = node.settings.seeds.clone();
     loop {
