Close the connections of forwarded requests when a VM leaves

What callers saw: an order that another VM forwards over a connection of its pool can cross the close of that connection at the end of the leaving VM's process. It counts as lost then, and its caller gets 502 "may have run" although nothing ran. Found by reading; the crossing itself was not played.

Cause: answers to callers of a leaving VM say `connection: close`, answers to forwarded requests did not, so that the other VM put the connection back into its pool.

Fix: one function has the connection closed, for callers on both interfaces and for other VMs. The pool of the other VM drops a connection whose answer says so, and its next request goes over a new connection or elsewhere.

Measured: on real processes, an answer and a refusal of a leaving VM to a forwarded request had no `connection: close` before (the test failed in both cases) and have it now, with the connection closed after them. A connection that is idle in a pool since before the stop is not told; it is kept 4 s at most.

--- a/crates/ebonystand/src/caller_api.rs
+++ b/crates/ebonystand/src/caller_api.rs
@@ -36,10 +36,7 @@
         let name = actix_http::header::HeaderName::from_static("x-ebonystand-request");
         response.headers_mut().insert(name, value);
     }
-    if node.leaving() {
-        let head = response.head_mut();
-        head.set_connection_type(actix_http::ConnectionType::Close);
-    }
+    respond::close_if_leaving(&node, &mut response);
     response
 }
 
--- a/crates/ebonystand/src/gateway/receive_forward.rs
+++ b/crates/ebonystand/src/gateway/receive_forward.rs
@@ -64,6 +64,7 @@
         response.head_mut().no_chunking(false);
         headers::set(response.headers_mut(), forward::UNFRAMED, "1");
     }
+    respond::close_if_leaving(&node, &mut response);
     response
 }
 
--- a/crates/ebonystand/src/gateway/serve_call.rs
+++ b/crates/ebonystand/src/gateway/serve_call.rs
@@ -42,10 +42,7 @@
             refusal_response(&node, &refusal)
         }
     };
-    if node.leaving() {
-        let head = response.head_mut();
-        head.set_connection_type(actix_http::ConnectionType::Close);
-    }
+    respond::close_if_leaving(&node, &mut response);
     response
 }
 
--- a/crates/ebonystand/src/respond.rs
+++ b/crates/ebonystand/src/respond.rs
@@ -1,7 +1,7 @@
 //! Answers to callers and operators.
 
 use super::*;
-use ebonystand_core::EntryList;
+use {ebonystand_core::EntryList, node::Node};
 
 #[derive(Serialize)]
 struct ErrorBody<'a> {
@@ -18,6 +18,14 @@
     run: RunState,
 }
 
+/// Has the connection closed after the answer if this VM is about to stop, so that no later request crosses its end.
+pub(crate) fn close_if_leaving(node: &Node, response: &mut Response<BoxBody>) {
+    if node.leaving() {
+        let head = response.head_mut();
+        head.set_connection_type(actix_http::ConnectionType::Close);
+    }
+}
+
 /// The refusal as JSON, with the VMs to turn to if there are any.
 pub(crate) fn error_body(refusal: &Refusal, entry: Option<&EntryList>) -> Vec<u8> {
     let retry_after = refusal.retry_after.map(|delay| delay.as_millis() as u64);
--- a/crates/ebonystand/tests/integration/planned_stops.rs
+++ b/crates/ebonystand/tests/integration/planned_stops.rs
@@ -2,8 +2,13 @@
     crate::{
         answer::Answer,
         fleet::{CERTIFICATES, CHAT, DRAFT, Fleet, FleetBuilder, KEY},
+        routes::{HOST, Setting, echo, put, routing, served},
+        scripted::Scripted,
+        unframed::{forwarded, forwards_address},
     },
     ebonystand_fakes::{EngineOptions, Fault},
+    ebonystand_wire::Forwarded,
+    rstest::rstest,
     std::time::{Duration, SystemTime},
     tokio::{
         io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -145,3 +150,39 @@
     assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
     assert!(answer.contains("not_run"), "{answer}");
 }
+
+/// Guards against a request that another VM forwards over a connection of its pool just as this VM ends, and takes for lost.
+#[rstest]
+#[case::answered(5_000, "x-ebonystand-ended: upstream")]
+#[case::refused(60_000, "x-ebonystand-ended: not_sent")]
+#[actix_rt::test]
+async fn a_leaving_vm_closes_the_connection_of_a_forwarded_request(
+    #[case] left_ms: u64,
+    #[case] ended: &str,
+) {
+    let mut setting = Setting::new(vec![("a", vec![Scripted::start(echo)])]);
+    setting.drain_ms = Some(20_000);
+    let fleet = setting.start().await;
+    put(&fleet, routing(1)).await;
+    served(&fleet.vms[0], "/look/first").await;
+    let address = forwards_address(&fleet.vms[0]).await;
+    fleet.vms[0].signal("TERM");
+    fleet.vms[0].log_with("lingered").await;
+    let forwarded = Forwarded {
+        left_ms,
+        ..forwarded()
+    };
+    let header = forwarded.to_header(&Fleet::secret()).unwrap();
+    let request =
+        format!("GET /look/x HTTP/1.1\r\nhost: {HOST}\r\nx-ebonystand-forwarded: {header}\r\n\r\n");
+    let mut io = TcpStream::connect(&*address).await.unwrap();
+    io.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    while !answer.windows(4).any(|end| end == b"\r\n\r\n") {
+        assert!(io.read_buf(&mut answer).await.unwrap() > 0);
+    }
+    let head = String::from_utf8_lossy(&answer).to_ascii_lowercase();
+    assert!(head.contains(ended), "{head}");
+    assert!(head.contains("connection: close"), "{head}");
+    io.read_to_end(&mut answer).await.unwrap();
+}
--- a/crates/ebonystand/tests/integration/unframed.rs
+++ b/crates/ebonystand/tests/integration/unframed.rs
@@ -184,14 +184,14 @@
 }
 
 /// Where a VM takes forwarded requests.
-async fn forwards_address(vm: &Vm) -> String {
+pub(crate) async fn forwards_address(vm: &Vm) -> String {
     let log = vm.log_with("\"forwards\":\"").await;
     let address = log.split("\"forwards\":\"").nth(1).unwrap();
     address.split('"').next().unwrap().to_owned()
 }
 
 /// Metadata of a request that another VM forwards.
-fn forwarded() -> Forwarded {
+pub(crate) fn forwarded() -> Forwarded {
     Forwarded {
         aim_ms: 5_000,
         homes: None,
