Reuse no connection of the own API after an interim answer

What callers saw: with an upstream that sends `103 Early Hints` and the answer 250 ms later, the first caller was refused (502, unknown) and the second, 100 ms later, got status 200 with the answer to the first one: calls of a service and streams of completions, in each run of the test.

Cause: the HTTP client takes an interim answer for the final one. Without a length it has no body, so its connection goes back to the pool at once. The client drops an idle connection that holds bytes when it is taken, but not one on which they come later.

Change: an informational status is no answer. As after a timeout, the idle connections of the pool are given up before another request can take one, and the caller is told `unknown` (it may have run). It is no longer taken for an upstream that broke off, which counts as a crash for the quarantine. Orders and whole completions have connections of their own.

Open, by reading: questions for an upstream's load (route_controller.rs) take connections from the same pool and look at no status. A request that waits for one of the 4,096 connections of a pool still gets one of that pool.

--- a/crates/ebonystand/src/client_pool.rs
+++ b/crates/ebonystand/src/client_pool.rs
@@ -6,7 +6,8 @@
 /// A link that was down can leave every idle connection over it silent for good, while new ones
 /// work. Were only the connection that a request timed out on closed, its retry would take the
 /// next silent one and the caller would wait for the first-byte limit again, until no upstream
-/// was left. So one timeout gives up all that were idle: the retry opens a new connection.
+/// was left. So one timeout gives up all that were idle: the retry opens a new connection. An interim
+/// answer does so as well, as the client takes it for the whole answer and its connection for idle.
 pub(crate) struct ClientPool {
     current: RefCell<PooledClient>,
 }
@@ -20,13 +21,13 @@
         self.current.borrow().clone()
     }
 
-    /// Gives up the connections of the generation that a request timed out on, if no other
+    /// Gives up the connections of the generation that a request failed on, if no other
     /// request has done so. Requests under way keep theirs. As a request times out only on the
     /// generation that it was sent with, an upstream that hangs makes the pool start anew once in
     /// the time of a timeout at most, however many requests it hangs.
-    pub(crate) fn give_up(&self, timed_out: &PooledClient) {
+    pub(crate) fn give_up(&self, failed: &PooledClient) {
         let mut current = self.current.borrow_mut();
-        if current.generation == timed_out.generation {
+        if current.generation == failed.generation {
             let generation = current.generation + 1;
             let client = Self::client();
             *current = PooledClient { client, generation };
--- a/crates/ebonystand/src/dispatch.rs
+++ b/crates/ebonystand/src/dispatch.rs
@@ -39,6 +39,8 @@
     Broken { message: Box<str> },
     #[snafu(display("the upstream cannot be connected to"))]
     Connect,
+    #[snafu(display("the upstream sent an interim answer with status {status}"))]
+    Interim { status: u16 },
     #[snafu(display("{source}"))]
     Large { source: AnswerTooLarge },
     #[snafu(display("the upstream answered {status}"))]
@@ -187,7 +189,17 @@
         node.clients.give_up(&pooled);
     }
     let response = sent?;
-    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+    let status = response.status();
+    if status.is_informational() {
+        // The client takes the connection for idle, and the answer that follows on it for that to the next request.
+        if !outgoing.fresh {
+            node.clients.give_up(&pooled);
+        }
+        return Err(DispatchFailure::Interim {
+            status: status.as_u16(),
+        });
+    }
+    if status == StatusCode::SERVICE_UNAVAILABLE {
         let values = response.headers().get_all("retry-after");
         let pause = AnswerPause::parse(values.map(|value| value.to_str().unwrap_or_default()));
         node.routes
--- a/crates/ebonystand/tests/integration/main.rs
+++ b/crates/ebonystand/tests/integration/main.rs
@@ -19,6 +19,7 @@
 mod fleet;
 mod former_process;
 mod full_disk;
+mod interim_answers;
 mod late_requests;
 mod links;
 mod orders;
--- a/crates/ebonystand/tests/integration/orders.rs
+++ b/crates/ebonystand/tests/integration/orders.rs
@@ -14,7 +14,7 @@
     },
 };
 
-fn order_key(name: &str) -> String {
+pub(crate) fn order_key(name: &str) -> String {
     let now = SystemTime::UNIX_EPOCH.elapsed().unwrap().as_secs();
     format!("utara/{now}-{name}")
 }
