Give the read of a whole list one bound of time

What was seen: while pages of the platform's list led to one another without end, and went on to do so at 500 ms each for a read that had begun, the VM did not read the list again within 20 s after its first page was sound; by the code it would have taken up to 1,000 pages, for up to 1,000 s. Requests were served with the list it had (345 and 350 of as many), and the VM grew by 94 KB at most.

Cause: only a page had a bound of time, the list a number of pages.

Change: all documents of a list must arrive within 10 s of the first, which is kept beside the bound of a page. A read that takes longer fails like one whose page is late: the list in force stays, and the list is read again later.

--- a/crates/ebonystand/src/gateway/fetch.rs
+++ b/crates/ebonystand/src/gateway/fetch.rs
@@ -3,7 +3,9 @@
 /// HTTP client for small documents such as lists of upstreams. It uses the gateway's connection
 /// pool.
 pub struct Fetch {
-    pub(crate) node: Rc<Node>,
+    node: Rc<Node>,
+    /// Time at which the documents of a list must all have arrived.
+    until: Duration,
 }
 
 /// Reason why a document could not be fetched.
@@ -38,14 +40,29 @@
     const MAX_BODY_BYTES: usize = 8 << 20;
     /// Time limit for a whole document: several round trips between regions.
     const TIMEOUT: Duration = Duration::from_millis(1_000);
+    /// Time limit for all documents of a list, which may lead from one to another without end.
+    const LIST_TIMEOUT: Duration = Duration::from_secs(10);
+
+    /// Creates a client that fetches the documents of one list.
+    pub(crate) fn new(node: &Rc<Node>) -> Self {
+        Self {
+            node: Rc::clone(node),
+            until: node.clock.now() + Self::LIST_TIMEOUT,
+        }
+    }
 
     /// Fetches the document at `path` from the server at `address`.
     ///
     /// # Errors
-    /// [`FetchError`] unless a whole answer with status 200 arrives before the timeout.
+    /// [`FetchError`] unless a whole answer with status 200 arrives before the timeout, and before that
+    /// for all documents of the list.
     pub async fn get(&self, address: SocketAddr, path: &str) -> Result<Bytes, FetchError> {
+        let left = self.until.saturating_sub(self.node.clock.now());
+        if left.is_zero() {
+            return Err(FetchError::Timeout);
+        }
         let whole = self.get_unbounded(address, path);
-        match actix_rt::time::timeout(Self::TIMEOUT, whole).await {
+        match actix_rt::time::timeout(Self::TIMEOUT.min(left), whole).await {
             Ok(answer) => answer,
             Err(_) => Err(FetchError::Timeout),
         }
--- a/crates/ebonystand/src/gateway/list_controller.rs
+++ b/crates/ebonystand/src/gateway/list_controller.rs
@@ -344,9 +344,7 @@
                 upstreams: Self::configured(&node.document()),
             });
         };
-        let fetch = Fetch {
-            node: Rc::clone(node),
-        };
+        let fetch = Fetch::new(node);
         let scope = self.next_scope();
         if scope == ListScope::AllRegions {
             let max = ListScope::MAX_OF_ALL_REGIONS;
