Bound the entries of the list of upstreams

What was seen: pages of entries that lead to one another without end made the VM grow by 238 MB (100 entries a page) and 360 MB (10,000 a page) in 28 s, and it answered only 161 and 152 requests, one after the other, in the 8 s of the fault, some 350 in the other cases.

Cause: a list of all regions ends beyond 1,000 entries, but that of an availability zone, which is read then, had only its number of pages.

Change: a list of more than 10,000 entries, malformed ones included, is given up as one that cannot be read; the list in force stays.

Open, by reading: a list of up to 1,000 pages with fewer entries that are new with each read counts as cut off, and keeps those of the reads before.

--- a/crates/ebonystand/src/gateway/fetch.rs
+++ b/crates/ebonystand/src/gateway/fetch.rs
@@ -33,6 +33,12 @@
     /// The whole answer did not arrive before the timeout.
     #[snafu(display("the answer did not arrive before the timeout"))]
     Timeout,
+    /// The documents of a list hold too many entries.
+    #[snafu(display("the list has more than {max} entries"))]
+    TooLong {
+        /// Maximum number of entries.
+        max: usize,
+    },
 }
 
 impl Fetch {
