Suspect no path after an attempt that this VM itself ended

What callers may see: a VM that is about to stop refuses a request whose answer could not come in time, once its connection is open, and then suspects its path to the service. Probes start, and on a starved VM one that ends late marks a sound path as cut. Found by reading; a path that was marked so was not seen.

Cause: every attempt that ended without an answer's head raised the suspicion, those that ended as `Departing` or `Quarantined` included, of which this VM sent nothing by its own decision.

Fix: the end of an attempt says whether a missing path may be its reason: no connection, a connection that was lost, and silence. Of an attempt that was ended before it sent anything nothing follows for the path.

That `send_here` asks the function is compiled and read, and not tested by itself.

--- a/crates/ebonystand-core/src/gateway/attempt_end.rs
+++ b/crates/ebonystand-core/src/gateway/attempt_end.rs
@@ -61,6 +61,13 @@
         )
     }
 
+    /// Returns whether the attempt may have failed for want of a path to the upstream. An attempt that this VM itself
+    /// ended before it sent anything says nothing of the path.
+    #[must_use]
+    pub fn may_lack_path(self) -> bool {
+        matches!(self, Self::Lost | Self::TimedOut | Self::Unreachable)
+    }
+
     /// Returns whether the listed upstream was reached; `None` if the end does not tell.
     pub(crate) fn is_upstream_reached(self) -> Option<bool> {
         match self {
--- a/crates/ebonystand-core/tests/gateway/cut_path.rs
+++ b/crates/ebonystand-core/tests/gateway/cut_path.rs
@@ -1,6 +1,6 @@
 //! A VM that has lost its own path to the upstreams of its region.
 
-use super::*;
+use {super::*, rstest::rstest};
 
 /// Two services in region `a`, and service `s` in region `b`.
 fn upstreams() -> Vec<ListedUpstream> {
@@ -97,6 +97,21 @@
     assert!(book.suspect_path(ms(600), "s"));
 }
 
+/// Guards against probes, which a starved VM may fail, of a sound path over which this VM itself chose to send nothing.
+#[rstest]
+#[case::departing(AttemptEnd::Departing, false)]
+#[case::quarantined(AttemptEnd::Quarantined, false)]
+#[case::answered(AttemptEnd::Answered, false)]
+#[case::lost(AttemptEnd::Lost, true)]
+#[case::silent(AttemptEnd::TimedOut, true)]
+#[case::not_connected(AttemptEnd::Unreachable, true)]
+fn an_attempt_that_this_vm_ended_itself_says_nothing_of_the_path(
+    #[case] end: AttemptEnd,
+    #[case] may_lack_path: bool,
+) {
+    assert_eq!(end.may_lack_path(), may_lack_path);
+}
+
 #[test]
 fn probes_go_to_upstreams_of_different_zones_first() {
     let book = book(upstreams());
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -335,7 +335,9 @@
         let reader = match exchanged {
             Ok(reader) => reader,
             Err(end) => {
-                PathWatch::suspect(node, &self.service);
+                if end.may_lack_path() {
+                    PathWatch::suspect(node, &self.service);
+                }
                 attempt.end(end);
                 return Outcome::ended(end);
             }
