Log that a request was not sent because its VM ends before the answer

What operators saw: "sent" or "sent away" for a request that was refused right after, when the VM asked for the last time, with the connection open, whether the answer could still come.

Cause: both lines are written when the choice is made, before the connection is open; nothing was written when the last question refused the request.

Fix: a line of its own, "not sent: this VM ends before its answer", where that question refuses, for servers and for other VMs.

The counters of requests that were sent away still count such a request.

--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -424,6 +424,8 @@
             return Err(AttemptEnd::Quarantined);
         }
         if self.would_be_cut_off(node) {
+            let leaving_for_ms = node.leaving_for_ms(node.clock.now());
+            log::info!(request:% = self.request, upstream:% = instance, leaving_for_ms:? = leaving_for_ms; "not sent: this VM ends before its answer");
             return Err(AttemptEnd::Departing);
         }
         self.may_have_run.set(true);
