Wait at a stop for all that callers have not accepted

A VM that stops waits for what it holds for its callers, and counted that by the bytes of bodies passed to a connection, less each byte that the connection accepts. Heads and framing are accepted without having been counted, so the count can be 0 while up to 64 KiB wait in the connection's buffer. A caller that reads slowly may then lose the end of an answer, seconds before the VM's time is over.

Found by reading.

A connection holds unwritten bytes exactly while its last write was not accepted whole, which the account records already as the stall's beginning. The stop now asks whether any connection is stalled or holds counted bytes, up to the same end as before. A connection that has only passed heads is recorded too. The bound on memory still counts as before.

--- a/crates/ebonystand-core/src/held_answers.rs
+++ b/crates/ebonystand-core/src/held_answers.rs
@@ -98,9 +98,8 @@
 
     /// Records that the caller accepts no more bytes for now.
     pub fn stall(&mut self, now: Duration, connection: u64) {
-        if let Some(held) = self.connections.get_mut(&connection) {
-            held.stalled_since.get_or_insert(now);
-        }
+        let held = self.connections.entry(connection).or_default();
+        held.stalled_since.get_or_insert(now);
     }
 
     /// Forgets a connection that has ended.
@@ -131,6 +130,14 @@
         expired
     }
 
+    /// Returns whether a caller has not accepted all that is to be sent to it. The bytes held do not tell:
+    /// heads and framing are accepted without having been counted.
+    #[must_use]
+    pub fn has_unaccepted(&self) -> bool {
+        let mut connections = self.connections.values();
+        connections.any(|held| held.bytes > 0 || held.stalled_since.is_some())
+    }
+
     /// Returns the bytes held over all connections.
     #[must_use]
     pub fn total(&self) -> u64 {
--- a/crates/ebonystand-core/tests/held_answers.rs
+++ b/crates/ebonystand-core/tests/held_answers.rs
@@ -92,3 +92,20 @@
     held.remove(1);
     assert_eq!(held.total(), 500);
 }
+
+/// Guards against framing that hides how much a caller still has to accept, so that a VM ends before it has been sent.
+#[test]
+fn a_caller_that_accepts_no_more_has_not_accepted_all() {
+    let mut held = HeldAnswers::new(None);
+    held.add(1, 500);
+    held.accept(1, 700);
+    assert!(!held.has_unaccepted());
+    held.stall(s(1), 1);
+    assert!(held.has_unaccepted());
+    held.accept(1, 100);
+    assert!(!held.has_unaccepted());
+    held.stall(s(2), 2);
+    assert!(held.has_unaccepted());
+    held.remove(2);
+    assert!(!held.has_unaccepted());
+}
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -114,7 +114,7 @@
         }
         self.draining.set(true);
         self.gateway.origins.hand_over(self);
-        while (self.has_running() || self.readers.held_bytes() > 0)
+        while (self.has_running() || self.readers.has_unaccepted())
             && self.clock.now() < departure.ends()
         {
             actix_rt::time::sleep(Self::DRAIN_LOOK).await;
@@ -158,7 +158,7 @@
 
     /// Whether callers may still have to be sent answers, or to read them.
     fn has_unsent_answers(&self) -> bool {
-        self.has_running() || self.readers.held_bytes() > 0 || self.listeners.connections() > 0
+        self.has_running() || self.readers.has_unaccepted() || self.listeners.connections() > 0
     }
 
     async fn sleep_until(&self, time: Duration) {
--- a/crates/ebonystand/src/slow_readers.rs
+++ b/crates/ebonystand/src/slow_readers.rs
@@ -75,6 +75,11 @@
         self.answers.borrow().total()
     }
 
+    /// Whether a caller still has to accept something that is to be sent to it.
+    pub(crate) fn has_unaccepted(&self) -> bool {
+        self.answers.borrow().has_unaccepted()
+    }
+
     pub(crate) fn used_permille(&self) -> u64 {
         self.answers.borrow().used_permille()
     }
