--- a/crates/ebonystand/tests/integration/endless.rs
+++ b/crates/ebonystand/tests/integration/endless.rs
@@ -32,7 +32,7 @@
 /// Memory by which the process may grow, in bytes.
 pub(crate) const MAX_GROWTH: u64 = 32 << 20;
 /// Memory of answers that are read whole, 15% of the VM's, and twice what a connection buffers for each caller, in bytes.
-const MAX_WHOLE: u64 = (MEMORY_MB * 150 << 20) / 1_000 + CALLERS as u64 * (128 << 10);
+const MAX_WHOLE: u64 = ((MEMORY_MB * 150) << 20) / 1_000 + CALLERS as u64 * (128 << 10);
 /// Time of the routes and of calls of services, in milliseconds.
 const TIMEOUT_MS: u64 = 1_500;
 
