--- a/crates/ebonystand/tests/integration/planned_stops.rs
+++ b/crates/ebonystand/tests/integration/planned_stops.rs
@@ -25,11 +25,15 @@
 
 /// VMs of one region that end a second after they have been asked to.
 async fn fleet(vms: usize, options: EngineOptions) -> Fleet {
+    fleet_with_drain(vms, options, 1_000).await
+}
+
+async fn fleet_with_drain(vms: usize, options: EngineOptions, drain_ms: u64) -> Fleet {
     FleetBuilder::new()
         .region("utara", vms)
         .engine(options)
         .registry()
-        .drain_ms(Some(1_000))
+        .drain_ms(Some(drain_ms))
         .start()
         .await
 }
@@ -132,6 +136,38 @@
     assert_eq!(answer.status, 200, "{answer:?}");
 }
 
+/// Guards against a leaving VM that refuses to its end because of another one, which has been killed a moment before.
+#[actix_rt::test]
+async fn a_leaving_vm_takes_requests_again_once_the_other_one_of_its_region_has_failed() {
+    let mut fleet = fleet_with_drain(2, EngineOptions::default(), 16_000).await;
+    fleet.vms[1].log_with("readiness told").await;
+    // The other VM learns of it by gossip.
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    fleet.engines[0].set_fault(Fault::Silent).await;
+    fleet.vms[1].kill();
+    let leaving = &fleet.vms[0];
+    let looks = async {
+        while fleet.engines[0].seen().await.requests == 0 {
+            actix_rt::time::sleep(Duration::from_millis(5)).await;
+        }
+        leaving.signal("TERM");
+        let log = leaving.log_with("lingered").await;
+        assert!(log.contains(r#""others":"true""#), "{log}");
+        let mut answer = leaving.call(KEY, "GET", LOOKUP, "").await;
+        assert_eq!(answer.code(), "draining");
+        while answer.status != 200 {
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+            answer = leaving.call(KEY, "GET", LOOKUP, "").await;
+        }
+    };
+    // A chat that runs keeps the VM from ending.
+    let chat = leaving.call(KEY, "POST", CHAT, DRAFT);
+    tokio::select! {
+        answer = chat => panic!("{answer:?}"),
+        () = looks => {}
+    }
+}
+
 /// Guards against a caller that is still sending its request when the VM ends, and gets no answer.
 #[actix_rt::test]
 async fn a_request_whose_body_has_not_come_at_the_end_of_a_stop_is_refused() {
