Show streams that a leaving VM accepts late and cuts off

A VM that stops takes requests whose answers it expects before its end, by the average of answers of the same declared length. Rare long ones are cut off with their upstream at work, although they came more than 3 s after the SIGTERM.

--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -361,12 +361,17 @@
             fleet.list.serve(fleet.platform(vm.ip), vm.ip, one_way);
         }
         for index in 0..fleet.vms.len() {
-            fleet.write_settings(index, base, true);
+            fleet.write_settings(index, true);
             fleet.spawn(index);
         }
         fleet
     }
 
+    /// Renders the settings of a machine as for any start but the first one of the whole system.
+    pub fn restart_settings(&self, index: usize) {
+        self.write_settings(index, false);
+    }
+
     /// First of 16 ports that are free on all machines.
     fn free_ports(vms: &[Vm]) -> u16 {
         let start = 20_000 + (std::process::id() % 500) as u16 * 16;
@@ -396,7 +401,7 @@
         self.vms.iter().position(|vm| vm.name == name).expect("name of a machine")
     }
 
-    fn write_settings(&self, index: usize, base: u16, bootstrap: bool) {
+    fn write_settings(&self, index: usize, bootstrap: bool) {
         let vm = &self.vms[index];
         let region = ZONES.iter().find(|(zone, _)| *zone == vm.zone).unwrap().1;
         let seeds = self.vms.iter().filter(|vm| vm.is_core).take(3);
@@ -414,7 +419,7 @@
             ("{{listen.front}}", format!("{ip}:{front}")),
             ("{{listen.ready}}", format!("{ip}:{}", front + 3)),
             ("{{listen.control}}", format!("{ip}:{control}")),
-            ("{{internal_ports.0}}", (base + 8).to_string()),
+            ("{{internal_ports.0}}", (front + 7).to_string()),
             ("{{ip}}", ip.to_string()),
             ("{{seeds|json}}", format!("[{seeds}]")),
             ("{{bounds.quota_overage|json}}", "0.1".into()),
@@ -465,6 +470,13 @@
         let _ = Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
     }
 
+    /// Waits for the end of a machine's process, which has been told to stop.
+    pub fn reap(&mut self, index: usize) {
+        if let Some(mut child) = self.vms[index].child.take() {
+            let _ = child.wait();
+        }
+    }
+
     /// Whether the process of a machine has ended by itself.
     pub fn has_ended(&mut self, index: usize) -> bool {
         self.vms[index].child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
