Show a first start that never comes up after a kill

Only the first of the seeds may found the group of the log, and only while its settings say so. Killed 0.1 s after the others have started, it starts again without that setting; no VM founds the group any more.

--- a/review/4/case.rs
+++ b/review/4/case.rs
@@ -60,7 +60,11 @@
             // Two in five runs fail, and one answer in 21 breaks off, failure or not.
             let is_failure = is_disrupted && number % 5 < 2;
             let breaks_off = is_disrupted && self.garbles && number % 21 == 6;
-            let status = if is_failure { "500 Internal Server Error" } else { "200 OK" };
+            let status = if is_failure {
+                "500 Internal Server Error"
+            } else {
+                "200 OK"
+            };
             let body = "x".repeat(800);
             let head = format!(
                 "HTTP/1.1 {status}\r\nAttempt-Id: {attempt}\r\nResponse-Stamp: {}.{number}\r\nContent-Length: {}\r\n\r\n",
@@ -132,11 +136,20 @@
     for number in 0..REQUESTS {
         let in_disruption = (BEFORE..BEFORE + DURING).contains(&number);
         if trouble() && in_disruption != is_disrupted.swap(in_disruption, Ordering::Relaxed) {
-            record.line(if in_disruption { "the disruption begins" } else { "the disruption ends" });
+            record.line(if in_disruption {
+                "the disruption begins"
+            } else {
+                "the disruption ends"
+            });
         }
         let due = GAP * number as u32;
         thread::sleep(due.saturating_sub(begun.elapsed()));
-        let (ran, served, broken, record) = (Arc::clone(&ran), Arc::clone(&served), Arc::clone(&broken), record.clone());
+        let (ran, served, broken, record) = (
+            Arc::clone(&ran),
+            Arc::clone(&served),
+            Arc::clone(&broken),
+            record.clone(),
+        );
         clients.push(thread::spawn(move || {
             let attempt = format!("a{number:08x}");
             let body = "y".repeat(600);
@@ -163,8 +176,12 @@
     for client in clients {
         let _ = client.join();
     }
-    let (served, broken) = (served.load(Ordering::Relaxed), broken.load(Ordering::Relaxed));
-    let line = format!("{REQUESTS} requests, {served} served, {broken} refused though they have run");
+    let (served, broken) = (
+        served.load(Ordering::Relaxed),
+        broken.load(Ordering::Relaxed),
+    );
+    let line =
+        format!("{REQUESTS} requests, {served} served, {broken} refused though they have run");
     println!("{line}");
     record.line(line);
     for index in 0..fleet.vms.len() {
--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -56,8 +56,16 @@
                 continue;
             }
             let attempt = request.header("attempt-id").unwrap_or("").to_owned();
-            let events = if request.path().ends_with("/long") { LONG } else { SHORT };
-            let run = Run { begun: Instant::now(), ended: None, is_whole: false };
+            let events = if request.path().ends_with("/long") {
+                LONG
+            } else {
+                SHORT
+            };
+            let run = Run {
+                begun: Instant::now(),
+                ended: None,
+                is_whole: false,
+            };
             self.runs.lock().unwrap().insert(attempt.clone(), run);
             let is_whole = self.stream(&mut out, &attempt, events);
             let mut runs = self.runs.lock().unwrap();
@@ -103,14 +111,23 @@
 /// Entry machines that the directory names, asked of three machines in turn.
 fn resolve(directories: &[SocketAddr]) -> Vec<SocketAddr> {
     for directory in directories {
-        let Ok(answer) = get(*directory, "/ebonystand/resolve?name=h.example&region=ra&zone=za") else { continue };
+        let Ok(answer) = get(
+            *directory,
+            "/ebonystand/resolve?name=h.example&region=ra&zone=za",
+        ) else {
+            continue;
+        };
         if answer.status() != 200 {
             continue;
         }
         let body = String::from_utf8_lossy(&answer.body).into_owned();
-        let listed = body.split_once('[').and_then(|(_, rest)| rest.split_once(']'));
+        let listed = body
+            .split_once('[')
+            .and_then(|(_, rest)| rest.split_once(']'));
         let listed = listed.map_or("", |(listed, _)| listed);
-        let found = listed.split(',').filter_map(|text| text.trim_matches('"').parse().ok());
+        let found = listed
+            .split(',')
+            .filter_map(|text| text.trim_matches('"').parse().ok());
         let found = found.collect::<Vec<SocketAddr>>();
         if !found.is_empty() {
             return found;
@@ -123,9 +140,17 @@
     let record = Record::open();
     let mut fleet = Fleet::start(&record, [2, 2, 1], [2, 1, 1]);
     let runs = Arc::new(Mutex::new(BTreeMap::new()));
-    for (zone, number, id) in [(0, 1, "i-a1"), (0, 2, "i-a2"), (1, 1, "i-b1"), (2, 1, "i-c1")] {
+    for (zone, number, id) in [
+        (0, 1, "i-a1"),
+        (0, 2, "i-a2"),
+        (1, 1, "i-b1"),
+        (2, 1, "i-c1"),
+    ] {
         let address = fleet.server_address(zone, number);
-        let engine = Arc::new(Engine { id: id.into(), runs: Arc::clone(&runs) });
+        let engine = Arc::new(Engine {
+            id: id.into(),
+            runs: Arc::clone(&runs),
+        });
         listen(address, move |stream| engine.serve(stream));
         fleet.list.put(Listed {
             id: id.into(),
@@ -166,7 +191,11 @@
     let seen = Arc::new(Mutex::new(Vec::<Seen>::new()));
     let under_way = Arc::new(AtomicUsize::new(0));
     let mut signals = BTreeMap::new();
-    let (begun, first_stop, end) = (Instant::now(), Duration::from_secs(15), Duration::from_secs(40));
+    let (begun, first_stop, end) = (
+        Instant::now(),
+        Duration::from_secs(15),
+        Duration::from_secs(40),
+    );
     let mut number = 0_usize;
     let mut restarts = Vec::new();
     while begun.elapsed() < end {
@@ -209,14 +238,22 @@
         thread::spawn(move || {
             let sent = Instant::now();
             let answer = call(address, &head, b"body", DEADLINE);
-            let (status, is_whole) = answer.map_or((0, false), |answer| (answer.status(), answer.whole));
+            let (status, is_whole) =
+                answer.map_or((0, false), |answer| (answer.status(), answer.whole));
             let ended = Instant::now();
             record.line(format!(
                 "client {attempt} ({length}) at {}: status {status}, whole {is_whole}, after {:.3} s",
                 address.ip(),
                 (ended - sent).as_secs_f64()
             ));
-            seen.lock().unwrap().push(Seen { attempt, address, sent, ended, status, is_whole });
+            seen.lock().unwrap().push(Seen {
+                attempt,
+                address,
+                sent,
+                ended,
+                status,
+                is_whole,
+            });
             under_way.fetch_sub(1, Ordering::Relaxed);
         });
     }
@@ -227,17 +264,34 @@
 
     let (mut served, mut lost) = (0, 0);
     let runs = runs.lock().unwrap();
-    for Seen { attempt, address, sent, ended, status, is_whole } in seen.lock().unwrap().iter() {
+    for Seen {
+        attempt,
+        address,
+        sent,
+        ended,
+        status,
+        is_whole,
+    } in seen.lock().unwrap().iter()
+    {
         served += usize::from(*status == 200 && *is_whole);
-        let stop = signals.iter().find(|(index, _)| fleet.front(**index) == *address).map(|(_, stop)| *stop);
-        let (Some(stop), false) = (stop, *is_whole) else { continue };
+        let stop = signals
+            .iter()
+            .find(|(index, _)| fleet.front(**index) == *address)
+            .map(|(_, stop)| *stop);
+        let (Some(stop), false) = (stop, *is_whole) else {
+            continue;
+        };
         // The rule's excuses: not passed on to a server, the server broke off, the deadline, and a server
         // at work in the last sixth of the grace on a request sent no later than 3 s after the signal.
-        let Some(run) = runs.get(attempt).filter(|_| *sent >= stop && *ended < stop + GRACE + Duration::from_secs(1)) else {
+        let Some(run) = runs
+            .get(attempt)
+            .filter(|_| *sent >= stop && *ended < stop + GRACE + Duration::from_secs(1))
+        else {
             continue;
         };
         let is_over = *ended - *sent >= DEADLINE;
-        let is_excused = *sent <= stop + Duration::from_secs(3) && run.ended.is_none_or(|at| at > stop + GRACE * 5 / 6);
+        let is_excused = *sent <= stop + Duration::from_secs(3)
+            && run.ended.is_none_or(|at| at > stop + GRACE * 5 / 6);
         if is_over || is_excused || run.is_whole {
             continue;
         }
@@ -256,7 +310,10 @@
     record.line(line);
     for index in 0..fleet.vms.len() {
         if fleet.has_ended(index) {
-            record.line(format!("machine {} has ended by itself", fleet.vms[index].name));
+            record.line(format!(
+                "machine {} has ended by itself",
+                fleet.vms[index].name
+            ));
             fleet.finish(2);
         }
     }
--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -31,7 +31,10 @@
     pub fn open() -> Self {
         let folder = std::env::var("CASE_DIR").expect("CASE_DIR names the folder of the case");
         let file = fs::File::create(Path::new(&folder).join("record.txt")).expect("record.txt");
-        Self { file: Arc::new(Mutex::new(file)), begun: Instant::now() }
+        Self {
+            file: Arc::new(Mutex::new(file)),
+            begun: Instant::now(),
+        }
     }
 
     pub fn line(&self, text: impl AsRef<str>) {
@@ -57,12 +60,19 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let mut found = self.headers.iter().filter(|(key, _)| key.eq_ignore_ascii_case(name));
+        let mut found = self
+            .headers
+            .iter()
+            .filter(|(key, _)| key.eq_ignore_ascii_case(name));
         found.next().map(|(_, value)| value.as_str())
     }
 
     pub fn status(&self) -> u16 {
-        self.first_line.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0)
+        self.first_line
+            .split(' ')
+            .nth(1)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0)
     }
 
     pub fn method(&self) -> &str {
@@ -92,7 +102,9 @@
             return Ok(Some(message));
         }
         if let Some((name, value)) = text.split_once(':') {
-            message.headers.push((name.trim().into(), value.trim().into()));
+            message
+                .headers
+                .push((name.trim().into(), value.trim().into()));
         }
     }
 }
@@ -104,7 +116,10 @@
         message.whole = true;
         return;
     }
-    if let Some(length) = message.header("content-length").and_then(|text| text.parse().ok()) {
+    if let Some(length) = message
+        .header("content-length")
+        .and_then(|text| text.parse().ok())
+    {
         let mut body = Vec::new();
         let _ = reader.take(length).read_to_end(&mut body);
         message.whole = body.len() as u64 == length;
@@ -118,7 +133,9 @@
                 return;
             }
             let size = line.trim().split(';').next().unwrap_or("").to_owned();
-            let Ok(size) = u64::from_str_radix(&size, 16) else { return };
+            let Ok(size) = u64::from_str_radix(&size, 16) else {
+                return;
+            };
             let before = message.body.len() as u64;
             let _ = reader.take(size).read_to_end(&mut message.body);
             if message.body.len() as u64 != before + size {
@@ -197,7 +214,14 @@
 
 impl Listed {
     fn json(&self) -> String {
-        let Self { id, service, address, zone, slots, draining } = self;
+        let Self {
+            id,
+            service,
+            address,
+            zone,
+            slots,
+            draining,
+        } = self;
         let state = if *draining { "draining" } else { "ready" };
         format!(
             r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"v1","slots":{slots},"state":"{state}","cold_remaining_ms":0,"id":"{id}"}}"#
@@ -205,35 +229,34 @@
     }
 }
 
-/// The platform's list of servers. Each machine is told an address of its own for it, so that the
-/// stand-in can tell who reads.
+/// The platform's list of servers.
 #[derive(Clone, Default)]
 pub struct List {
     entries: Arc<Mutex<BTreeMap<String, Listed>>>,
-    reads: Arc<Mutex<BTreeMap<Ipv4Addr, usize>>>,
 }
 
 impl List {
-    /// Serves the list to `reader`; requests and answers take `one_way` each.
-    pub fn serve(&self, address: SocketAddr, reader_ip: Ipv4Addr, one_way: Duration) {
+    pub fn serve(&self, address: SocketAddr) {
         let list = self.clone();
         listen(address, move |stream| {
             let mut out = stream.try_clone().unwrap();
             let mut reader = BufReader::new(stream);
             while let Ok(Some(mut request)) = read_head(&mut reader) {
                 read_body(&mut reader, &mut request, false);
-                thread::sleep(one_way);
-                let zone = request.path().split(['?', '&']).find_map(|part| part.strip_prefix("zone="));
+                let zone = request
+                    .path()
+                    .split(['?', '&'])
+                    .find_map(|part| part.strip_prefix("zone="));
                 let entries = list.entries.lock().unwrap().clone();
-                let entries = entries.values().filter(|entry| zone.is_none_or(|zone| zone == entry.zone));
+                let entries = entries
+                    .values()
+                    .filter(|entry| zone.is_none_or(|zone| zone == entry.zone));
                 let entries = entries.map(Listed::json).collect::<Vec<_>>().join(",");
                 let body = format!(r#"{{"instances":[{entries}],"next":null}}"#);
                 let head = format!(
                     "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                     body.len()
                 );
-                *list.reads.lock().unwrap().entry(reader_ip).or_default() += 1;
-                thread::sleep(one_way);
                 if out.write_all((head + &body).as_bytes()).is_err() {
                     return;
                 }
@@ -245,33 +268,9 @@
         self.entries.lock().unwrap().insert(entry.id.clone(), entry);
     }
 
-    pub fn drain(&self, id: &str) {
-        if let Some(entry) = self.entries.lock().unwrap().get_mut(id) {
-            entry.draining = true;
-        }
-    }
-
     pub fn remove(&self, id: &str) {
         self.entries.lock().unwrap().remove(id);
     }
-
-    /// Number of reads by a machine that the platform has answered.
-    pub fn reads(&self, reader: Ipv4Addr) -> usize {
-        self.reads.lock().unwrap().get(&reader).copied().unwrap_or(0)
-    }
-
-    /// Waits until the platform has answered the next read of a machine, whose answer is then on its way.
-    pub fn wait_for_read(&self, reader: Ipv4Addr) -> bool {
-        let before = self.reads(reader);
-        let end = Instant::now() + Duration::from_secs(10);
-        while self.reads(reader) == before {
-            if Instant::now() > end {
-                return false;
-            }
-            thread::sleep(Duration::from_millis(1));
-        }
-        true
-    }
 }
 
 /// Answers what a sound server answers without running anything; `None` if the request is to be run.
@@ -282,13 +281,18 @@
             "HTTP/1.1 200 OK\r\nInstance-Id: {id}\r\nServer-Load: 0,0,{slots}\r\nContent-Length: 0\r\n\r\n"
         ));
     }
-    if request.header("expect-instance").is_some_and(|expected| expected != id) {
+    if request
+        .header("expect-instance")
+        .is_some_and(|expected| expected != id)
+    {
         return Some(format!(
             "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
         ));
     }
     if attempt.is_empty() {
-        return Some("HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n".into());
+        return Some(
+            "HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n".into(),
+        );
     }
     None
 }
@@ -320,11 +324,33 @@
 impl Fleet {
     /// Starts `cores` machines with a disk and `fronts` entry machines in each zone.
     pub fn start(record: &Record, cores: [usize; 3], fronts: [usize; 3]) -> Self {
-        Self::start_with_platform(record, cores, fronts, Duration::ZERO)
+        let mut fleet = Self::new(record, cores, fronts);
+        for index in 0..fleet.vms.len() {
+            fleet.spawn(index);
+        }
+        fleet
+    }
+
+    /// The same, with one machine `gap` before the others.
+    pub fn start_one_first(
+        record: &Record,
+        cores: [usize; 3],
+        fronts: [usize; 3],
+        first: &str,
+        gap: Duration,
+    ) -> Self {
+        let mut fleet = Self::new(record, cores, fronts);
+        let first = fleet.index(first);
+        fleet.spawn(first);
+        thread::sleep(gap);
+        for index in (0..fleet.vms.len()).filter(|index| *index != first) {
+            fleet.spawn(index);
+        }
+        fleet
     }
 
-    /// The same, with the platform `one_way` away from all machines.
-    pub fn start_with_platform(record: &Record, cores: [usize; 3], fronts: [usize; 3], one_way: Duration) -> Self {
+    /// Prepares the machines, and serves the platform's list.
+    fn new(record: &Record, cores: [usize; 3], fronts: [usize; 3]) -> Self {
         let octet = 20 + (std::process::id() % 200) as u8;
         let folder = std::env::temp_dir().join(format!("ebonystand-review-{}", std::process::id()));
         fs::create_dir_all(&folder).unwrap();
@@ -348,7 +374,7 @@
             }
         }
         let base = Self::free_ports(&vms);
-        let mut fleet = Self {
+        let fleet = Self {
             vms,
             list: List::default(),
             folder,
@@ -358,11 +384,10 @@
             octet,
         };
         for vm in &fleet.vms {
-            fleet.list.serve(fleet.platform(vm.ip), vm.ip, one_way);
+            fleet.list.serve(fleet.platform(vm.ip));
         }
         for index in 0..fleet.vms.len() {
             fleet.write_settings(index, true);
-            fleet.spawn(index);
         }
         fleet
     }
@@ -376,7 +401,8 @@
     fn free_ports(vms: &[Vm]) -> u16 {
         let start = 20_000 + (std::process::id() % 500) as u16 * 16;
         let is_free = |base: &u16| {
-            vms.iter().all(|vm| (*base..base + 16).all(|port| TcpListener::bind((vm.ip, port)).is_ok()))
+            vms.iter()
+                .all(|vm| (*base..base + 16).all(|port| TcpListener::bind((vm.ip, port)).is_ok()))
         };
         let mut bases = (start..40_000).step_by(16);
         bases.find(is_free).expect("free ports")
@@ -385,12 +411,18 @@
     /// Address of the platform's list for the machine with this address.
     pub fn platform(&self, vm: Ipv4Addr) -> SocketAddr {
         let [.., zone, last] = vm.octets();
-        SocketAddr::new(Ipv4Addr::new(127, self.octet, 100 + zone, last).into(), self.front_port)
+        SocketAddr::new(
+            Ipv4Addr::new(127, self.octet, 100 + zone, last).into(),
+            self.front_port,
+        )
     }
 
     /// Address of the `number`-th server of a zone.
     pub fn server_address(&self, zone: usize, number: u8) -> SocketAddr {
-        SocketAddr::new(Ipv4Addr::new(127, self.octet, zone as u8 + 1, 200 + number).into(), self.front_port)
+        SocketAddr::new(
+            Ipv4Addr::new(127, self.octet, zone as u8 + 1, 200 + number).into(),
+            self.front_port,
+        )
     }
 
     pub fn front(&self, index: usize) -> SocketAddr {
@@ -398,19 +430,31 @@
     }
 
     pub fn index(&self, name: &str) -> usize {
-        self.vms.iter().position(|vm| vm.name == name).expect("name of a machine")
+        self.vms
+            .iter()
+            .position(|vm| vm.name == name)
+            .expect("name of a machine")
     }
 
     fn write_settings(&self, index: usize, bootstrap: bool) {
         let vm = &self.vms[index];
         let region = ZONES.iter().find(|(zone, _)| *zone == vm.zone).unwrap().1;
         let seeds = self.vms.iter().filter(|vm| vm.is_core).take(3);
-        let seeds = seeds.map(|vm| format!("\"{}:{}\"", vm.ip, self.control_port)).collect::<Vec<_>>().join(",");
-        let zones = ZONES.map(|(zone, region)| format!("\"{zone}\":\"{region}\"")).join(",");
+        let seeds = seeds
+            .map(|vm| format!("\"{}:{}\"", vm.ip, self.control_port))
+            .collect::<Vec<_>>()
+            .join(",");
+        let zones = ZONES
+            .map(|(zone, region)| format!("\"{zone}\":\"{region}\""))
+            .join(",");
         let platform = self.platform(vm.ip);
         let (ip, front, control) = (vm.ip, self.front_port, self.control_port);
         // The templates `deploy/front.json` and `deploy/core.json`, filled in.
-        let template = if vm.is_core { "deploy/core.json" } else { "deploy/front.json" };
+        let template = if vm.is_core {
+            "deploy/core.json"
+        } else {
+            "deploy/front.json"
+        };
         let data = self.folder.join(format!("{}.data", vm.name));
         let mut text = fs::read_to_string(template).expect("template of the deploy file");
         let fields = [
@@ -434,21 +478,34 @@
             ("{{zone}}", vm.zone.clone()),
             ("{{limits.cores}}", "1".into()),
             ("{{limits.link_mbps}}", "1000.0".into()),
-            ("{{limits.memory_mb}}", if vm.is_core { "256" } else { "260" }.into()),
-            ("{{limits.cpu_share}}", if vm.is_core { "0.6" } else { "0.25" }.into()),
+            (
+                "{{limits.memory_mb}}",
+                if vm.is_core { "256" } else { "260" }.into(),
+            ),
+            (
+                "{{limits.cpu_share}}",
+                if vm.is_core { "0.6" } else { "0.25" }.into(),
+            ),
             ("{{data_dir}}", data.display().to_string()),
             ("{{bootstrap}}", bootstrap.to_string()),
         ];
         for (name, value) in fields {
             text = text.replace(name, &value);
         }
-        assert!(!text.contains("{{"), "a placeholder of {template} has no value: {text}");
+        assert!(
+            !text.contains("{{"),
+            "a placeholder of {template} has no value: {text}"
+        );
         fs::write(&vm.settings, text).unwrap();
     }
 
     pub fn spawn(&mut self, index: usize) {
         let vm = &mut self.vms[index];
-        let log = fs::File::options().create(true).append(true).open(&vm.log).unwrap();
+        let log = fs::File::options()
+            .create(true)
+            .append(true)
+            .open(&vm.log)
+            .unwrap();
         let child = Command::new("target/release/ebonystand-platform")
             .env("EBONYSTAND_BOOT", &vm.settings)
             .stdin(Stdio::null())
@@ -459,15 +516,25 @@
             eprintln!("target/release/ebonystand-platform is not built");
             self.finish(2);
         };
-        self.record.line(format!("machine {} started as process {}", vm.name, child.id()));
+        self.record.line(format!(
+            "machine {} started as process {}",
+            vm.name,
+            child.id()
+        ));
         vm.child = Some(child);
     }
 
     /// Sends a signal to the process of a machine.
     pub fn signal(&self, index: usize, signal: &str) {
-        let Some(child) = &self.vms[index].child else { return };
-        self.record.line(format!("signal {signal} to {}", self.vms[index].name));
-        let _ = Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
+        let Some(child) = &self.vms[index].child else {
+            return;
+        };
+        self.record
+            .line(format!("signal {signal} to {}", self.vms[index].name));
+        let _ = Command::new("kill")
+            .arg(format!("-{signal}"))
+            .arg(child.id().to_string())
+            .status();
     }
 
     /// Waits for the end of a machine's process, which has been told to stop.
@@ -479,7 +546,10 @@
 
     /// Whether the process of a machine has ended by itself.
     pub fn has_ended(&mut self, index: usize) -> bool {
-        self.vms[index].child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
+        self.vms[index]
+            .child
+            .as_mut()
+            .is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
     }
 
     /// Sends a configuration to the cores in turn until one acknowledges it.
@@ -490,11 +560,13 @@
                 let control = SocketAddr::new(vm.ip.into(), self.control_port);
                 match post(control, "/ebonystand/config/replace", body) {
                     Ok(answer) if answer.status() == 200 => {
-                        self.record.line(format!("configuration acknowledged by {}", vm.name));
+                        self.record
+                            .line(format!("configuration acknowledged by {}", vm.name));
                         return;
                     }
                     Ok(answer) if answer.status() < 500 => {
-                        self.record.line(format!("configuration refused: {}", answer.status()));
+                        self.record
+                            .line(format!("configuration refused: {}", answer.status()));
                         self.finish(2);
                     }
                     _ => thread::sleep(Duration::from_millis(100)),
@@ -526,7 +598,11 @@
     pub fn finish(&self, code: i32) -> ! {
         for vm in &self.vms {
             if let Some(child) = &vm.child {
-                let _ = Command::new("kill").arg("-KILL").arg(child.id().to_string()).stderr(Stdio::null()).status();
+                let _ = Command::new("kill")
+                    .arg("-KILL")
+                    .arg(child.id().to_string())
+                    .stderr(Stdio::null())
+                    .status();
             }
         }
         if std::env::var("KEEP").is_err() {
