Tell callers by the end of the attempt whether a request has run

Cause: a VM told another one of an attempt by a status of its own, always 503 without an answer, and by a mark for what became of the attempt. The other VM took the status for the upstream's. A body that breaks off, is longer than 64 KiB or pauses for 200 ms left no answer.

Change: AttemptEnd::run_state and RunState::allows decide which statuses an end may be told by, at both ends of a hop and for refusals. The mark 'failed' goes only with the upstream's answer. An upstream's own 408, 429 or 503 that does not say 'not run' is a failure and reaches callers as 502. The rest of a failure's body is read once no retry follows, so that large and slow ones arrive whole.

--- a/crates/ebonystand-core/src/gateway/attempt_end.rs
+++ b/crates/ebonystand-core/src/gateway/attempt_end.rs
@@ -1,4 +1,4 @@
-use derive_more::Debug;
+use {crate::RunState, derive_more::Debug};
 
 /// How an attempt to send a request to one upstream ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -32,14 +32,21 @@
     /// Returns whether the request has certainly not run and never will.
     #[must_use]
     pub fn is_known_not_run(self) -> bool {
-        matches!(
-            self,
+        self.run_state() == RunState::NotRun
+    }
+
+    /// Returns whether the upstream has run the request.
+    #[must_use]
+    pub fn run_state(self) -> RunState {
+        match self {
             Self::AddressReused
-                | Self::Departing
-                | Self::Quarantined
-                | Self::Shed
-                | Self::Unreachable
-        )
+            | Self::Departing
+            | Self::Quarantined
+            | Self::Shed
+            | Self::Unreachable => RunState::NotRun,
+            Self::Answered | Self::Failed => RunState::Ran,
+            Self::Cancelled | Self::Closed | Self::Lost | Self::TimedOut => RunState::Unknown,
+        }
     }
 
     /// Returns whether a server of the service received the request, even if it refused it, so that
--- a/crates/ebonystand-core/src/run_state.rs
+++ b/crates/ebonystand-core/src/run_state.rs
@@ -14,3 +14,12 @@
     #[display("unknown")]
     Unknown,
 }
+
+impl RunState {
+    /// Returns whether a request in this state may be answered with an HTTP status. To callers of routes, 408, 421, 429
+    /// and 503 promise that the request has not run and never will.
+    #[must_use]
+    pub fn allows(self, status: u16) -> bool {
+        self == Self::NotRun || !matches!(status, 408 | 421 | 429 | 503)
+    }
+}
--- a/crates/ebonystand-core/tests/gateway/next_step.rs
+++ b/crates/ebonystand-core/tests/gateway/next_step.rs
@@ -103,3 +103,18 @@
         NextStep::Retry
     );
 }
+
+/// Guards against a status that promises that a request has not run although it may have.
+#[rstest]
+fn only_what_has_not_run_is_told_so(#[values(408, 421, 429, 503)] status: u16) {
+    let ends = ENDS.into_iter().chain([
+        AttemptEnd::Closed,
+        AttemptEnd::Departing,
+        AttemptEnd::Quarantined,
+    ]);
+    for end in ends {
+        let state = end.run_state();
+        assert_eq!(state.allows(status), end.is_known_not_run(), "{end:?}");
+        assert!(state.allows(500) && state.allows(502) && state.allows(504));
+    }
+}
--- a/crates/ebonystand/src/gateway/admitted.rs
+++ b/crates/ebonystand/src/gateway/admitted.rs
@@ -202,7 +202,7 @@
                     Ok(response) => return Ok(response),
                     Err((end, admitted)) => {
                         self = *admitted;
-                        self.decide_next_step(node, end, None, None, instance)?;
+                        self.decide_next_step(node, end, None, instance)?;
                     }
                 },
                 Outcome::Ended {
@@ -210,10 +210,12 @@
                     end,
                     retry_after,
                 } => {
-                    if let Some(answer) =
-                        self.decide_next_step(node, end, answer, retry_after, instance)?
-                    {
-                        return Ok(answer);
+                    if let Err(refusal) = self.decide_next_step(node, end, retry_after, instance) {
+                        let answer = match answer {
+                            Some(answer) => answer.read_rest(node, &self.call).await,
+                            None => None,
+                        };
+                        return answer.map(FailureAnswer::into_response).ok_or(refusal);
                     }
                 }
             }
@@ -330,16 +332,15 @@
         }
     }
 
-    /// Decides what follows an attempt that sent nothing to the caller. `Ok(None)` means that the
-    /// request is tried again.
+    /// Decides what follows an attempt that sent nothing to the caller. `Ok` means that the request is tried again;
+    /// otherwise the refusal is for a caller to whom the upstream's own answer can't be passed on.
     fn decide_next_step(
         &mut self,
         node: &Node,
         end: AttemptEnd,
-        answer: Option<Response<BoxBody>>,
         retry_after: Option<Duration>,
         instance: Option<UpstreamId>,
-    ) -> Result<Option<Response<BoxBody>>, Refusal> {
+    ) -> Result<(), Refusal> {
         self.tried += u32::from(end.is_counted_attempt());
         self.not_run &= end.is_known_not_run();
         self.call.may_have_run.set(!self.not_run);
@@ -374,10 +375,7 @@
         );
         if step == NextStep::Retry {
             node.metrics.retries.inc();
-            return Ok(None);
-        }
-        if answer.is_some() {
-            return Ok(answer);
+            return Ok(());
         }
         let refusal = match end {
             AttemptEnd::Quarantined => {
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -94,7 +94,7 @@
     /// The attempt has ended without an answer that can be passed on directly.
     Ended {
         /// Error response of the upstream, which the caller gets if the request is not retried.
-        answer: Option<Response<BoxBody>>,
+        answer: Option<Box<FailureAnswer>>,
         end: AttemptEnd,
         /// Delay after which the upstream or the other VM asks for a retry.
         retry_after: Option<Duration>,
@@ -133,15 +133,27 @@
             retry_after: None,
         }
     }
+
+    /// Reads what is left of an upstream's error response.
+    pub(crate) async fn read_rest(self, node: &Node, call: &Call) -> Self {
+        match self {
+            Self::Ended {
+                answer: Some(answer),
+                end,
+                retry_after,
+            } => Self::Ended {
+                answer: answer.read_rest(node, call).await,
+                end,
+                retry_after,
+            },
+            outcome => outcome,
+        }
+    }
 }
 
 impl Call {
     /// Share of the first-byte target, in permille, for which a request waits for room.
     const ROOM_WAIT_PERMILLE: u32 = 250;
-    /// Largest body of an upstream's error response that is kept for the caller, in bytes.
-    const MAX_FAILURE_BODY: usize = 64 << 10;
-    /// Longest time to read the body of an upstream's error response.
-    const FAILURE_BODY_TIMEOUT: Duration = Duration::from_millis(200);
 
     /// Waits until an upstream may have room. A request that would start too late for its
     /// first-byte target is refused early, while its caller still has time to retry: at once if its
@@ -479,8 +491,8 @@
         &self,
         node: &Rc<Node>,
         address: SocketAddr,
-        instance: &str,
-        mut reader: ResponseReader,
+        instance: &UpstreamId,
+        reader: ResponseReader,
         end: AttemptEnd,
     ) -> Outcome {
         let status = reader.head().status;
@@ -488,22 +500,11 @@
         let headers = reader.head().headers.clone();
         let is_unframed = reader.is_unframed();
         let retry_after = retry_after(&headers);
-        let body = reader.read_whole(Self::MAX_FAILURE_BODY);
-        let body = actix_rt::time::timeout(Self::FAILURE_BODY_TIMEOUT, body).await;
-        let Ok(Ok(body)) = body else {
-            return Outcome::Ended {
-                answer: None,
-                end,
-                retry_after,
-            };
-        };
-        node.gateway
-            .pool
-            .put(node.clock.now(), address, instance, reader);
-        let answer = (end == AttemptEnd::Failed)
-            .then(|| buffered_response(status, &headers, body, is_unframed));
+        let answer =
+            FailureAnswer::begin(node, self, reader, address, instance, headers, is_unframed);
+        let answer = answer.await;
         Outcome::Ended {
-            answer,
+            answer: answer.filter(|_| end == AttemptEnd::Failed),
             end,
             retry_after,
         }
@@ -534,7 +535,9 @@
         if head.status.is_success() && marks.request.is_none() {
             return Some(AttemptEnd::Lost);
         }
-        head.status.is_server_error().then_some(AttemptEnd::Failed)
+        let is_failure =
+            head.status.is_server_error() || !RunState::Unknown.allows(head.status.as_u16());
+        is_failure.then_some(AttemptEnd::Failed)
     }
 }
 
--- a/crates/ebonystand/src/gateway/forward.rs
+++ b/crates/ebonystand/src/gateway/forward.rs
@@ -40,9 +40,11 @@
 const FAILED: &str = "failed";
 const QUARANTINED: &str = "quarantined";
 
-/// Returns the value of [`ATTEMPT_END`] for the end of an attempt.
-pub(crate) fn attempt_end_name(end: AttemptEnd) -> &'static str {
+/// Returns the value of [`ATTEMPT_END`] for the end of an attempt. [`FAILED`] stands only beside the answer of the
+/// upstream.
+pub(crate) fn attempt_end_name(end: AttemptEnd, has_answer: bool) -> &'static str {
     match end {
+        AttemptEnd::Failed if !has_answer => LOST,
         AttemptEnd::Shed | AttemptEnd::AddressReused => SHED,
         AttemptEnd::Departing | AttemptEnd::Unreachable => NOT_SENT,
         AttemptEnd::TimedOut => TIMED_OUT,
@@ -146,7 +148,10 @@
     };
     let headers = &reader.head().headers;
     let ended = headers::text(headers, ATTEMPT_END).unwrap_or_default();
-    if let Some(end) = parse_attempt_end(ended) {
+    // A VM of an earlier build passes on an upstream's own promise that the request has not run as an answer like others.
+    let unfounded = !RunState::Unknown.allows(reader.head().status.as_u16());
+    let end = parse_attempt_end(ended).or(unfounded.then_some(AttemptEnd::Failed));
+    if let Some(end) = end {
         return (
             read_failure(node, call, reader, address, vm, end).await,
             true,
@@ -222,13 +227,11 @@
 async fn read_failure(
     node: &Rc<Node>,
     call: &Call,
-    mut reader: ResponseReader,
+    reader: ResponseReader,
     address: SocketAddr,
     vm: &VmId,
     end: AttemptEnd,
 ) -> Outcome {
-    const MAX_FAILURE_BODY: usize = 64 << 10;
-    const FAILURE_BODY_TIMEOUT: Duration = Duration::from_millis(200);
     let status = reader.head().status;
     let mut headers = reader.head().headers.clone();
     headers.remove(ATTEMPT_END);
@@ -236,18 +239,10 @@
     let is_unframed = is_unframed(&reader);
     log::warn!(request:% = call.request, vm:% = vm, end:? = end, status = status.as_u16(); "other VM has no answer to the forwarded request");
     let retry_after = call::retry_after(&headers);
-    let body =
-        actix_rt::time::timeout(FAILURE_BODY_TIMEOUT, reader.read_whole(MAX_FAILURE_BODY)).await;
-    let answer = match (body, end) {
-        (Ok(Ok(body)), AttemptEnd::Failed) => {
-            Some(call::buffered_response(status, &headers, body, is_unframed))
-        }
-        _ => None,
-    };
-    let now = node.clock.now();
-    node.gateway.pool.put(now, address, vm, reader);
+    let answer = FailureAnswer::begin(node, call, reader, address, vm, headers, is_unframed);
+    let answer = answer.await;
     Outcome::Ended {
-        answer,
+        answer: answer.filter(|_| end == AttemptEnd::Failed),
         end,
         retry_after,
     }
--- a/crates/ebonystand/src/gateway/mod.rs
+++ b/crates/ebonystand/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 use {
     connection::{Connection, ResponseReader},
     connection_pool::ConnectionPool,
+    failure_answer::FailureAnswer,
 };
 
 mod abandonment_log;
@@ -40,6 +41,7 @@
 mod crash_watch;
 mod dialect;
 mod extension;
+mod failure_answer;
 mod fetch;
 mod forward;
 mod forwarders;
--- a/crates/ebonystand/src/gateway/receive_forward.rs
+++ b/crates/ebonystand/src/gateway/receive_forward.rs
@@ -43,10 +43,12 @@
             retry_after,
         } => {
             body::discard(&node, &mut payload).await;
-            let response = answer.unwrap_or_else(|| {
-                Response::new(StatusCode::SERVICE_UNAVAILABLE).map_into_boxed_body()
-            });
-            (response, forward::attempt_end_name(end), retry_after)
+            let name = forward::attempt_end_name(end, answer.is_some());
+            let response = answer.map_or_else(
+                || Response::new(status_without_answer(end)).map_into_boxed_body(),
+                FailureAnswer::into_response,
+            );
+            (response, name, retry_after)
         }
     };
     headers::set(response.headers_mut(), forward::ATTEMPT_END, end);
@@ -68,6 +70,15 @@
     response
 }
 
+/// Returns the status that tells the forwarding VM of an attempt without an answer that can be passed on. A VM of an earlier
+/// build passes the status on to the caller.
+fn status_without_answer(end: AttemptEnd) -> StatusCode {
+    match end.is_known_not_run() {
+        true => StatusCode::SERVICE_UNAVAILABLE,
+        false => StatusCode::BAD_GATEWAY,
+    }
+}
+
 /// Tells the forwarding VM that this one ends before the answer.
 fn ended_outcome(may_have_run: &MayHaveRun) -> Outcome {
     Outcome::ended(match may_have_run.get() {
@@ -166,6 +177,7 @@
         let gone = tried.filter(|_| is_gone && call.excluded.len() < MAX_GONE);
         is_turned_away |= end == AttemptEnd::AddressReused;
         let Some(instance) = gone else {
+            let outcome = outcome.read_rest(node, &call).await;
             return with_earlier_attempts(outcome, is_turned_away);
         };
         let (grant, granted) = node.gateway.retries.try_retry(node, &call.service, end);
--- a/crates/ebonystand/src/gateway/serve_call.rs
+++ b/crates/ebonystand/src/gateway/serve_call.rs
@@ -466,6 +466,9 @@
 /// second is most of the time that some requests have.
 fn refusal_response(node: &Node, refusal: &Refusal) -> Response<BoxBody> {
     let mut response = respond::refusal(refusal, None);
+    if !refusal.run.allows(response.status().as_u16()) {
+        response.head_mut().status = StatusCode::BAD_GATEWAY;
+    }
     if let Some(status) = node.gateway.dialect.refusal_status(refusal.code) {
         response.head_mut().status = status;
     }
--- a/crates/ebonystand/tests/integration/cut_heads.rs
+++ b/crates/ebonystand/tests/integration/cut_heads.rs
@@ -95,14 +95,14 @@
 
 /// All that a caller read from a connection of its own.
 #[derive(Debug)]
-struct Read {
-    body: String,
+pub(crate) struct Read {
+    pub(crate) body: String,
     head: String,
     is_reset: bool,
 }
 
 impl Read {
-    async fn new(vm: &Vm, path: &str, name: &str, headers: &str) -> Self {
+    pub(crate) async fn new(vm: &Vm, path: &str, name: &str, headers: &str) -> Self {
         const LONGEST: Duration = Duration::from_secs(20);
         let mut io = TcpStream::connect(vm.addresses.callers).await.unwrap();
         let request = format!(
@@ -121,7 +121,12 @@
         }
     }
 
-    fn header(&self, name: &str) -> Option<&str> {
+    /// Status code; `None` if the connection ended without an answer.
+    pub(crate) fn status(&self) -> Option<u16> {
+        self.head.split(' ').nth(1)?.parse().ok()
+    }
+
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
         let mut lines = self.head.lines().filter_map(|line| line.split_once(':'));
         lines
             .find(|(found, _)| *found == name)
@@ -133,7 +138,7 @@
     }
 
     /// Whether a caller can take the body for whole.
-    fn looks_whole(&self) -> bool {
+    pub(crate) fn looks_whole(&self) -> bool {
         let length = self.header("content-length");
         let length = length.and_then(|length| length.parse::<usize>().ok());
         match (self.header("transfer-encoding"), length) {
@@ -144,7 +149,7 @@
     }
 
     /// Whether the answer is refused or failed by the VM itself.
-    fn is_own_failure(&self) -> bool {
+    pub(crate) fn is_own_failure(&self) -> bool {
         self.looks_whole() && self.head.starts_with("http/1.1 5") && self.header("stamp").is_none()
     }
 }
--- a/crates/ebonystand/tests/integration/main.rs
+++ b/crates/ebonystand/tests/integration/main.rs
@@ -14,6 +14,7 @@
 mod endless_beside;
 mod endless_links;
 mod endless_streams;
+mod failed_answers;
 mod failures;
 mod faults;
 mod fleet;
--- a/crates/ebonystand/tests/integration/scripted.rs
+++ b/crates/ebonystand/tests/integration/scripted.rs
@@ -48,6 +48,8 @@
     /// Ends the upstream: its connections break and it takes no others.
     Die,
     Keep,
+    /// Sends the rest of the answer after a pause, and keeps the connection.
+    Pause(Duration, &'static str),
     /// Resets the connection once what was sent has been read.
     Reset,
     /// Says nothing more until the other end closes.
@@ -161,6 +163,10 @@
         match then {
             Then::Close | Then::Die => return Some(then),
             Then::Keep => {}
+            Then::Pause(pause, rest) => {
+                actix_rt::time::sleep(pause).await;
+                io.write_all(rest.as_bytes()).await.ok()?;
+            }
             Then::Reset => {
                 actix_rt::time::sleep(Duration::from_millis(100)).await;
                 io.set_zero_linger().ok()?;
