Begin late streams at a leaving VM only if they are due before it ends

Cause: a leaving VM took the time within which almost all streams of a kind end for a bound. A stream whose head has been passed on can't be refused any more, so that rare long ones were cut.

Streams that come later than limits.certain_after_ms (2.5 s) after the signal go by their bound now, the caller's deadline or the route's time, on routes and on the daemon's own interface; streams that another VM forwards do so from the signal on, unless no other VM could take them. Whatever has a bound before the end can't be cut by it.

--- a/crates/ebonystand-core/src/departure.rs
+++ b/crates/ebonystand-core/src/departure.rs
@@ -7,6 +7,8 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Departure {
     asked: Duration,
+    /// Time from which a stream is begun only if it is certain to end before the VM.
+    certain_from: Duration,
     ends: Duration,
     lingers_until: Duration,
 }
@@ -18,11 +20,13 @@
     const LAST_VM_PART: u32 = 2;
 
     /// Creates the plan of a VM that is asked to stop at `now`, serves on for `linger` and then ends what runs within
-    /// `drain`.
+    /// `drain`. Streams that come later than `certain_after` from now are begun only if they are certain to end before
+    /// the VM.
     #[must_use]
-    pub fn new(now: Duration, linger: Duration, drain: Duration) -> Self {
+    pub fn new(now: Duration, linger: Duration, drain: Duration, certain_after: Duration) -> Self {
         Self {
             asked: now,
+            certain_from: now + certain_after,
             ends: now + linger + drain,
             lingers_until: now + linger,
         }
@@ -31,7 +35,17 @@
     /// Returns whether the answer to a request that is sent on now comes before the VM ends.
     #[must_use]
     pub fn admits(&self, now: Duration, answer: &AnswerTime) -> bool {
-        answer.latest(now) <= self.ends
+        match now < self.certain_from {
+            true => answer.likely_end(now) <= self.ends,
+            false => self.is_certain(now, answer),
+        }
+    }
+
+    /// Returns whether an answer can't be cut off by the end of the VM, however long it takes. This is asked of requests that
+    /// another VM could serve instead.
+    #[must_use]
+    pub fn is_certain(&self, now: Duration, answer: &AnswerTime) -> bool {
+        answer.certain_end(now) <= self.ends
     }
 
     /// Returns the time at which the VM was asked to stop.
@@ -52,14 +66,19 @@
         self.lingers_until
     }
 
-    /// Returns whether the VM takes new requests. `has_others` states that another VM of the region does.
+    /// Returns the time until which the VM takes new requests. `has_others` states that another VM of the region does.
     #[must_use]
-    pub fn takes_requests(&self, now: Duration, has_others: bool) -> bool {
+    pub fn takes_until(&self, has_others: bool) -> Duration {
         let drain = self.ends - self.lingers_until;
-        let until = match has_others {
+        match has_others {
             true => self.lingers_until,
             false => self.lingers_until + drain / Self::LAST_VM_PART,
-        };
-        now < until
+        }
+    }
+
+    /// Returns whether the VM takes new requests. `has_others` states that another VM of the region does.
+    #[must_use]
+    pub fn takes_requests(&self, now: Duration, has_others: bool) -> bool {
+        now < self.takes_until(has_others)
     }
 }
--- a/crates/ebonystand/src/admitted_request.rs
+++ b/crates/ebonystand/src/admitted_request.rs
@@ -49,14 +49,15 @@
     }
 
     /// The refusal of a request whose answer can't come before this VM ends, if it is about to stop. `expected` is
-    /// the time to the end of the answer; `None` for a request that must not run twice.
+    /// the time to the end of the answer, if it is known.
     pub(crate) fn departure_refusal(
         &self,
         node: &Node,
+        kind: CallKind,
         expected: Option<Duration>,
     ) -> Option<Refusal> {
         let departure = node.departure()?;
-        let answer = AnswerTime::new(CallKind::Idempotent, self.deadline.at(), expected);
+        let answer = AnswerTime::new(kind, self.deadline.at(), expected);
         if departure.admits(node.clock.now(), &answer) {
             return None;
         }
--- a/crates/ebonystand/src/call_service.rs
+++ b/crates/ebonystand/src/call_service.rs
@@ -6,7 +6,7 @@
     allowance_controller::{AllowanceController, Reserved},
     attempt::Attempt,
     dispatch::{Answer, DispatchFailure, Outgoing},
-    ebonystand_core::{Priority, RunEnd, Target},
+    ebonystand_core::{CallKind, Priority, RunEnd, Target},
     may_have_run::MayHaveRun,
     node::Node,
     order_controller::OrderController,
@@ -181,7 +181,10 @@
             continue;
         }
         let expected = Some(route.predicted_end);
-        if let Some(refusal) = call.req.departure_refusal(node, expected) {
+        let refusal = call
+            .req
+            .departure_refusal(node, CallKind::Idempotent, expected);
+        if let Some(refusal) = refusal {
             node.quarantine.finished(node, run, RunEnd::Clean);
             return Err(call.req.final_refusal(refusal));
         }
--- a/crates/ebonystand/src/complete.rs
+++ b/crates/ebonystand/src/complete.rs
@@ -7,7 +7,7 @@
     attempt::Attempt,
     chat_request::ChatRequest,
     dispatch::{DispatchFailure, Outgoing},
-    ebonystand_core::{RunEnd, StreamFraming, StreamGuard, Target},
+    ebonystand_core::{CallKind, RunEnd, StreamFraming, StreamGuard, Target},
     in_flight::InFlight,
     may_have_run::MayHaveRun,
     node::Node,
@@ -100,6 +100,10 @@
 
 /// Runs the request on one upstream after another, until one answers or no more try is allowed.
 async fn run(node: &Rc<Node>, req: &mut AdmittedRequest, stream: bool) -> Result<Begun, Refusal> {
+    let kind = match stream {
+        true => CallKind::Stream,
+        false => CallKind::Idempotent,
+    };
     loop {
         let route = req
             .route(node)
@@ -111,7 +115,7 @@
             node.quarantine.finished(node, run, RunEnd::Clean);
             continue;
         }
-        if let Some(refusal) = req.departure_refusal(node, Some(route.predicted_end)) {
+        if let Some(refusal) = req.departure_refusal(node, kind, Some(route.predicted_end)) {
             node.quarantine.finished(node, run, RunEnd::Clean);
             return Err(req.final_refusal(refusal));
         }
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -31,6 +31,8 @@
     pub(crate) excluded: Vec<UpstreamId>,
     /// VMs that could not send the request on.
     pub(crate) excluded_vms: Vec<VmId>,
+    /// Region of the VM that has forwarded the request; `None` if it came from its caller.
+    pub(crate) forwarded_from: Option<RegionId>,
     /// Regions that refused the request or could not be reached.
     pub(crate) full_regions: BTreeSet<RegionId>,
     pub(crate) headers: HeaderMap,
@@ -220,7 +222,18 @@
             let book = node.gateway.book.borrow();
             book.expected_answer_time(&self.query(node, &document, &none), self.kind)
         };
-        !departure.admits(now, &AnswerTime::new(self.kind, self.end, expected))
+        let answer = AnswerTime::new(self.kind, self.end, expected);
+        let is_admitted = match &self.forwarded_from {
+            Some(region)
+                if node
+                    .gateway
+                    .has_other_way(node, region, self.homes.as_ref()) =>
+            {
+                departure.is_certain(now, &answer)
+            }
+            _ => departure.admits(now, &answer),
+        };
+        !is_admitted
     }
 
     /// Returns the time left until the whole answer is due.
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -241,6 +241,22 @@
         reachable.cloned().collect()
     }
 
+    /// Whether a VM of the region `from` has another VM than this one to forward a request to that may be served in `homes`,
+    /// or anywhere if there are none.
+    pub(crate) fn has_other_way(
+        &self,
+        node: &Node,
+        from: &RegionId,
+        homes: Option<&BTreeSet<RegionId>>,
+    ) -> bool {
+        let now = node.clock.now();
+        let forwarders = self.forwarders(node);
+        let mut regions = forwarders
+            .regions()
+            .filter(|region| *region != from && homes.is_none_or(|homes| homes.contains(*region)));
+        regions.any(|region| forwarders.has_staying(region, |vm| self.is_sound(now, vm)))
+    }
+
     /// Asks the leader periodically whether the configuration is the newest, until the task is
     /// dropped. While no leader is known, all VMs with a log are asked.
     pub(crate) async fn run_confirm(node: Rc<Node>) {
--- a/crates/ebonystand/src/gateway/forwarders.rs
+++ b/crates/ebonystand/src/gateway/forwarders.rs
@@ -62,6 +62,12 @@
         })
     }
 
+    /// Whether a region has a forwarder for which `is_sound` holds and that is not leaving.
+    pub(crate) fn has_staying(&self, region: &str, is_sound: impl Fn(&VmId) -> bool) -> bool {
+        let region_forwarders = self.regions.get(region);
+        region_forwarders.is_some_and(|known| known.staying.iter().any(|(vm, _)| is_sound(vm)))
+    }
+
     /// Returns the forwarders of a region for which `is_sound` holds: those that stay, or those
     /// that are leaving if there are no others.
     pub(crate) fn list_sound(
--- a/crates/ebonystand/src/gateway/receive_forward.rs
+++ b/crates/ebonystand/src/gateway/receive_forward.rs
@@ -132,6 +132,7 @@
         end: now + Duration::from_millis(forwarded.left_ms),
         excluded: Vec::new(),
         excluded_vms: Vec::new(),
+        forwarded_from: Some(forwarded.region),
         full_regions: BTreeSet::new(),
         headers: headers::passed_on(
             req.headers(),
--- a/crates/ebonystand/src/gateway/serve_call.rs
+++ b/crates/ebonystand/src/gateway/serve_call.rs
@@ -224,6 +224,7 @@
         end: arrived + head.deadline.unwrap_or(longest).min(longest),
         excluded: Vec::new(),
         excluded_vms: Vec::new(),
+        forwarded_from: None,
         full_regions: BTreeSet::new(),
         headers: head.headers,
         homes: allowed_regions(&route, workspace.as_ref()),
--- a/crates/ebonystand/src/limits.rs
+++ b/crates/ebonystand/src/limits.rs
@@ -10,6 +10,9 @@
     pub body_timeout: Duration,
     /// Longest time for callers to take the last answers when the VM stops.
     pub close: Duration,
+    /// Time after the order to stop from which a stream is begun only if it is certain to end before the VM. Earlier
+    /// ones are begun if almost all such streams end in time.
+    pub certain_after: Duration,
     /// Most connections of callers at once.
     pub connections: usize,
     /// Longest time that requests which run may take to end when the VM stops.
@@ -46,6 +49,7 @@
         Self {
             body_bytes: reader.ranged("body_bytes", 4 << 20, 1 << 10, 64 << 20) as usize,
             body_timeout: millis(reader.ranged("body_timeout_ms", 30_000, 100, 600_000)),
+            certain_after: millis(reader.ranged("certain_after_ms", 2_500, 0, 3_600_000)),
             close: close.unwrap_or(Self::DEFAULT_CLOSE),
             connections: reader.ranged("connections", 16_384, 16, 1 << 20) as usize,
             drain: drain.unwrap_or(millis(drain_ms)),
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -103,7 +103,8 @@
     /// new and lets what runs end. What still runs when its time is over is refused.
     pub(crate) async fn drain(self: &Rc<Self>) {
         let limits = self.settings.limits;
-        let departure = Departure::new(self.clock.now(), limits.linger, limits.drain);
+        let now = self.clock.now();
+        let departure = Departure::new(now, limits.linger, limits.drain, limits.certain_after);
         self.departure.set(Some(departure));
         MembershipController::leave(self);
         log::info!(running = self.in_flight.get(); "leaving");
--- a/crates/ebonystand/src/order_controller.rs
+++ b/crates/ebonystand/src/order_controller.rs
@@ -4,9 +4,9 @@
     call_service::ServiceCall,
     dispatch::{Answer, DispatchFailure},
     ebonystand_core::{
-        BodyHash, Command, CommandOutcome, Deadline, InFlightOrder, OrderAction, OrderAnswer,
-        OrderCommand, OrderDispatch, OrderHolderSource, OrderId, OrderLimits, OrderOutcome,
-        OrderPermit, OrderReply, OrderRequest, RunEnd, UnsentOrder, order_region,
+        BodyHash, CallKind, Command, CommandOutcome, Deadline, InFlightOrder, OrderAction,
+        OrderAnswer, OrderCommand, OrderDispatch, OrderHolderSource, OrderId, OrderLimits,
+        OrderOutcome, OrderPermit, OrderReply, OrderRequest, RunEnd, UnsentOrder, order_region,
     },
     group_controller::GroupController,
     in_flight::InFlight,
@@ -237,7 +237,7 @@
             let limit = req.left(node);
             let run = node.quarantine.begin(node, req.fingerprint, limit).await?;
             let is_confirmed = req.confirm(node, &route.upstream);
-            let refusal = req.departure_refusal(node, None);
+            let refusal = req.departure_refusal(node, CallKind::Once, None);
             if is_confirmed && refusal.is_none() {
                 return Ok(Attempt::begin(node, req, route, run));
             }
--- a/crates/ebonystand/tests/integration/fleet.rs
+++ b/crates/ebonystand/tests/integration/fleet.rs
@@ -27,6 +27,7 @@
 
 /// Chained description of a small fleet.
 pub(crate) struct FleetBuilder {
+    certain_after_ms: Option<u64>,
     document: Document,
     drain_ms: Option<u64>,
     engines: Vec<StandIn>,
@@ -50,6 +51,7 @@
 impl FleetBuilder {
     pub(crate) fn new() -> Self {
         Self {
+            certain_after_ms: None,
             document: Document::default(),
             drain_ms: None,
             engines: Vec::new(),
@@ -109,6 +111,12 @@
         self
     }
 
+    /// Time after the order to stop from which a VM begins only streams that are certain to end before it.
+    pub(crate) fn certain_after_ms(mut self, certain_after_ms: u64) -> Self {
+        self.certain_after_ms = Some(certain_after_ms);
+        self
+    }
+
     /// Longest time that requests which run may take to end when a VM stops.
     pub(crate) fn drain_ms(mut self, drain_ms: Option<u64>) -> Self {
         self.drain_ms = drain_ms;
@@ -154,6 +162,9 @@
                 settings["data_folder"] = json!(dir.path().join(format!("{name}.data")));
             }
             settings["gateway"] = self.gateway.clone();
+            if let Some(certain_after_ms) = self.certain_after_ms {
+                settings["limits"]["certain_after_ms"] = json!(certain_after_ms);
+            }
             if let Some(drain_ms) = self.drain_ms {
                 settings["limits"]["drain_ms"] = json!(drain_ms);
             }
--- a/crates/ebonystand/tests/integration/planned_stops.rs
+++ b/crates/ebonystand/tests/integration/planned_stops.rs
@@ -9,7 +9,10 @@
     ebonystand_fakes::{EngineOptions, Fault},
     ebonystand_wire::Forwarded,
     rstest::rstest,
-    std::time::{Duration, SystemTime},
+    std::{
+        collections::BTreeSet,
+        time::{Duration, SystemTime},
+    },
     tokio::{
         io::{AsyncReadExt as _, AsyncWriteExt as _},
         net::TcpStream,
@@ -124,6 +127,73 @@
     assert_eq!(fleet.engines[0].seen().await.requests, 0);
 }
 
+/// Guards against a stream that a leaving VM begins late because most are short, and breaks off.
+#[rstest]
+#[case::stream(DRAFT, 60_000, 503)]
+#[case::stream_due_in_time(DRAFT, 4_000, 200)]
+#[case::whole(&DRAFT.replace("true", "false"), 60_000, 200)]
+#[actix_rt::test]
+async fn a_leaving_vm_begins_a_late_stream_only_if_it_is_due_in_time(
+    #[case] chat: &str,
+    #[case] deadline_ms: u64,
+    #[case] status: u16,
+) {
+    let fleet = FleetBuilder::new()
+        .region("utara", 1)
+        .engine(EngineOptions::default())
+        .certain_after_ms(0)
+        .drain_ms(Some(20_000))
+        .start()
+        .await;
+    fleet.vms[0].signal("TERM");
+    fleet.vms[0].log_with("lingered").await;
+    let deadline = deadline_ms.to_string();
+    let headers = [("x-ebonystand-deadline-ms", &*deadline)];
+    let answer = fleet.vms[0].call_with(KEY, "POST", CHAT, chat, &headers);
+    let answer = answer.await;
+    assert_eq!(answer.status, status, "{answer:?}");
+    let ran = fleet.engines[0].seen().await.requests;
+    assert_eq!(ran, u64::from(status == 200));
+}
+
+/// Guards against a stream that breaks off at a leaving VM although the VM that forwards it could have sent it elsewhere.
+#[rstest]
+#[case::another_region_could_take_it(None, "x-ebonystand-ended: not_sent")]
+#[case::only_this_region_may_take_it(Some("b"), "x-ebonystand-ended: upstream")]
+#[actix_rt::test]
+async fn a_leaving_vm_takes_a_forwarded_stream_only_if_no_other_vm_can(
+    #[case] home: Option<&str>,
+    #[case] ended: &str,
+) {
+    let upstreams = || vec![Scripted::start(echo)];
+    let mut setting = Setting::new(vec![("a", upstreams()), ("b", upstreams())]);
+    setting.drain_ms = Some(20_000);
+    let fleet = setting.start().await;
+    put(&fleet, routing(1)).await;
+    for vm in &fleet.vms {
+        served(vm, "/stream/first").await;
+    }
+    let address = forwards_address(&fleet.vms[1]).await;
+    // The leaving VM learns by gossip that the other one takes callers.
+    actix_rt::time::sleep(Duration::from_secs(1)).await;
+    fleet.vms[1].signal("TERM");
+    fleet.vms[1].log_with("lingered").await;
+    let forwarded = Forwarded {
+        homes: home.map(|home| BTreeSet::from([home.into()])),
+        left_ms: 60_000,
+        ..forwarded()
+    };
+    let header = forwarded.to_header(&Fleet::secret()).unwrap();
+    let request = format!(
+        "GET /stream/x HTTP/1.1\r\nhost: {HOST}\r\nx-ebonystand-forwarded: {header}\r\nx-ebonystand-kind: stream\r\n\r\n"
+    );
+    let mut io = TcpStream::connect(&*address).await.unwrap();
+    io.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    io.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.contains(ended), "{answer}");
+}
+
 /// Guards against a leaving VM without others beside it that refuses what it can answer in time.
 #[actix_rt::test]
 async fn the_last_vm_of_a_region_serves_what_it_can_answer_before_it_ends() {
--- a/crates/ebonystand/tests/integration/vm.rs
+++ b/crates/ebonystand/tests/integration/vm.rs
@@ -38,7 +38,7 @@
         let listen = SocketAddr::from((Self::own_ip(), 0));
         json!({
             "listen": {"callers": listen, "operators": listen, "peers": listen},
-            "limits": {"body_timeout_ms": 3_000, "head_timeout_ms": 3_000, "linger_ms": 100},
+            "limits": {"body_timeout_ms": 3_000, "certain_after_ms": 10_000, "head_timeout_ms": 3_000, "linger_ms": 100},
             "log": {"level": "debug"},
             "members": ["vm0"],
             "operator_credential_file": dir.join("operator"),
