Have a leaving VM ask again who takes callers, and tell at once that it does not

A VM whose neighbour had been killed up to 0.2 s before its SIGTERM refused all requests from 25% of its grace on, to its end, and left the callers of its region without a VM. Callers were also still directed to VMs that had ended.

Cause: whether another VM takes callers was asked once, when the linger time was over, and the answer stayed. That a VM takes no more requests was told by the next message of a task that runs every 250 ms; a VM with nothing to run ends before that, and the directory names it until its failure is noticed.

The VM looks at who takes callers until its end, takes requests again if nobody else does, and tells each change of its own at once.

--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -229,6 +229,11 @@
         node.settings.gateway.serves_callers && node.ready() && !node.draining()
     }
 
+    /// Tells the other VMs whether callers may be directed to this one, if that has changed.
+    pub(crate) fn tell_takes_callers(&self, node: &Rc<Node>) {
+        MembershipController::set_takes_callers(node, self.takes_callers(node));
+    }
+
     /// Returns the regions that have another VM that accepts forwarded requests and is none of
     /// `excluded`.
     pub(crate) fn reachable(&self, node: &Node, excluded: &[VmId]) -> BTreeSet<RegionId> {
@@ -300,8 +305,7 @@
         actix_rt::spawn(RoomQueues::run(Rc::clone(&node)));
         loop {
             actix_rt::time::sleep(Self::PRESSURE_INTERVAL).await;
-            let takes_callers = this.takes_callers(&node);
-            MembershipController::set_takes_callers(&node, takes_callers);
+            this.tell_takes_callers(&node);
             CapacityController::update(&node);
             node.readers.expire();
             let forwards = node.settings.gateway.forwards;
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -110,16 +110,16 @@
         log::info!(running = self.in_flight.get(); "leaving");
         self.sleep_until(departure.lingers_until()).await;
         log::info!(running = self.in_flight.get(), others = self.region_has_other_taker(); "lingered");
-        while departure.takes_requests(self.clock.now(), self.region_has_other_taker()) {
-            actix_rt::time::sleep(Self::DRAIN_LOOK).await;
-        }
-        self.draining.set(true);
-        self.gateway.origins.hand_over(self);
-        while (self.has_running() || self.readers.has_unaccepted())
-            && self.clock.now() < departure.ends()
-        {
+        while self.clock.now() < departure.ends() {
+            let takes = departure.takes_requests(self.clock.now(), self.region_has_other_taker());
+            self.set_draining(!takes);
+            let has_work = self.has_running() || self.readers.has_unaccepted();
+            if !takes && !has_work {
+                break;
+            }
             actix_rt::time::sleep(Self::DRAIN_LOOK).await;
         }
+        self.set_draining(true);
         let cut_off = self.in_flight.get() + self.listeners.operations();
         self.ends.send_replace(true);
         let until = self.clock.now() + limits.close;
@@ -162,6 +162,18 @@
         self.has_running() || self.readers.has_unaccepted() || self.listeners.connections() > 0
     }
 
+    /// Sets whether new requests are refused, and tells the other VMs at once: the process may end before the next message.
+    fn set_draining(self: &Rc<Self>, is_draining: bool) {
+        if self.draining.replace(is_draining) == is_draining {
+            return;
+        }
+        log::info!(draining = is_draining, running = self.in_flight.get(), leaving_for_ms:? = self.leaving_for_ms(self.clock.now()); "draining changed");
+        self.gateway.tell_takes_callers(self);
+        if is_draining {
+            self.gateway.origins.hand_over(self);
+        }
+    }
+
     async fn sleep_until(&self, time: Duration) {
         actix_rt::time::sleep(time.saturating_sub(self.clock.now())).await;
     }
