Tell refused callers when a VM of their region is likely to be back

Callers of a region whose VMs were all leaving or gone were told to come back after 0.5 s (leaving VMs) or 2 s (VMs of other regions). Four tries in 12 s were over before the next VM was back, 8.5 to 10 s after the first signal, and many met the closed port of a VM that had ended with nothing left to run.

Cause: nobody kept how long VMs are away, and a leaving VM ended as soon as it had nothing to run, also as the last process of its region.

VmReturns (core) follows the absences of VMs that took callers; before one has ended, the grace and a second count. Refusals for want of a VM in the call's homes tell what remains of the shortest one, within the third of their time that callers follow.

--- a/crates/ebonystand-core/src/departure.rs
+++ b/crates/ebonystand-core/src/departure.rs
@@ -19,6 +19,9 @@
     /// regions, which may be no home of theirs, until the first one is back.
     const LAST_VM_PART: u32 = 2;
 
+    /// Difference in time below which it is not certain which of two VMs was asked to stop first.
+    const MAX_NEWS_DELAY: Duration = Duration::from_millis(500);
+
     /// Creates the plan of a VM that is asked to stop at `now`, serves on for `linger` and then ends what runs within
     /// `drain`. Streams that come later than `certain_after` from now are begun only if they are certain to end before
     /// the VM.
@@ -48,6 +51,16 @@
         answer.certain_end(now) <= self.ends
     }
 
+    /// Returns whether the VM `other`, which has been known to stop since `asked`, ends later than this one, `own`. Of two
+    /// VMs that are asked at nearly the same time, the one with the higher name counts as the later one.
+    #[must_use]
+    pub fn is_outlasted_by(&self, own: &VmId, other: &VmId, asked: Duration) -> bool {
+        match asked.abs_diff(self.asked) < Self::MAX_NEWS_DELAY {
+            true => other > own,
+            false => asked > self.asked,
+        }
+    }
+
     /// Returns the time at which the VM was asked to stop.
     #[must_use]
     pub fn asked(&self) -> Duration {
--- a/crates/ebonystand-core/src/lib.rs
+++ b/crates/ebonystand-core/src/lib.rs
@@ -199,6 +199,7 @@
     vm_record::VmRecord,
     vm_record_id::VmRecordId,
     vm_resources::VmResources,
+    vm_returns::VmReturns,
     vm_state::VmState,
     vm_status::VmStatus,
     withdrawal::Withdrawal,
@@ -381,6 +382,7 @@
 mod vm_record;
 mod vm_record_id;
 mod vm_resources;
+mod vm_returns;
 mod vm_state;
 mod vm_status;
 mod vm_table;
--- a/crates/ebonystand-core/tests/departure.rs
+++ b/crates/ebonystand-core/tests/departure.rs
@@ -110,3 +110,26 @@
     let departure = Departure::new(ASKED, LINGER, DRAIN, CERTAIN_AFTER);
     assert_eq!(departure.takes_requests(after(at_ms), has_others), takes);
 }
+
+/// Guards against two VMs of a region that leave one after the other and both end early, as each one relies on the other.
+#[rstest]
+#[case::later(1_000, "vm-1", true)]
+#[case::earlier(-1_000, "vm-3", false)]
+#[case::at_once_with_a_higher_name(100, "vm-3", true)]
+#[case::at_once_with_a_lower_name(100, "vm-1", false)]
+fn of_two_leaving_vms_one_outlasts_the_other(
+    #[case] later_by_ms: i64,
+    #[case] other: &str,
+    #[case] is_outlasted: bool,
+) {
+    let asked = |later_by_ms: i64| {
+        let ms = i64::try_from(ASKED.as_millis()).unwrap() + later_by_ms;
+        Duration::from_millis(ms as u64)
+    };
+    let plan = |ms| Departure::new(asked(ms), LINGER, DRAIN, CERTAIN_AFTER);
+    let (own, other) = ("vm-2".into(), other.into());
+    let outlasted = plan(0).is_outlasted_by(&own, &other, asked(later_by_ms));
+    assert_eq!(outlasted, is_outlasted);
+    let outlasts = plan(later_by_ms).is_outlasted_by(&other, &own, asked(0));
+    assert_eq!(outlasts, !is_outlasted);
+}
--- a/crates/ebonystand/src/gateway/admitted.rs
+++ b/crates/ebonystand/src/gateway/admitted.rs
@@ -4,7 +4,7 @@
     call::{Call, Destination, Outcome},
     ebonystand_core::{
         AttemptEnd, CallKind, GatewayRoute, NextStep, Prompt, StreamKey, StreamOrigin,
-        TargetChoice, spread_return,
+        TargetChoice, VmReturns, spread_return,
     },
     in_flight::InFlight,
     node::Node,
@@ -102,7 +102,15 @@
                         0 => Duration::ZERO,
                         _ => self.retry_spread(node),
                     };
-                    return Err(refusal.with_retry_after(retry_after + spread));
+                    let homes = self.call.homes.as_ref();
+                    let delay = match node.gateway.time_to_return(node, homes) {
+                        Duration::ZERO => retry_after + spread,
+                        wait => {
+                            let left = self.call.remaining_time(node);
+                            VmReturns::retry_delay(wait, self.call.aim, left, node.gateway.draw())
+                        }
+                    };
+                    return Err(refusal.with_retry_after(delay));
                 }
                 TargetChoice::NoRoom { predicted } => {
                     let wait = match self.call.wait_for_room(node).await {
--- a/crates/ebonystand/src/gateway/controller.rs
+++ b/crates/ebonystand/src/gateway/controller.rs
@@ -57,6 +57,8 @@
     const PRESSURE_INTERVAL: Duration = Duration::from_millis(250);
     /// Number of relays in other regions that get each message about this region's load.
     const PRESSURE_FAN_OUT: usize = 6;
+    /// Time until the lists that callers have name a VM that has begun to take callers.
+    const LIST_TIME: Duration = Duration::from_secs(1);
     /// Largest number of VMs that a new leader notifies of its election.
     const MAX_LEADER_NOTICES: usize = 256;
     /// Time for which a VM gets no forwarded requests after it left one unanswered.
@@ -262,6 +264,40 @@
         regions.any(|region| forwarders.has_staying(region, |vm| self.is_sound(now, vm)))
     }
 
+    /// Returns how long it takes, as far as is known, until another VM takes callers whose requests may be served in
+    /// `homes`, or anywhere if there are none; zero if one does, or if this VM stays.
+    pub(crate) fn time_to_return(
+        &self,
+        node: &Node,
+        homes: Option<&BTreeSet<RegionId>>,
+    ) -> Duration {
+        let (now, own) = (node.clock.now(), &node.settings);
+        let is_allowed = |region: &RegionId| homes.is_none_or(|homes| homes.contains(region));
+        if !node.leaving() && is_allowed(&own.region) {
+            return Duration::ZERO;
+        }
+        let live = node.membership.live(now);
+        let takes_callers = |entry: &&VmEntry| {
+            let record = &entry.record;
+            let is_other = record.vm != own.vm;
+            is_other && record.takes_callers && !entry.is_leaving() && is_allowed(&record.region)
+        };
+        let mut takers = live.iter().filter(takes_callers).peekable();
+        if takers.peek().is_none() {
+            let usual = own.limits.usual_absence();
+            let returns = node.membership.next_return(now, usual, is_allowed);
+            let named = returns.map_or(now, |at| at + Self::LIST_TIME);
+            return named.saturating_sub(now);
+        }
+        if takers.any(|entry| entry.record.region == own.region) {
+            return Duration::ZERO;
+        }
+        // The directory names VMs of other regions only once this one takes no more callers.
+        let departure = node.departure();
+        let named_until = departure.map_or(now, |departure| departure.takes_until(false));
+        named_until.saturating_sub(now)
+    }
+
     /// Asks the leader periodically whether the configuration is the newest, until the task is
     /// dropped. While no leader is known, all VMs with a log are asked.
     pub(crate) async fn run_confirm(node: Rc<Node>) {
--- a/crates/ebonystand/src/gateway/serve_call.rs
+++ b/crates/ebonystand/src/gateway/serve_call.rs
@@ -7,7 +7,7 @@
     call::{Call, CallSoftware},
     ebonystand_core::{
         GatewayRoute, GatewayWorkspace, KnownOrigin, Prompt, RouteTable, StreamKey, StreamOrigin,
-        StreamResumption,
+        StreamResumption, VmReturns,
     },
     in_flight::InFlight,
     may_have_run::MayHaveRun,
@@ -66,12 +66,23 @@
         request: &request,
         since: Some(node.clock.now()),
     };
+    let (arrived, deadline) = (node.clock.now(), head.deadline);
     let served = admit_and_run(node, req, payload, head).await;
     disconnect_logger.since = None;
+    let table = node.gateway.table();
+    let route = table.find_route(&host, req.path());
+    let workspace = key.as_ref().and_then(|key| table.workspace(key));
+    let served = served.map_err(|refusal| match (refusal.code, route) {
+        (RefusalCode::Draining, Some(route)) => {
+            let longest = Duration::from_millis(route.timeout_ms);
+            let end = arrived + deadline.unwrap_or(longest).min(longest);
+            let delay = departure_retry(node, route, workspace, end);
+            refusal.with_retry_after(delay)
+        }
+        _ => refusal,
+    });
     served.inspect_err(|refusal| {
-        let table = node.gateway.table();
-        let route = table.find_route(&host, req.path()).map_or("none", |route| &route.name);
-        let workspace = key.as_ref().and_then(|key| table.workspace(key));
+        let route = route.map_or("none", |route| &route.name);
         let workspace = workspace.map_or("none", |workspace| &workspace.name);
         log::info!(
             request:% = request, route:% = route, workspace:% = workspace, code:% = refusal.code, run:% = refusal.run, reason:% = refusal.message,
@@ -458,6 +469,25 @@
     not_ready_refusal(RefusalCode::NotReady, message)
 }
 
+/// Returns the delay after which the caller of a VM that is leaving is likely to find another one that takes its request,
+/// which is due at `end`.
+fn departure_retry(
+    node: &Node,
+    route: &GatewayRoute,
+    workspace: Option<&GatewayWorkspace>,
+    end: Duration,
+) -> Duration {
+    let homes = allowed_regions(route, workspace);
+    match node.gateway.time_to_return(node, homes.as_ref()) {
+        Duration::ZERO => UNCONFIRMED_RETRY,
+        wait => {
+            let left = end.saturating_sub(node.clock.now());
+            let aim = Duration::from_millis(route.aim_ms);
+            VmReturns::retry_delay(wait, aim, left, node.gateway.draw())
+        }
+    }
+}
+
 /// Builds a refusal with the default retry delay, for a request that has not run.
 fn not_ready_refusal(code: RefusalCode, message: &str) -> Refusal {
     Refusal::not_run(code, message).with_retry_after(UNCONFIRMED_RETRY)
--- a/crates/ebonystand/src/limits.rs
+++ b/crates/ebonystand/src/limits.rs
@@ -36,6 +36,13 @@
     const CLOSE_PERMILLE: u32 = 30;
     /// Longest time for callers to take the last answers, where `grace_ms` does not say how soon the kill comes.
     const DEFAULT_CLOSE: Duration = Duration::from_millis(500);
+    /// Time from the end of a process until its successor takes callers.
+    const START_TIME: Duration = Duration::from_secs(1);
+
+    /// Time that a VM which is stopped is usually away, until it has been started again and takes callers.
+    pub(crate) fn usual_absence(&self) -> Duration {
+        self.linger + self.drain + self.close + Self::START_TIME
+    }
 
     pub(crate) fn read(reader: &mut SettingsReader) -> Self {
         let millis = Duration::from_millis;
--- a/crates/ebonystand/src/membership_controller.rs
+++ b/crates/ebonystand/src/membership_controller.rs
@@ -2,7 +2,7 @@
 use {
     ebonystand_core::{
         FeedInput, LivenessSnapshot, MembershipMessage, MembershipOutput, VmEntry, VmMembership,
-        VmRecord,
+        VmRecord, VmReturns,
     },
     node::Node,
     state_controller::StateController,
@@ -15,6 +15,7 @@
     /// The live VMs with what they were derived from.
     live: RefCell<Option<(LivenessSnapshot, Rc<[VmEntry]>)>>,
     membership: RefCell<VmMembership>,
+    returns: RefCell<VmReturns>,
     socket: UdpSocket,
 }
 
@@ -57,6 +58,7 @@
             Some((since, live)) if *since == liveness => Rc::clone(live),
             _ => {
                 let live = membership.live(now).cloned().collect::<Rc<[_]>>();
+                self.returns.borrow_mut().record(now, &live);
                 *known = Some((liveness, Rc::clone(&live)));
                 live
             }
@@ -81,10 +83,28 @@
         Self {
             live: RefCell::default(),
             membership: RefCell::new(VmMembership::new(own, seeds, now, seed)),
+            returns: RefCell::default(),
             socket,
         }
     }
 
+    /// Returns the time at which the first VM that is away from a region for which `is_allowed` holds is likely to take
+    /// callers again; `None` if none is expected.
+    pub(crate) fn next_return(
+        &self,
+        now: Duration,
+        usual: Duration,
+        is_allowed: impl Fn(&RegionId) -> bool,
+    ) -> Option<Duration> {
+        self.live(now);
+        self.returns.borrow().next_return(now, usual, is_allowed)
+    }
+
+    /// Returns since when a VM that took callers is leaving or gone; `None` if it is not.
+    pub(crate) fn away_since(&self, vm: &str) -> Option<Duration> {
+        self.returns.borrow().away_since(vm)
+    }
+
     /// Where a VM listens for other VMs.
     pub(crate) fn peer(&self, vm: &VmId) -> Option<SocketAddr> {
         let membership = self.membership.borrow();
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -6,7 +6,7 @@
     capacity_controller::CapacityController,
     client_pool::ClientPool,
     clock::Clock,
-    ebonystand_core::{Departure, EntryList, EntryVm, Place, VmRecord},
+    ebonystand_core::{Departure, EntryList, EntryVm, Place, VmEntry, VmRecord},
     gateway::{GatewayController, SlotController},
     group_controller::GroupController,
     group_thread::GroupThread,
@@ -114,7 +114,7 @@
             let takes = departure.takes_requests(self.clock.now(), self.region_has_other_taker());
             self.set_draining(!takes);
             let has_work = self.has_running() || self.readers.has_unaccepted();
-            if !takes && !has_work {
+            if !takes && !has_work && !self.is_last_of_region(&departure) {
                 break;
             }
             actix_rt::time::sleep(Self::DRAIN_LOOK).await;
@@ -225,6 +225,24 @@
         })
     }
 
+    /// Whether no other VM of the region takes callers or leaves later than this one. Such a VM stays to its end: without a
+    /// process, callers are not told when to come back.
+    fn is_last_of_region(&self, departure: &Departure) -> bool {
+        let live = self.membership.live(self.clock.now());
+        let own = &self.settings;
+        let is_other =
+            |entry: &&VmEntry| entry.record.region == own.region && entry.record.vm != own.vm;
+        let outlasts = |entry: &VmEntry| match entry.is_leaving() {
+            true => {
+                let vm = &entry.record.vm;
+                let since = self.membership.away_since(vm);
+                since.is_some_and(|since| departure.is_outlasted_by(&own.vm, vm, since))
+            }
+            false => entry.record.takes_callers,
+        };
+        !live.iter().filter(is_other).any(outlasts)
+    }
+
     /// Whether this VM is about to stop.
     pub(crate) fn leaving(&self) -> bool {
         self.departure.get().is_some()
