--- a/crates/ebonystand-core/src/gateway/known_upstream.rs
+++ b/crates/ebonystand-core/src/gateway/known_upstream.rs
@@ -141,7 +141,8 @@
     pub(crate) fn pending_requests(&self, now: Duration, others: UnderWay) -> u32 {
         let reported = self.fresh_report(now).map(|(_, slots)| slots);
         let reported = reported.map_or(0, |slots| {
-            slots.running + slots.waiting + self.sent_since_report
+            let known = slots.running.saturating_add(slots.waiting);
+            known.saturating_add(self.sent_since_report)
         });
         reported.max(self.in_flight + others.requests)
     }
@@ -234,7 +235,7 @@
     pub(crate) fn has_free_slot(&self, now: Duration, is_engine: bool, others: UnderWay) -> bool {
         let may_queue = !is_engine && self.shed_tolerance.is_none();
         let requests = if may_queue { Self::CALLS_PER_SLOT } else { 1 };
-        self.pending_requests(now, others) < self.listed.slots * requests
+        self.pending_requests(now, others) < self.listed.slots.saturating_mul(requests)
     }
 
     /// Predicts the duration of a call to a plain service, including its wait for a slot.
--- a/crates/ebonystand-core/src/gateway/mod.rs
+++ b/crates/ebonystand-core/src/gateway/mod.rs
@@ -25,6 +25,7 @@
     list_scope::ListScope,
     list_update::ListUpdate,
     listed_upstream::ListedUpstream,
+    listed_upstream_error::ListedUpstreamError,
     live_vms::LiveVms,
     mechanism::Mechanism,
     next_step::NextStep,
@@ -95,6 +96,7 @@
 mod list_scope;
 mod list_update;
 mod listed_upstream;
+mod listed_upstream_error;
 mod live_vms;
 mod mechanism;
 mod momentary_speed;
--- a/crates/ebonystand-core/src/gateway/prompt.rs
+++ b/crates/ebonystand-core/src/gateway/prompt.rs
@@ -55,7 +55,8 @@
             .parts
             .split_last()
             .map_or(&[][..], |(_, shared)| shared);
-        let tokens: Tokens = shared.iter().map(|part| part.tokens).sum();
+        let tokens = shared.iter().map(|part| part.tokens);
+        let tokens = tokens.fold(0, Tokens::saturating_add);
         tokens.min(self.input)
     }
 
--- a/crates/ebonystand-core/src/gateway/sent_prefixes.rs
+++ b/crates/ebonystand-core/src/gateway/sent_prefixes.rs
@@ -26,7 +26,7 @@
         let kept = prompt.parts.iter();
         kept.take_while(|part| self.part_counts.contains_key(&part.id))
             .map(|part| part.tokens)
-            .sum()
+            .fold(0, Tokens::saturating_add)
     }
 
     /// Records the parts of a prompt that is sent, dropping the oldest beyond the capacity.
--- a/crates/ebonystand-core/src/gateway/upstream_choice.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_choice.rs
@@ -402,7 +402,7 @@
         let import_time = import.map_or(Duration::ZERO, |(.., import_time)| import_time);
         let import = import.map(|(source, tokens, _)| (source, tokens));
         let imported = import.map_or(0, |(_, tokens)| tokens);
-        let unread = prompt.input.saturating_sub(cached + imported);
+        let unread = prompt.input.saturating_sub(cached.saturating_add(imported));
         let is_owner = placement.owner == Some(known.key);
         // Shared parts that the owner reads are cached for all later requests and read only once,
         // so they are not charged.
--- a/crates/ebonystand-core/src/gateway/upstream_list.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_list.rs
@@ -83,6 +83,36 @@
         read.extend(missing.cloned());
     }
 
+    /// Removes entries of a read that name an upstream which another entry names too, and returns their number. An entry of a
+    /// service for which `is_known` holds is kept before others, then one that is as it was, then the first.
+    pub fn remove_duplicates(
+        &self,
+        read: &mut Vec<ListedUpstream>,
+        is_known: impl Fn(&ServiceId) -> bool,
+    ) -> usize {
+        let rank = |entry: &ListedUpstream| {
+            let before = self.entries.get(&entry.instance);
+            let is_same = before.is_some_and(|before| {
+                (before.address, &before.service) == (entry.address, &entry.service)
+            });
+            (is_known(&entry.service), is_same)
+        };
+        let mut best = FxHashMap::<&UpstreamId, usize>::default();
+        for (number, entry) in read.iter().enumerate() {
+            let kept = best.entry(&entry.instance).or_insert(number);
+            if rank(entry) > rank(&read[*kept]) {
+                *kept = number;
+            }
+        }
+        let removed = read.len() - best.len();
+        if removed > 0 {
+            let kept = best.into_values().collect::<FxHashSet<_>>();
+            let mut numbers = 0..;
+            read.retain(|_| numbers.next().is_some_and(|number| kept.contains(&number)));
+        }
+        removed
+    }
+
     /// Puts a list that was just read in force, and returns the update for the other VMs.
     ///
     /// An entry keeps the cold time with which its upstream became cold until the upstream is warm:
--- a/crates/ebonystand-core/src/gateway/upstream_slots.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_slots.rs
@@ -43,8 +43,9 @@
         let mut pressure = SlotPressure::default();
         for known in engines {
             let load = self.known_load(known.key);
-            pressure.in_flight += load.requests.min(known.listed.slots);
-            pressure.slots += known.listed.slots;
+            let in_flight = load.requests.min(known.listed.slots);
+            pressure.in_flight = pressure.in_flight.saturating_add(in_flight);
+            pressure.slots = pressure.slots.saturating_add(known.listed.slots);
         }
         pressure
     }
--- a/crates/ebonystand-core/src/observed_load.rs
+++ b/crates/ebonystand-core/src/observed_load.rs
@@ -75,7 +75,7 @@
 
     /// Requests on the upstream as a share of its slots; above 1 if requests wait.
     pub(crate) fn occupancy(&self, factor: f64) -> f64 {
-        let reported = self.report.running + self.report.waiting;
+        let reported = self.reported_requests();
         let sent = self.dispatches_since_report.len() as f64 * factor;
         (f64::from(reported) + sent) / f64::from(self.slots())
     }
@@ -102,7 +102,7 @@
     }
 
     pub(crate) fn reported_requests(&self) -> u32 {
-        self.report.running + self.report.waiting
+        self.report.running.saturating_add(self.report.waiting)
     }
 
     pub(crate) fn record_dispatch(&mut self, now: Duration, tokens: Tokens) {
--- a/crates/ebonystand-core/src/prefix_cache/shared_prefix.rs
+++ b/crates/ebonystand-core/src/prefix_cache/shared_prefix.rs
@@ -20,10 +20,10 @@
         };
         let mut hasher = Xxh3::new();
         hasher.update(prompt.model.as_bytes());
-        let mut tokens = 0;
+        let mut tokens: Tokens = 0;
         let prefixes = shared.iter().map(|part| {
             hasher.update(&part.id.to_le_bytes());
-            tokens += part.tokens;
+            tokens = tokens.saturating_add(part.tokens);
             let id = hasher.digest();
             Self { id, tokens }
         });
--- a/crates/ebonystand-core/src/slots/slot_plan.rs
+++ b/crates/ebonystand-core/src/slots/slot_plan.rs
@@ -54,8 +54,16 @@
         }
         let mut groups = FxHashMap::default();
         for (service, engines) in services {
-            let slots = engines.iter().map(|engine| engine.slots).sum::<u32>();
-            let mut left = vec![Self::GROUP_SLOTS; slots.div_ceil(Self::GROUP_SLOTS) as usize];
+            let slots = engines
+                .iter()
+                .map(|engine| u64::from(engine.slots))
+                .sum::<u64>();
+            let count = slots.div_ceil(Self::GROUP_SLOTS.into());
+            // An engine is in one group, so that more groups than engines would stay empty.
+            let count = usize::try_from(count)
+                .unwrap_or(usize::MAX)
+                .min(engines.len());
+            let mut left = vec![Self::GROUP_SLOTS; count];
             for engine in engines {
                 let rendezvous = RendezvousHash::new(Self::ENGINE_SEED ^ engine.key.hash());
                 let open = (0..left.len()).filter(|number| left[*number] > 0);
--- a/crates/ebonystand-core/src/slots/slot_scheduler.rs
+++ b/crates/ebonystand-core/src/slots/slot_scheduler.rs
@@ -223,7 +223,8 @@
         };
         let engines = self.engines.values();
         let engines = engines.filter(|engine| engine.group == *group);
-        let slots = engines.map(ScheduledEngine::slots).sum::<u32>().max(1);
+        let slots = engines.map(ScheduledEngine::slots);
+        let slots = slots.fold(0, u32::saturating_add).max(1);
         let ms = queue.work_ahead(begin_by, request) * self.hold_scale / f64::from(slots);
         Duration::from_secs_f64(ms / 1_000.0)
     }
--- a/crates/ebonystand-core/tests/gateway/caches.rs
+++ b/crates/ebonystand-core/tests/gateway/caches.rs
@@ -390,3 +390,30 @@
     let has_other = told.clone().any(|cached| cached.instance == "v1".into());
     assert!(!has_other || tells);
 }
+
+/// Guards against a caller's header whose numbers overflow the sums of the VM that reads it.
+#[test]
+fn parts_with_more_tokens_than_can_be_counted_are_all_of_the_prompt() {
+    let part = |id| PromptPart {
+        id,
+        tokens: Tokens::MAX,
+    };
+    let prompt = Prompt {
+        input: 1_000,
+        model: "m".into(),
+        output: Tokens::MAX,
+        parts: (1..=3).map(part).collect(),
+    };
+    assert_eq!((prompt.shared_tokens(), prompt.own_tokens()), (1_000, 0));
+    let mut book = book(vec![listed("u1", "a-1", 1)]);
+    for _ in 0..2 {
+        let sets = Sets::default();
+        let query = sets.query(Some(&prompt));
+        book.record_sent(ms(0), &query, "u1", 0);
+        let choice = book.choose_target(ms(0), &query);
+        assert!(
+            matches!(choice, TargetChoice::Upstream { .. }),
+            "{choice:?}"
+        );
+    }
+}
--- a/crates/ebonystand-core/tests/gateway/list.rs
+++ b/crates/ebonystand-core/tests/gateway/list.rs
@@ -247,3 +247,32 @@
     list.add_missing(ListScope::OwnRegion, &mut read);
     assert!(read.is_empty(), "the list of another scope says nothing");
 }
+
+/// Guards against an entry of another writer that takes the place of an upstream, or takes turns with it at each read.
+#[rstest]
+#[case::first(true)]
+#[case::last(false)]
+fn an_upstream_that_is_listed_twice_stays_as_it_is(#[case] is_first: bool) {
+    let sound = listed("u1", "a-1", 1);
+    let known = sound.service.clone();
+    let odd = [
+        ListedUpstream {
+            service: "unknown".into(),
+            ..sound.clone()
+        },
+        listed("u1", "a-2", 9),
+    ];
+    for odd in odd {
+        let mut list = UpstreamList::new(ListScope::AllRegions, vec![sound.clone()]);
+        let mut read = match is_first {
+            true => vec![odd, sound.clone(), listed("u2", "a-1", 2)],
+            false => vec![sound.clone(), listed("u2", "a-1", 2), odd],
+        };
+        let removed = list.remove_duplicates(&mut read, |service| *service == known);
+        assert_eq!((removed, read.len()), (1, 2));
+        list.replace(ms(0), ListScope::AllRegions, read.clone());
+        assert!(list.iter().any(|entry| *entry == sound));
+        let update = list.replace(ms(1_000), ListScope::AllRegions, read);
+        assert!(matches!(update, ListUpdate::Unchanged { .. }), "{update:?}");
+    }
+}
--- a/crates/ebonystand-core/tests/slots/failures.rs
+++ b/crates/ebonystand-core/tests/slots/failures.rs
@@ -118,3 +118,18 @@
 fn waiting_callers_leave() {
     play(Fault::Leaving { permille: 200 });
 }
+
+/// Guards against an engine whose slots are beyond reason, which takes the VM's memory and leaves the others without a scheduler.
+#[test]
+fn an_engine_with_too_many_slots_takes_no_scheduler_from_the_others() {
+    const ENGINES: usize = 4;
+    let mut all = engines(ENGINES);
+    for engine in &mut all[..2] {
+        engine.slots = u32::MAX;
+    }
+    let plan = SlotPlan::new(&region_vms(region::VMS), &all);
+    let groups = all.iter().filter_map(|engine| plan.group(engine.key));
+    let schedulers = groups.filter_map(|group| plan.scheduler(group));
+    assert_eq!(schedulers.count(), ENGINES);
+    assert!(plan.schedulers().count() <= ENGINES);
+}
--- a/crates/ebonystand/src/gateway/list_controller.rs
+++ b/crates/ebonystand/src/gateway/list_controller.rs
@@ -33,7 +33,7 @@
 /// What of a list could not be read.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 struct ListFaults {
-    /// Number of malformed entries.
+    /// Number of entries that are malformed or name an upstream a second time.
     ignored: usize,
     /// Whether the rest of the list is malformed.
     is_cut_off: bool,
@@ -162,6 +162,17 @@
         Ok(())
     }
 
+    /// Removes entries of a list that name the same upstream as others, and returns their number.
+    fn remove_duplicates(&self, node: &Node, read: &mut Vec<ListedUpstream>) -> usize {
+        let table = node.gateway.table();
+        let is_known = |service: &ServiceId| table.service(service).is_some();
+        let listed = self.listed.borrow();
+        match &*listed {
+            Some(list) => list.remove_duplicates(read, is_known),
+            None => UpstreamList::default().remove_duplicates(read, is_known),
+        }
+    }
+
     /// Puts a list that this VM has read in force and returns the update for the other VMs.
     fn install(&self, node: &Node, read: ListRead) -> ListUpdate {
         let ListRead {
@@ -282,7 +293,8 @@
             };
             match list {
                 None => {}
-                Some(Ok(read)) => {
+                Some(Ok(mut read)) => {
+                    read.faults.ignored += this.remove_duplicates(&node, &mut read.upstreams);
                     if failures > 0 || this.listed.borrow().is_none() {
                         log::info!(upstreams = read.upstreams.len(); "list of upstreams read");
                     }
