Take no answer whose status is not one for an answer

Callers got answers with status 600 to 999 as their upstream had sent them, and no answer at all where it sent 101 before its answer (debug build).

Cause: the parser takes any number of three digits from 100 on, and all of 1xx for interim answers; nobody asked whether an answer can have the status.

Such an answer is malformed now, on routes, over a hop and on the own interface: the attempt is lost, so that the caller gets 502 or the answer of another upstream.

Evidence: early_answers.rs, before: status 600 and 999, direct and over a hop, and 101 direct, fail (5 of 16 cases of an_answer_without_a_status_is_a_failure). Held before and after: status 000 and 099, and early answers to uploads of 3 MB that are reset, 144 requests on routes of each kind, direct and over a hop.

--- a/crates/ebonystand/src/dispatch.rs
+++ b/crates/ebonystand/src/dispatch.rs
@@ -199,6 +199,11 @@
             status: status.as_u16(),
         });
     }
+    if !gateway::is_final(status) {
+        return Err(DispatchFailure::Status {
+            status: status.as_u16(),
+        });
+    }
     if status == StatusCode::SERVICE_UNAVAILABLE {
         let values = response.headers().get_all("retry-after");
         let pause = AnswerPause::parse(values.map(|value| value.to_str().unwrap_or_default()));
--- a/crates/ebonystand/src/gateway/connection.rs
+++ b/crates/ebonystand/src/gateway/connection.rs
@@ -241,8 +241,13 @@
         };
         while !buf.is_empty() {
             match codec.decode(buf).map_err(malformed)? {
-                Some(head) if head.status.is_informational() => {}
-                Some(head) => return Ok(Some(head)),
+                Some(head) if is_interim(head.status) => {}
+                Some(head) if is_final(head.status) => return Ok(Some(head)),
+                Some(head) => {
+                    let reason = format!("status {} answers no request", head.status.as_u16());
+                    let reason = reason.into();
+                    return Err(ConnectionFault::Malformed { reason });
+                }
                 None => return Ok(None),
             }
         }
@@ -250,6 +255,16 @@
     }
 }
 
+/// Whether another answer to the request follows. After 101, which nobody asks for, the bytes are of another protocol.
+fn is_interim(status: StatusCode) -> bool {
+    status.is_informational() && status != StatusCode::SWITCHING_PROTOCOLS
+}
+
+/// Whether a status is that of an answer. The parser takes all numbers of three digits from 100 on.
+pub(crate) fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 impl ResponseReader {
     /// Returns the head of the answer.
     pub(crate) fn head(&self) -> &ResponseHead {
--- a/crates/ebonystand/src/gateway/mod.rs
+++ b/crates/ebonystand/src/gateway/mod.rs
@@ -19,7 +19,7 @@
 };
 
 pub(crate) use {
-    controller::GatewayController, list_controller::ListController,
+    connection::is_final, controller::GatewayController, list_controller::ListController,
     request_content::RequestContent, slot_controller::SlotController,
 };
 
--- a/crates/ebonystand/tests/integration/cut_heads.rs
+++ b/crates/ebonystand/tests/integration/cut_heads.rs
@@ -103,12 +103,25 @@
 
 impl Read {
     pub(crate) async fn new(vm: &Vm, path: &str, name: &str, headers: &str) -> Self {
-        const LONGEST: Duration = Duration::from_secs(20);
-        let mut io = TcpStream::connect(vm.addresses.callers).await.unwrap();
         let request = format!(
             "GET {path} HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer {KEY}\r\nx-ebonystand-request: {name}\r\n{headers}connection: close\r\n\r\n"
         );
-        io.write_all(request.as_bytes()).await.unwrap();
+        Self::of(vm, request.as_bytes()).await
+    }
+
+    /// Sends a request with a body.
+    pub(crate) async fn of_upload(vm: &Vm, path: &str, name: &str, body: &[u8]) -> Self {
+        let len = body.len();
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer {KEY}\r\nx-ebonystand-request: {name}\r\ncontent-length: {len}\r\nconnection: close\r\n\r\n"
+        );
+        Self::of(vm, &[head.as_bytes(), body].concat()).await
+    }
+
+    async fn of(vm: &Vm, request: &[u8]) -> Self {
+        const LONGEST: Duration = Duration::from_secs(20);
+        let mut io = TcpStream::connect(vm.addresses.callers).await.unwrap();
+        io.write_all(request).await.unwrap();
         let mut bytes = Vec::new();
         let read = actix_rt::time::timeout(LONGEST, io.read_to_end(&mut bytes));
         let is_reset = read.await.expect("the caller is answered").is_err();
--- a/crates/ebonystand/tests/integration/main.rs
+++ b/crates/ebonystand/tests/integration/main.rs
@@ -10,6 +10,7 @@
 mod crashes;
 mod cut_heads;
 mod cut_vms;
+mod early_answers;
 mod endless;
 mod endless_beside;
 mod endless_links;
