Send no last chunk after an answer whose status allows no body

Cause: an answer of such a route is passed on as a body that comes in parts, also where its status allows none, and the HTTP library ends that with a chunk.

--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -115,6 +115,17 @@
 impl Answered {
     /// Builds the response that passes the answer on as it arrives.
     pub(crate) fn into_response(self) -> Response<BoxBody> {
+        let is_empty = matches!(
+            self.status,
+            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+        );
+        if is_empty {
+            // The last chunk of a stream would be read as the begin of the next answer.
+            self.relay.finish_empty();
+            let mut response = Response::new(self.status).map_into_boxed_body();
+            *response.headers_mut() = self.headers;
+            return response;
+        }
         let is_unframed = self.relay.is_unframed();
         let body = BodyStream::new(Box::pin(self.relay.into_stream()));
         let mut response = Response::new(self.status)
--- a/crates/ebonystand/src/gateway/relay.rs
+++ b/crates/ebonystand/src/gateway/relay.rs
@@ -329,6 +329,14 @@
         }
     }
 
+    /// Ends an answer whose status allows no body.
+    pub(crate) fn finish_empty(mut self) {
+        match self.first {
+            None => self.finish(),
+            Some(_) => self.abandon(AttemptEnd::Lost),
+        }
+    }
+
     /// Records the end of the answer and returns the connection to the pool.
     fn finish(&mut self) {
         let now = self.node.clock.now();
--- a/crates/ebonystand/tests/integration/early_answers.rs
+++ b/crates/ebonystand/tests/integration/early_answers.rs
@@ -4,7 +4,7 @@
     crate::{
         cut_heads::Read,
         fleet::KEY,
-        routes::{Setting, echo, put, routing, served},
+        routes::{HOST, Setting, echo, put, routing, served},
         scripted::{Reply, Scripted, Then},
         vm::Vm,
     },
@@ -226,3 +226,59 @@
         assert_eq!(refusal, (502, "upstream_failed", "unknown"));
     }
 }
+
+/// Guards against the last chunk of an empty stream, which the caller reads as the begin of the next answer.
+#[rstest]
+#[actix_rt::test]
+async fn no_bytes_follow_an_answer_without_a_body(
+    #[values(("GET", "204 No Content"), ("GET", "304 Not Modified"), ("HEAD", "200 OK"))] kind: (
+        &str,
+        &'static str,
+    ),
+    #[values("/once/x", "/look/x", "/stream/x")] path: &str,
+    #[values(false, true)] is_over_a_hop: bool,
+) {
+    let (method, status) = kind;
+    let upstream = Scripted::start(move |received| {
+        let name = received.request();
+        if name != "empty" {
+            return echo(received);
+        }
+        Reply {
+            bytes: format!("HTTP/1.1 {status}\r\nx-ebonystand-request: {name}\r\nstamp: s\r\n\r\n"),
+            then: Then::Keep,
+        }
+    });
+    let regions = match is_over_a_hop {
+        false => vec![("a", vec![upstream])],
+        true => vec![("a", Vec::new()), ("b", vec![upstream])],
+    };
+    let fleet = Setting::new(regions).start().await;
+    put(&fleet, routing(1)).await;
+    served(&fleet.vms[0], "/look/first").await;
+    let request = |method: &str, name: &str, connection: &str| {
+        format!(
+            "{method} {path} HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer {KEY}\r\nx-ebonystand-request: {name}\r\n{connection}\r\n"
+        )
+    };
+    let mut io = TcpStream::connect(fleet.vms[0].addresses.callers).unwrap();
+    io.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    let mut text = String::new();
+    for (method, name, connection) in [
+        (method, "empty", ""),
+        ("GET", "next", "connection: close\r\n"),
+    ] {
+        io.write_all(request(method, name, connection).as_bytes())
+            .unwrap();
+        // What follows the first answer comes before the second one.
+        actix_rt::time::sleep(Duration::from_millis(200)).await;
+    }
+    io.read_to_string(&mut text).unwrap();
+    let (first, rest) = text.split_once("\r\n\r\n").unwrap();
+    assert!(
+        first.starts_with(&format!("HTTP/1.1 {}", &status[..3])),
+        "{text}"
+    );
+    assert!(rest.starts_with("HTTP/1.1 200 OK"), "{text}");
+    assert!(rest.contains("served"), "{text}");
+}
