Keep the last entry of an upstream, and look up routes of refusals only

Pages that are read later are newer: an upstream that leaves between two pages of one read must not stay as the first of them has it. The route of a request is looked up a second time only where it is refused.

of_two_entries_of_an_upstream_the_last_one_counts asks for it.

--- a/crates/ebonystand-core/src/gateway/upstream_list.rs
+++ b/crates/ebonystand-core/src/gateway/upstream_list.rs
@@ -83,24 +83,17 @@
         read.extend(missing.cloned());
     }
 
-    /// Removes entries of a read that name an upstream which another entry names too, and returns their number. An entry of a
-    /// service for which `is_known` holds is kept before others, then one that is as it was, then the first.
+    /// Removes entries of a read that name an upstream which another entry names too, and returns their number. The last entry
+    /// of a service for which `is_known` holds is kept: pages that are read later are newer.
     pub fn remove_duplicates(
-        &self,
         read: &mut Vec<ListedUpstream>,
         is_known: impl Fn(&ServiceId) -> bool,
     ) -> usize {
-        let rank = |entry: &ListedUpstream| {
-            let before = self.entries.get(&entry.instance);
-            let is_same = before.is_some_and(|before| {
-                (before.address, &before.service) == (entry.address, &entry.service)
-            });
-            (is_known(&entry.service), is_same)
-        };
+        let rank = |entry: &ListedUpstream| is_known(&entry.service);
         let mut best = FxHashMap::<&UpstreamId, usize>::default();
         for (number, entry) in read.iter().enumerate() {
             let kept = best.entry(&entry.instance).or_insert(number);
-            if rank(entry) > rank(&read[*kept]) {
+            if rank(entry) >= rank(&read[*kept]) {
                 *kept = number;
             }
         }
--- a/crates/ebonystand-core/src/vm_returns.rs
+++ b/crates/ebonystand-core/src/vm_returns.rs
@@ -7,7 +7,7 @@
     /// Length of the last absence that has ended.
     last: Option<Duration>,
     /// VMs that take callers and are to stay, with their regions.
-    present: BTreeMap<VmId, RegionId>,
+    present: FxHashMap<VmId, RegionId>,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/ebonystand/src/gateway/call.rs
+++ b/crates/ebonystand/src/gateway/call.rs
@@ -234,15 +234,13 @@
             book.expected_answer_time(&self.query(node, &document, &none), self.kind)
         };
         let answer = AnswerTime::new(self.kind, self.end, expected);
-        let is_admitted = match &self.forwarded_from {
-            Some(region)
-                if node
-                    .gateway
-                    .has_other_way(node, region, self.homes.as_ref()) =>
-            {
-                departure.is_certain(now, &answer)
-            }
-            _ => departure.admits(now, &answer),
+        let has_other_way = self.forwarded_from.as_ref().is_some_and(|region| {
+            let gateway = &node.gateway;
+            gateway.has_other_way(node, region, self.homes.as_ref())
+        });
+        let is_admitted = match has_other_way {
+            true => departure.is_certain(now, &answer),
+            false => departure.admits(now, &answer),
         };
         !is_admitted
     }
--- a/crates/ebonystand/src/gateway/list_controller.rs
+++ b/crates/ebonystand/src/gateway/list_controller.rs
@@ -162,17 +162,6 @@
         Ok(())
     }
 
-    /// Removes entries of a list that name the same upstream as others, and returns their number.
-    fn remove_duplicates(&self, node: &Node, read: &mut Vec<ListedUpstream>) -> usize {
-        let table = node.gateway.table();
-        let is_known = |service: &ServiceId| table.service(service).is_some();
-        let listed = self.listed.borrow();
-        match &*listed {
-            Some(list) => list.remove_duplicates(read, is_known),
-            None => UpstreamList::default().remove_duplicates(read, is_known),
-        }
-    }
-
     /// Puts a list that this VM has read in force and returns the update for the other VMs.
     fn install(&self, node: &Node, read: ListRead) -> ListUpdate {
         let ListRead {
@@ -294,7 +283,10 @@
             match list {
                 None => {}
                 Some(Ok(mut read)) => {
-                    read.faults.ignored += this.remove_duplicates(&node, &mut read.upstreams);
+                    let table = node.gateway.table();
+                    let is_known = |service: &ServiceId| table.service(service).is_some();
+                    read.faults.ignored +=
+                        UpstreamList::remove_duplicates(&mut read.upstreams, is_known);
                     if failures > 0 || this.listed.borrow().is_none() {
                         log::info!(upstreams = read.upstreams.len(); "list of upstreams read");
                     }
--- a/crates/ebonystand/src/gateway/serve_call.rs
+++ b/crates/ebonystand/src/gateway/serve_call.rs
@@ -69,19 +69,19 @@
     let (arrived, deadline) = (node.clock.now(), head.deadline);
     let served = admit_and_run(node, req, payload, head).await;
     disconnect_logger.since = None;
-    let table = node.gateway.table();
-    let route = table.find_route(&host, req.path());
-    let workspace = key.as_ref().and_then(|key| table.workspace(key));
-    let served = served.map_err(|refusal| match (refusal.code, route) {
-        (RefusalCode::Draining, Some(route)) => {
-            let longest = Duration::from_millis(route.timeout_ms);
-            let end = arrived + deadline.unwrap_or(longest).min(longest);
-            let delay = departure_retry(node, route, workspace, end);
-            refusal.with_retry_after(delay)
-        }
-        _ => refusal,
-    });
-    served.inspect_err(|refusal| {
+    served.map_err(|refusal| {
+        let table = node.gateway.table();
+        let route = table.find_route(&host, req.path());
+        let workspace = key.as_ref().and_then(|key| table.workspace(key));
+        let refusal = match (refusal.code, route) {
+            (RefusalCode::Draining, Some(route)) => {
+                let longest = Duration::from_millis(route.timeout_ms);
+                let end = arrived + deadline.unwrap_or(longest).min(longest);
+                let delay = departure_retry(node, route, workspace, end);
+                refusal.with_retry_after(delay)
+            }
+            _ => refusal,
+        };
         let route = route.map_or("none", |route| &route.name);
         let workspace = workspace.map_or("none", |workspace| &workspace.name);
         log::info!(
@@ -89,6 +89,7 @@
             retry_after_ms = refusal.retry_after.unwrap_or_default().as_millis() as u64;
             "refused"
         );
+        refusal
     })
 }
 
