--- a/crates/ebonystand/src/limits.rs
+++ b/crates/ebonystand/src/limits.rs
@@ -8,11 +8,11 @@
     pub body_bytes: usize,
     /// Longest time for a caller to send its body.
     pub body_timeout: Duration,
-    /// Longest time for callers to take the last answers when the VM stops.
-    pub close: Duration,
     /// Time after the order to stop from which a stream is begun only if it is certain to end before the VM. Earlier
     /// ones are begun if almost all such streams end in time.
     pub certain_after: Duration,
+    /// Longest time for callers to take the last answers when the VM stops.
+    pub close: Duration,
     /// Most connections of callers at once.
     pub connections: usize,
     /// Longest time that requests which run may take to end when the VM stops.
--- a/crates/ebonystand/tests/integration/early_answers.rs
+++ b/crates/ebonystand/tests/integration/early_answers.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         cut_heads::Read,
-        fleet::KEY,
+        fleet::{Fleet, KEY},
         routes::{HOST, Setting, echo, put, routing, served},
         scripted::{Reply, Scripted, Then},
         vm::Vm,
@@ -91,6 +91,18 @@
     rustix::net::sockopt::set_socket_linger(io, Some(Duration::ZERO)).unwrap();
 }
 
+/// Starts a VM, or one in each of two regions of which the other one has the upstream.
+async fn start(upstream: Scripted, is_over_a_hop: bool) -> Fleet {
+    let regions = match is_over_a_hop {
+        false => vec![("a", vec![upstream])],
+        true => vec![("a", Vec::new()), ("b", vec![upstream])],
+    };
+    let fleet = Setting::new(regions).start().await;
+    put(&fleet, routing(1)).await;
+    served(&fleet.vms[0], "/look/first").await;
+    fleet
+}
+
 async fn upload(vm: &Vm, path: &str, name: &str) -> Read {
     Read::of_upload(vm, path, name, &vec![b'x'; UPLOAD_BYTES]).await
 }
@@ -107,13 +119,7 @@
         let status = "200 OK";
         let early = EarlyAnswer { end, pause, status };
         let upstream = Scripted::start(echo).at(early.start());
-        let regions = match is_over_a_hop {
-            false => vec![("a", vec![upstream])],
-            true => vec![("a", Vec::new()), ("b", vec![upstream])],
-        };
-        let fleet = Setting::new(regions).start().await;
-        put(&fleet, routing(1)).await;
-        served(&fleet.vms[0], "/look/first").await;
+        let fleet = start(upstream, is_over_a_hop).await;
         for path in ["/once/x", "/look/x", "/stream/x"] {
             for n in 0..4 {
                 let read = upload(&fleet.vms[0], path, &format!("u{n}")).await;
@@ -136,9 +142,7 @@
         status: "200 OK",
     };
     let upstream = Scripted::start(echo).at(early.start());
-    let fleet = Setting::new(vec![("a", vec![upstream])]).start().await;
-    put(&fleet, routing(1)).await;
-    served(&fleet.vms[0], "/look/first").await;
+    let fleet = start(upstream, false).await;
     let read = upload(&fleet.vms[0], path, "u").await;
     if read.looks_whole() && read.status() == Some(200) {
         assert_eq!(read.body, EVENT.repeat(2), "{read:?}");
@@ -173,13 +177,7 @@
             then: Then::Close,
         }
     });
-    let regions = match is_over_a_hop {
-        false => vec![("a", vec![upstream])],
-        true => vec![("a", Vec::new()), ("b", vec![upstream])],
-    };
-    let fleet = Setting::new(regions).start().await;
-    put(&fleet, routing(1)).await;
-    served(&fleet.vms[0], "/look/first").await;
+    let fleet = start(upstream, is_over_a_hop).await;
     for path in ["/once/x", "/look/x", "/stream/x"] {
         let read = Read::new(&fleet.vms[0], path, "odd", "").await;
         assert!(read.is_own_failure(), "{path}: {read:?}");
@@ -197,9 +195,7 @@
         },
         _ => echo(received),
     });
-    let fleet = Setting::new(vec![("a", vec![upstream])]).start().await;
-    put(&fleet, routing(1)).await;
-    served(&fleet.vms[0], "/look/first").await;
+    let fleet = start(upstream, false).await;
     let read = Read::new(&fleet.vms[0], "/once/x", "odd", "").await;
     assert!(read.is_own_failure(), "{read:?}");
 }
@@ -249,13 +245,7 @@
             then: Then::Keep,
         }
     });
-    let regions = match is_over_a_hop {
-        false => vec![("a", vec![upstream])],
-        true => vec![("a", Vec::new()), ("b", vec![upstream])],
-    };
-    let fleet = Setting::new(regions).start().await;
-    put(&fleet, routing(1)).await;
-    served(&fleet.vms[0], "/look/first").await;
+    let fleet = start(upstream, is_over_a_hop).await;
     let request = |method: &str, name: &str, connection: &str| {
         format!(
             "{method} {path} HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer {KEY}\r\nx-ebonystand-request: {name}\r\n{connection}\r\n"
