Let the last VM of a region stay only to a known end

Without limits.grace_ms nobody kills a VM at a known time, and whoever starts the next process waits for its end: a lone VM that had nothing to run would have stayed for the whole of limits.drain_ms, 120 s by default, where it ended before.

On the platform, whose VMs that serve callers all have a grace, nothing changes.

--- a/crates/ebonystand/src/limits.rs
+++ b/crates/ebonystand/src/limits.rs
@@ -17,6 +17,8 @@
     pub connections: usize,
     /// Longest time that requests which run may take to end when the VM stops.
     pub drain: Duration,
+    /// Whether the process is killed at a known time after the order to stop.
+    pub has_grace: bool,
     /// Longest time for a caller to send a request's head.
     pub head_timeout: Duration,
     /// Time for which a leaving VM serves on; longer than an entry list that names it is valid.
@@ -60,6 +62,7 @@
             close: close.unwrap_or(Self::DEFAULT_CLOSE),
             connections: reader.ranged("connections", 16_384, 16, 1 << 20) as usize,
             drain: drain.unwrap_or(millis(drain_ms)),
+            has_grace: parts.is_some(),
             head_timeout: millis(reader.ranged("head_timeout_ms", 5_000, 100, 60_000)),
             linger: linger.unwrap_or(millis(linger_ms)),
             requests: reader.ranged("requests", 8_192, 1, 1 << 20) as usize,
--- a/crates/ebonystand/src/node.rs
+++ b/crates/ebonystand/src/node.rs
@@ -114,7 +114,8 @@
             let takes = departure.takes_requests(self.clock.now(), self.region_has_other_taker());
             self.set_draining(!takes);
             let has_work = self.has_running() || self.readers.has_unaccepted();
-            if !takes && !has_work && !self.is_last_of_region(&departure) {
+            let stays = limits.has_grace && self.is_last_of_region(&departure);
+            if !takes && !has_work && !stays {
                 break;
             }
             actix_rt::time::sleep(Self::DRAIN_LOOK).await;
@@ -225,8 +226,8 @@
         })
     }
 
-    /// Whether no other VM of the region takes callers or leaves later than this one. Such a VM stays to its end: without a
-    /// process, callers are not told when to come back.
+    /// Whether no other VM of the region takes callers or leaves later than this one. Such a VM stays until it is killed, if it
+    /// is known when: without a process, callers are not told when to come back.
     fn is_last_of_region(&self, departure: &Departure) -> bool {
         let live = self.membership.live(self.clock.now());
         let own = &self.settings;
